--- /dev/null
+++ b/flinthatch/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions of an HTTP load balancer; see README.md for the interface."""
+
+from flinthatch.balancer import (
+    Actions,
+    Balancer,
+    Effect,
+    Listing,
+    Outcome,
+    RequestClass,
+    Scope,
+    Settings,
+    State,
+    Tenant,
+    Update,
+)
+
+__all__ = [
+    "Actions",
+    "Balancer",
+    "Effect",
+    "Listing",
+    "Outcome",
+    "RequestClass",
+    "Scope",
+    "Settings",
+    "State",
+    "Tenant",
+    "Update",
+]
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,66 @@
+"""A host for a Balancer that records what it was asked to do."""
+
+from __future__ import annotations
+
+from flinthatch import Balancer, Effect, Listing, RequestClass, Settings, State, Update
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+
+class Host:
+    """Records actions in order; `calls` holds tuples with the action's name first."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[object, ...]] = []
+        self.waits: list[int] = []  # what refused clients were told
+
+    def send(self, request: int, backend: int, timeout: int) -> None:
+        self.calls.append(("send", request, backend, timeout))
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        self.calls.append(("refuse", request))
+        self.waits.append(retry_after)
+
+    def fail(self, request: int) -> None:
+        self.calls.append(("fail", request))
+
+    def cancel(self, request: int, attempt: int) -> None:
+        self.calls.append(("cancel", request, attempt))
+
+    def set_timer(self, token: int, due: int) -> None:
+        self.calls.append(("timer", token, due))
+
+    def probe(self, backend: int) -> None:
+        self.calls.append(("probe", backend))
+
+    def watch(self) -> None:
+        self.calls.append(("watch",))
+
+    def fetch(self) -> None:
+        self.calls.append(("fetch",))
+
+    def log(self, text: str) -> None:
+        self.calls.append(("log", text))
+
+    def named(self, name: str) -> list[tuple[object, ...]]:
+        return [c for c in self.calls if c[0] == name]
+
+
+PURE = RequestClass("pure", 200 * MS, 1000 * MS, Effect.PURE)
+UNSAFE = RequestClass("unsafe", 200 * MS, 1000 * MS, Effect.SIDE_EFFECT, window=SECOND)
+KEYED = RequestClass("keyed", 200 * MS, 1000 * MS, Effect.TOKEN, window=60 * MS)
+
+
+def rows(count: int, zone: int = 0, first: int = 100) -> list[Listing]:
+    return [Listing(first + i, State.READY, zone) for i in range(count)]
+
+
+def build(settings: Settings | None = None, count: int = 4, seed: int = 1) -> tuple[Balancer, Host]:
+    host = Host()
+    balancer = Balancer(
+        settings or Settings(classes=(PURE, UNSAFE, KEYED), max_attempts=4), seed, host
+    )
+    balancer.start(0)
+    balancer.on_members(0, Update.CACHED, rows(count))
+    return balancer, host
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,247 @@
+"""A real node as a process of its own, and hand-driven peers on loopback sockets.
+
+Nothing here waits for a length of time: every wait is for bytes, a connection or
+an end, with a limit that only a hang reaches.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT = 20.0  # seconds; a hang, not a measure
+
+SETTINGS: dict[str, Any] = {
+    "areas": ["east", "west"],
+    "balancers": 1,
+    "me": 0,
+    "my_zone": 0,
+    "skus": ["m2"],
+    "registry_mode": "ask",
+    "tick": 5_000_000,
+    "classes": [
+        {
+            "name": "balance",
+            "target": 1_800_000_000,
+            "deadline": 2_000_000_000,
+            "effect": "pure",
+            "credit": 1.0,
+        },
+        {
+            "name": "credit",
+            "target": 1_800_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "side_effect",
+            "credit": 5.0,
+        },
+    ],
+    "limits": {
+        "max_attempts": 4,
+        "dial_timeout": 250_000_000,
+        "idle_close": 60_000_000_000,
+        "max_retry_after": 2_000_000_000,
+        "retry_after": True,
+        "probes": True,
+        "cancelling": True,
+    },
+    "load_info": {"how": "off", "columns": []},
+    "rules": {
+        "ask_within": 10_000_000_000,
+        "drain_grace": 2_000_000_000,
+        "cold": 8_000_000_000,
+        "cold_from": 0.3,
+        "fall": 1_500_000_000,
+        "fall_multiple": 3.0,
+        "grace_to_answer": 20_000_000,
+    },
+}
+
+
+def listen() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(LIMIT)
+    return sock
+
+
+def target(uid: str, port: int, state: str = "active", boot_ms: int = 0) -> dict[str, object]:
+    return {
+        "uid": uid,
+        "endpoint": f"127.0.0.1:{port}",
+        "az": "east",
+        "model": "m2",
+        "pod_group": 1,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    }
+
+
+def roster(*targets: dict[str, object], rev: int = 1, whole: bool = True) -> dict[str, object]:
+    return {"rev": rev, "all": whole, "targets": list(targets)}
+
+
+class Peer:
+    """One connection, driven by hand."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(LIMIT)
+        self.buffer = b""
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def more(self) -> bool:
+        try:
+            data = self.sock.recv(65536)
+        except ConnectionError:
+            data = b""
+        self.buffer += data
+        return bool(data)
+
+    def message(self) -> tuple[str, dict[str, str], bytes]:
+        """One whole message with Content-Length: first line, headers, body."""
+        while b"\r\n\r\n" not in self.buffer:
+            if not self.more():
+                raise EOFError(f"ended after {self.buffer!r}")
+        head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:])}
+        size = int(headers.get("content-length", "0"))
+        while len(self.buffer) < size:
+            if not self.more():
+                raise EOFError("ended within a body")
+        body, self.buffer = self.buffer[:size], self.buffer[size:]
+        return lines[0], headers, body
+
+    def ends(self) -> bytes:
+        """Everything up to the end of the connection."""
+        while self.more():
+            pass
+        return self.buffer
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Running:
+    """A node's process."""
+
+    def __init__(self, process: subprocess.Popen[str], port: int) -> None:
+        self.process = process
+        self.port = port
+
+    def connect(self) -> Peer:
+        return Peer(socket.create_connection(("127.0.0.1", self.port), LIMIT))
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(LIMIT)
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def resident_mb(self, which: str = "VmRSS") -> float:
+        """What the process holds in memory now, or held at its peak ("VmHWM")."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.findall(rf"{which}:\s+(\d+)", status)[0]) / 1024
+
+
+def config(tmp_path: Path, known: dict[str, object], discovery: int, **over: Any) -> dict[str, str]:
+    """Write a configuration; returns the environment that names it."""
+    raw = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256} | over.pop("limits", {}),
+        "known": known,
+        "settings": SETTINGS | over.pop("settings", {}),
+    } | over
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return {"PROXY_CONFIG": str(path), "PROXY_LISTEN": "127.0.0.1:0", "PROXY_NAME": "n0"}
+
+
+def launch(environ: dict[str, str]) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "windrelay"],
+        cwd=ROOT,
+        env=os.environ | environ,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@contextlib.contextmanager
+def node(
+    tmp_path: Path, known: dict[str, object], discovery: int = 1, **over: Any
+) -> Iterator[Running]:
+    """A node that listens. Port 1 as discovery refuses every call."""
+    process = launch(config(tmp_path, known, discovery, **over))
+    try:
+        assert process.stderr is not None
+        line = process.stderr.readline()
+        assert "listening on" in line, line + process.stderr.read()
+        running = Running(process, int(line.rsplit(":", 1)[1]))
+        yield running
+        assert process.poll() is None or process.returncode == 0
+    finally:
+        process.kill()
+        process.wait(LIMIT)
+        if process.stderr is not None:
+            process.stderr.close()
+
+
+def request(
+    path: str = "/balance/7f3a",
+    body: bytes | None = None,
+    timeout: int = 1500,
+    rid: str = "9b1f03aa5c7e2d41",
+    **headers: str,
+) -> bytes:
+    """A request's bytes; a header named x_y is sent as X-Y, an empty one left out."""
+    lines = {
+        "Host": "app.svc",
+        "X-Request-ID": rid,
+        "X-Priority-Class": path.split("/")[1],
+        "X-Tenant-Id": "acme",
+        "X-Timeout-Ms": str(timeout),
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    if body is not None and "Content-Length" not in lines:
+        lines["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
+    method = "GET" if body is None else "POST"
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + (body or b"")
+
+
+def answer(body: bytes = b"", status: str = "200 OK", *headers: str) -> bytes:
+    lines = "".join(f"{line}\r\n" for line in headers)
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
+
+
+def accept(server: socket.socket) -> Peer:
+    return Peer(server.accept()[0])
+
+
+def until(condition: Any) -> None:
+    """Wait for something that only the process itself can bring about."""
+    end = time.monotonic() + LIMIT
+    while not condition():
+        assert time.monotonic() < end, "never came about"
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,85 @@
+"""What the pool learns about idle connections, without sockets where none are needed."""
+
+from __future__ import annotations
+
+import select
+import time
+from pathlib import Path
+
+from windrelay.upstream import LEARN_PAUSE_NS, MS, IdleLimit
+
+from .harness import LIMIT, accept, answer, listen, node, request, roster, target
+
+SECOND = 1_000_000_000
+
+
+def test_one_backend_alone_teaches_nothing() -> None:
+    limit = IdleLimit(58 * SECOND)
+    limit.broke(SECOND, 1, 200 * MS)
+    limit.broke(SECOND, 1, 100 * MS)
+    limit.broke(20 * SECOND, 2, 100 * MS)  # the other's breaks are long past
+    assert limit.limit == 58 * SECOND
+
+
+def test_breaks_of_any_age_teach_nothing() -> None:
+    """A network that breaks connections at random is no reason to dial for each request."""
+    limit = IdleLimit(58 * SECOND)
+    for i in range(60):
+        limit.held(SECOND, 10 * MS * i)
+        if i % 3 == 0:
+            limit.broke(SECOND, i, 10 * MS * (i // 2))
+    assert limit.limit == 58 * SECOND
+
+
+def test_two_backends_teach_a_limit_that_is_forgotten_slowly() -> None:
+    limit = IdleLimit(58 * SECOND)
+    limit.broke(SECOND, 1, 200 * MS)
+    limit.broke(SECOND, 2, 100 * MS)
+    assert limit.limit == 70 * MS
+    limit.sweep(SECOND + LEARN_PAUSE_NS - 1)
+    assert limit.limit == 70 * MS
+    now = SECOND + LEARN_PAUSE_NS
+    for _ in range(30):
+        limit.sweep(now)
+        now += 60 * SECOND
+    assert limit.limit == 58 * SECOND
+
+
+def test_idle_connections_that_break_under_a_request_are_no_longer_used(tmp_path: Path) -> None:
+    """Backends that forget idle connections cost a request each, once, and no more."""
+    with listen() as one, listen() as two:
+        known = roster(target("s-1", one.getsockname()[1]), target("s-2", two.getsockname()[1]))
+        with node(tmp_path, known) as n:
+            clients = [n.connect(), n.connect()]
+            for i, client in enumerate(clients):  # together, so that each backend gets one
+                client.send(request("/credit/1", b"x", rid=f"a{i}"))
+            peers = [accept(one), accept(two)]
+            idle_from = time.monotonic()
+            for peer in peers:
+                peer.message()
+                peer.send(answer(b"1"))
+            for client in clients:
+                client.message()
+            time.sleep(0.1)  # the longer, the surer: nothing else hangs on it
+            for i, client in enumerate(clients):
+                client.send(request("/credit/1", b"x", rid=f"b{i}"))
+            for peer in peers:
+                peer.message()
+                peer.reset()
+            for client in clients:
+                assert client.message()[0].split(" ")[1] == "502"
+            learnt = time.monotonic() - idle_from
+            client = clients[0]
+            client.send(request("/credit/1", b"x", rid="c"))
+            server = select.select([one, two], [], [], LIMIT)[0][0]
+            peer = accept(server)
+            peer.message()
+            peer.send(answer(b"2"))
+            client.message()
+            time.sleep(2 * learnt)
+            client.send(request("/credit/1", b"x", rid="d"))
+            fresh = accept(select.select([one, two], [], [], LIMIT)[0][0])
+            assert fresh.message()[1]["x-request-id"] == "d"
+            fresh.send(answer(b"3"))
+            assert client.message()[2] == b"3"
+            assert peer.ends() == b""
--- /dev/null
+++ b/windrelay/__init__.py
@@ -0,0 +1,1 @@
+"""The real node round the decisions of flinthatch; see docs/design.md."""
--- /dev/null
+++ b/windrelay/node.py
@@ -0,0 +1,425 @@
+"""The host of one Balancer: its requests, attempts, timers and clock.
+
+Every event reaches the Balancer from here, and every action starts here. An
+action never calls back: outcomes it causes are queued and told once the
+Balancer has returned. Nothing is decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Sequence
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING
+
+from flinthatch import Balancer, Listing, Outcome, Update
+from windrelay.config import Config
+from windrelay.discovery import Discovery
+from windrelay.upstream import Upstream
+
+if TYPE_CHECKING:
+    from windrelay.server import ClientConnection, Incoming
+    from windrelay.upstream import BackendConnection
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+BACKSTOP = 10 * MS  # past its deadline a request the module forgot is failed
+REARM = 100 * MS  # a timer whose event raised comes again after this long
+NO_TIMER = 1 << 63
+LOG_LINES = 20  # a second
+RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
+OVERLAP = 8  # of them, for connections that replace one just given up
+UPSTREAM_PART = 4  # one in so many descriptors is kept for backends
+BASE_MB = 44  # what the program itself takes
+LARGEST_BODY = 32 << 20
+
+
+class Budget:
+    """Bytes of bodies and answers held, over all connections.
+
+    Above `soft` reading is paused, but for the oldest unfinished body: it may
+    always grow, by LARGEST_BODY at most, so bodies never wait for one another.
+    """
+
+    __slots__ = ("held", "paused", "soft", "unfinished")
+
+    def __init__(self, memory_mb: int) -> None:
+        room = (memory_mb - BASE_MB << 20) - LARGEST_BODY
+        self.soft = max(room * 3 // 4, 4 << 20)
+        self.held = 0
+        self.paused: dict[ClientConnection, None] = {}
+        self.unfinished: dict[ClientConnection, None] = {}  # larger bodies, oldest first
+
+    def must_pause(self, conn: ClientConnection) -> bool:
+        """Whether a body is to wait; if so resume_body tells when there is room."""
+        if self.held <= self.soft or conn not in self.unfinished:
+            return False
+        if conn is next(iter(self.unfinished)):
+            return False
+        self.paused[conn] = None
+        return True
+
+    def finished(self, conn: ClientConnection) -> None:
+        """A body is whole or given up: the next oldest may always grow."""
+        self.paused.pop(conn, None)
+        if self.unfinished.pop(conn, self) is None:
+            oldest = next(iter(self.unfinished), None)
+            if oldest is not None and oldest in self.paused:
+                del self.paused[oldest]
+                oldest.resume_body()
+
+    def take(self, size: int) -> None:
+        self.held += size
+
+    def give(self, size: int) -> None:
+        self.held -= size
+        if self.paused and self.held <= self.soft:
+            waiting, self.paused = self.paused, {}
+            for conn in waiting:
+                conn.resume_body()
+
+
+class Request:
+    __slots__ = (
+        "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "live", "size",
+    )  # fmt: skip
+
+    def __init__(
+        self, rid: int, client: ClientConnection, incoming: Incoming, now: int, left: int
+    ) -> None:
+        self.id = rid
+        self.client: ClientConnection | None = client
+        self.head = incoming.head
+        self.body = incoming.body
+        self.size = incoming.size
+        self.arrived = now
+        self.deadline = now + left
+        self.attempts: list[Attempt] = []
+        self.live = 0
+        self.ended = False
+
+
+class Attempt:
+    """One send, or a probe where `request` is None. It has exactly one outcome."""
+
+    __slots__ = ("backend", "closed", "connection", "limit", "number", "request", "sent")
+
+    def __init__(self, request: Request | None, number: int, backend: int, sent: int) -> None:
+        self.request = request
+        self.number = number
+        self.backend = backend
+        self.sent = sent
+        self.limit = 0
+        self.closed = False
+        self.connection: BackendConnection | None = None
+
+
+class Node:
+    """Implements flinthatch.Actions over real sockets."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.loop = loop
+        self.now = time.monotonic_ns()
+        self.budget = Budget(config.memory_mb)
+        self.clients = 0
+        self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
+        self.sockets = config.sockets - RESERVED
+        self.upstream = Upstream(self)
+        self.discovery = Discovery(config, self.members_told, self.log)
+        self.requests: dict[int, Request] = {}
+        self.open = 0
+        self.last_id = 0
+        self.inside = False
+        self.outcomes: deque[tuple[Attempt, Outcome, int, Sequence[float]]] = deque()
+        self.timers: list[tuple[int, int, int | Attempt | Request]] = []
+        self.timer_count = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.armed = NO_TIMER
+        self.log_second = 0
+        self.log_lines = 0
+        self.balancer = Balancer(config.settings, config.seed, self)
+
+    def start(self) -> None:
+        """Begin from the list in the configuration; ListError if it is malformed."""
+        rows = self.discovery.known(self.config.known)
+        self.enter()
+        self.balancer.start(self.now)
+        self.balancer.on_members(self.now, Update.CACHED, rows)
+        self.leave()
+
+    # ---- events: each enters, tells the Balancer, and leaves -----------
+
+    def enter(self) -> int:
+        self.inside = True
+        self.now = now = time.monotonic_ns()
+        return now
+
+    def leave(self) -> None:
+        """Tell the outcomes that came up meanwhile, then set the timer anew."""
+        outcomes = self.outcomes
+        while outcomes:
+            self.tell(*outcomes.popleft())
+        self.inside = False
+        timers = self.timers
+        if timers and timers[0][0] < self.armed:
+            self.arm(timers[0][0])
+
+    def request(self, client: ClientConnection, incoming: Incoming, waited: int) -> Request | None:
+        """Take a client's request; None where as many are open as the settings allow."""
+        if self.open >= self.config.max_open:
+            return None
+        now = self.enter()
+        self.last_id += 1
+        rid = self.last_id
+        left = incoming.timeout - waited
+        r = Request(rid, client, incoming, now, left)
+        self.requests[rid] = r
+        self.open += 1
+        self.later(r.deadline + BACKSTOP, r)
+        try:
+            self.balancer.on_request(
+                now,
+                rid,
+                incoming.cls,
+                left,
+                incoming.tenant,
+                incoming.key,
+                incoming.hint,
+                incoming.retried,
+                waited,
+            )
+        except Exception:
+            self.broken()
+            if not r.live:
+                self.finish(r, 502)
+        self.leave()
+        return r
+
+    def client_gone(self, r: Request) -> None:
+        """The client left: nothing more is owed, attempts go on to their outcomes."""
+        if r.ended:
+            return
+        now = self.enter()
+        self.end(r)
+        try:
+            self.balancer.on_gone(now, r.id)
+        except Exception:
+            self.broken()
+        self.leave()
+
+    def members_told(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
+        for backend in stale:
+            self.upstream.drop_idle(backend)
+        now = self.enter()
+        try:
+            self.balancer.on_members(now, update, rows)
+        except Exception:
+            self.broken()
+        self.leave()
+
+    def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
+        """Settle an attempt's one outcome; the Balancer is told after the current event."""
+        if a.closed:
+            return
+        a.closed = True
+        a.connection = None
+        inside = self.inside
+        now = self.now if inside else self.enter()
+        r = a.request
+        if r is not None and outcome == Outcome.OK and not r.ended:
+            self.end(r)
+        self.outcomes.append((a, outcome, now - a.sent, load))
+        if not inside:
+            self.leave()
+
+    def tell(self, a: Attempt, outcome: Outcome, taken: int, load: Sequence[float]) -> None:
+        r = a.request
+        try:
+            if r is None:
+                self.balancer.on_probe(self.now, a.backend, outcome, taken, load)
+                return
+            r.live -= 1
+            self.balancer.on_outcome(self.now, r.id, a.number, outcome, taken, r.ended, load)
+        except Exception:
+            self.broken()
+            if r is not None and not r.live and not r.ended:
+                self.finish(r, 502)
+        if r is not None:
+            self.forget(r)
+
+    # ---- requests -----------------------------------------------------
+
+    def end(self, r: Request) -> None:
+        r.ended = True
+        r.client = None
+        self.open -= 1
+        self.forget(r)
+
+    def forget(self, r: Request) -> None:
+        """Drop a request that has ended and has nothing out any more."""
+        if r.ended and not r.live and self.requests.pop(r.id, None) is not None:
+            r.body = []
+            self.budget.give(r.size)
+
+    def finish(self, r: Request, status: int, retry_after: int = 0) -> None:
+        """Give a request its final answer without service."""
+        if r.ended:
+            return
+        client = r.client
+        self.end(r)
+        if client is not None:
+            client.answer_empty(status, retry_after)
+
+    def fail_all(self) -> None:
+        """At the very end of a stop: whatever is still held gets its answer."""
+        for r in list(self.requests.values()):
+            self.finish(r, 502)
+
+    # ---- actions ------------------------------------------------------
+
+    def send(self, request: int, backend: int, timeout: int) -> None:
+        r = self.requests.get(request)
+        if r is None:
+            self.log(f"send for request {request}, which is not open")
+            return
+        now = self.now
+        a = Attempt(r, len(r.attempts), backend, now)
+        r.attempts.append(a)
+        r.live += 1
+        left = r.deadline - now
+        limit = min(timeout, left) if timeout else left
+        if r.ended or left <= 0 or len(r.attempts) > self.config.settings.max_attempts:
+            self.conclude(a, Outcome.MOOT)
+        elif limit <= 0:
+            self.conclude(a, Outcome.TIMEOUT)
+        else:
+            a.limit = limit
+            self.later(now + limit, a)
+            self.upstream.send(a)
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        r = self.requests.get(request)
+        if r is not None:
+            self.finish(r, 503, retry_after)
+
+    def fail(self, request: int) -> None:
+        r = self.requests.get(request)
+        if r is not None:
+            self.finish(r, 502)
+
+    def cancel(self, request: int, attempt: int) -> None:
+        r = self.requests.get(request)
+        if r is not None and 0 <= attempt < len(r.attempts):
+            self.give_up(r.attempts[attempt], Outcome.CANCELLED)
+
+    def probe(self, backend: int) -> None:
+        now = self.now
+        a = Attempt(None, 0, backend, now)
+        a.limit = 2 * self.config.settings.connect_timeout
+        self.later(now + a.limit, a)
+        self.upstream.send(a)
+
+    def watch(self) -> None:
+        self.discovery.watch()
+
+    def fetch(self) -> None:
+        self.discovery.fetch()
+
+    def set_timer(self, token: int, due: int) -> None:
+        self.later(due, token)
+
+    def log(self, text: str) -> None:
+        """A line on standard error; past LOG_LINES a second lines are dropped."""
+        second = time.monotonic_ns() // SECOND
+        if second != self.log_second:
+            self.log_second = second
+            self.log_lines = 0
+        self.log_lines += 1
+        if self.log_lines <= LOG_LINES:
+            print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+
+    # ---- time ---------------------------------------------------------
+
+    def later(self, due: int, item: int | Attempt | Request) -> None:
+        """One heap for all timers, and one timer of the loop: most are never due."""
+        self.timer_count += 1
+        heappush(self.timers, (due, self.timer_count, item))
+        if not self.inside and due < self.armed:
+            self.arm(due)
+
+    def arm(self, due: int) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.armed = due
+        # The loop rounds to whole milliseconds; an early call would only come again.
+        delay = max(due - time.monotonic_ns(), 0) / SECOND + 0.0005
+        self.timer = self.loop.call_later(delay, self.tick)
+
+    def tick(self) -> None:
+        self.timer = None
+        self.armed = NO_TIMER
+        now = self.enter()
+        timers = self.timers
+        while timers and timers[0][0] <= now:
+            item = heappop(timers)[2]
+            if isinstance(item, int):
+                try:
+                    self.balancer.on_timer(now, item)
+                except Exception:
+                    # The module sets its next timer in this event: without one
+                    # from here it would never be called again.
+                    self.broken()
+                    self.later(now + REARM, item)
+            elif isinstance(item, Attempt):
+                if not item.closed:
+                    self.give_up(item, Outcome.TIMEOUT)
+            elif not item.ended:
+                self.overdue(item)
+        self.leave()
+
+    def give_up(self, a: Attempt, outcome: Outcome) -> None:
+        """Stop waiting. Where not all of the request was written it never ran."""
+        if a.closed:
+            return
+        connection = a.connection
+        if connection is not None and not connection.abandon():
+            outcome = Outcome.MOOT
+        self.conclude(a, outcome)
+
+    def overdue(self, r: Request) -> None:
+        """The module owed an answer and gave none; the client must not be left waiting."""
+        self.log(f"request {r.id} was overdue")
+        self.finish(r, 504)
+        try:
+            self.balancer.on_gone(self.now, r.id)
+        except Exception:
+            self.broken()
+
+    def broken(self) -> None:
+        self.log("the decision module raised: " + traceback.format_exc(limit=-4))
+
+    def sweep(self) -> None:
+        self.upstream.sweep(time.monotonic_ns())
+
+    # ---- descriptors --------------------------------------------------
+
+    def room_for_client(self) -> bool:
+        """Whether one more client fits, leaving backends their part."""
+        used = self.clients + self.upstream.count
+        most = self.sockets - max(self.sockets // UPSTREAM_PART - self.upstream.count, 0)
+        return used < self.sockets and self.clients < most
+
+    def room_for_upstream(self) -> bool:
+        """Whether one more connection to a backend fits, giving up an idle one for it."""
+        used = self.clients + self.upstream.count
+        if used < self.sockets:
+            return True
+        # What is given up is closed with the next turn of the loop: until then
+        # both stand, within what RESERVED leaves.
+        return used < self.sockets + OVERLAP and self.upstream.drop_oldest()
--- /dev/null
+++ b/windrelay/upstream.py
@@ -0,0 +1,616 @@
+"""Connections to backends, and the pool of idle ones."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections import deque
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from flinthatch import Outcome
+from windrelay.config import Address
+
+if TYPE_CHECKING:
+    from windrelay.node import Attempt, Node
+    from windrelay.server import ClientConnection
+
+HOLD = 64 << 10  # answers up to this size are held until they are whole
+PIECE = 64 << 10  # largest write of a request's body
+MAX_HEAD = 64 << 10  # of an answer, without its body
+MAX_INTERIM = 8  # 1xx answers before the real one
+IDLE_MARGIN_NS = 2_000_000_000  # closed so long before the backend would
+LEARN_BACKENDS = 2  # that broke off at first use, for a shorter limit
+LEARN_USES = 64  # of rested connections looked at, within ...
+LEARN_WINDOW_NS = 10_000_000_000
+LEARN_PAUSE_NS = 5_000_000_000  # before a longer one is tried again
+LEARN_PAUSE_MAX_NS = 60_000_000_000
+MS = 1_000_000
+
+# The site's words for load, beside those that settings may use for the same.
+LOAD_WORDS = {
+    b"inflight": "rif",
+    b"queue": "q",
+    b"util": "busy",
+    b"latency_ms": "lat_ms",
+    b"qps": "rate",
+    b"eps": "fail_rate",
+}
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection to one backend; it carries one attempt at a time.
+
+    `written` is the line that the rules hang on: false for as long as a part of
+    the request, its last byte included, has certainly not left the process.
+    """
+
+    __slots__ = (
+        "_chunked", "_chunks", "_closed", "_complete", "_connected", "_dial_timer", "_dirty",
+        "_head_size", "_headers_done", "_held", "_interim", "_keep_alive", "_length", "_let",
+        "_not_run", "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_status",
+        "_taken", "_task", "_type", "address", "attempt", "backend", "idle_since", "parser",
+        "reader", "transport", "upstream", "written",
+    )  # fmt: skip
+
+    def __init__(self, upstream: Upstream, backend: int, address: Address) -> None:
+        self.upstream = upstream
+        self.backend = backend
+        self.address = address
+        self.attempt: Attempt | None = None
+        self.reader: ClientConnection | None = None  # who a large answer streams to
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpResponseParser | None = None
+        self.idle_since = 0
+        self._connected = False
+        self._closed = False
+        self._let = False
+        self._held = False
+        self._taken = 0  # bytes of the answer that count against the node's budget
+        self._sock: socket.socket | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._dial_timer: asyncio.TimerHandle | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.written = False
+        self._pieces: Sequence[bytes] = ()
+        self._piece = 0
+        self._paused = False
+        self._interim = 0
+        self._begin_answer()
+
+    def _begin_answer(self) -> None:
+        self._status = 0
+        self._head_size = 0
+        self._headers_done = False
+        self._length = -1
+        self._chunked = False
+        self._not_run = False
+        self._report = b""
+        self._type = b""
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._complete = False
+        self._keep_alive = False
+        self._dirty = False
+
+    # ---- dialling -----------------------------------------------------
+
+    def dial(self, attempt: Attempt) -> None:
+        node = self.upstream.node
+        self.attempt = attempt
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock = sock
+        self.upstream.count += 1
+        timeout = node.config.settings.connect_timeout / 1e9
+        self._dial_timer = node.loop.call_later(timeout, self._dial_expired)
+        self._task = node.loop.create_task(self._connect(sock))
+        self._task.add_done_callback(self._dialled)
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = self.upstream.node.loop
+        await loop.sock_connect(sock, self.address)
+        self._connected = True
+        await loop.create_connection(lambda: self, sock=sock)
+
+    def _dialled(self, task: asyncio.Task[None]) -> None:
+        """However dialling ended: where no transport owns the socket it goes here."""
+        failed = task.cancelled() or task.exception() is not None
+        self._task = None
+        if not failed or self.transport is not None:
+            return
+        assert self._sock is not None
+        if self._connected:
+            self._sock.detach()  # the loop has closed it, and the number may be in use again
+        else:
+            self._sock.close()
+        self._let_go()
+        self._broken()
+
+    def _dial_expired(self) -> None:
+        # Between the connection's coming up and being told of it there is a turn
+        # of the loop: a dial that made it is no failure.
+        if not self._connected:
+            self._broken()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
+        if self._closed:
+            self.transport.abort()
+            return
+        # With no room above the kernel's, a write that leaves anything behind
+        # pauses us at once: not paused means that every byte has left.
+        self.transport.set_write_buffer_limits(high=0)
+        self.parser = httptools.HttpResponseParser(self)
+        if self.attempt is not None:
+            self._write_request()
+
+    # ---- the request --------------------------------------------------
+
+    def begin(self, attempt: Attempt) -> None:
+        """Carry an attempt on a connection that was idle."""
+        self._reset()
+        self.attempt = attempt
+        self._write_request()
+
+    def _write_request(self) -> None:
+        attempt = self.attempt
+        assert attempt is not None
+        attempt.connection = self
+        r = attempt.request
+        if r is None:
+            head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
+            self._pieces = (head,)
+        else:
+            left = attempt.sent + attempt.limit - time.monotonic_ns()
+            head = b"%s%d\r\n\r\n" % (r.head, max(left // MS, 1))
+            if not r.size:
+                self._pieces = (head,)
+            elif r.size <= PIECE:
+                self._pieces = (b"".join((head, *r.body)),)
+            else:
+                self._pieces = (head, *r.body)
+        self._write_on()
+
+    def _write_on(self) -> None:
+        """Write piece by piece, never more than the kernel takes and one piece over."""
+        transport = self.transport
+        assert transport is not None
+        pieces = self._pieces
+        last = len(pieces) - 1
+        while self._piece <= last and not self._paused:
+            transport.write(pieces[self._piece])
+            if transport.is_closing():
+                # The write itself failed: the kernel took nothing of this piece,
+                # so the last byte never left. connection_lost tells the outcome.
+                return
+            self._piece += 1
+        if self._piece > last:
+            # A rest of the last piece may still wait above the kernel, but how
+            # much of it is on its way is in doubt from here on.
+            self.written = True
+            self._pieces = ()
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        if self.attempt is not None and not self.written and not self._complete:
+            self._write_on()
+
+    # ---- the answer ---------------------------------------------------
+
+    def _give_back(self) -> None:
+        """What was held of an answer has been passed on or dropped."""
+        taken, self._taken = self._taken, 0
+        if taken:
+            self.upstream.node.budget.give(taken)
+
+    def data_received(self, data: bytes) -> None:
+        parser = self.parser
+        if parser is None:
+            return
+        if self.attempt is None and self.reader is None:
+            # Unasked-for bytes on an idle connection: they answer nobody.
+            self._close()
+            return
+        if not self._headers_done:
+            self._head_size += len(data)
+        try:
+            parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._dirty = True
+            if not self._complete:
+                self._broken()
+                return
+        if self._complete:
+            self._answered()
+        elif not self._headers_done and self._head_size > MAX_HEAD:
+            self._broken()
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._dirty = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            return  # a trailer
+        name = name.lower()
+        value = value.strip(b" \t")  # the parser leaves what may follow
+        if name == b"content-length":
+            self._length = int(value) if value.isdigit() else -1
+        elif name == b"content-type":
+            self._type = value
+        elif name == b"transfer-encoding":
+            self._chunked = True
+        elif name == b"x-not-processed":
+            self._not_run = value == b"1"
+        elif name == b"x-server-load":
+            self._report = value
+
+    def on_headers_complete(self) -> None:
+        if self._complete or self.parser is None:
+            return
+        self._status = self.parser.get_status_code()
+        self._headers_done = True
+
+    def on_body(self, body: bytes) -> None:
+        if self.parser is None:
+            return
+        if self._complete:
+            self._dirty = True
+            return
+        self._size += len(body)
+        if self.reader is not None:
+            self.reader.stream_data(body)
+        elif self._status == 200:
+            self._chunks.append(body)
+            self._taken += len(body)
+            self.upstream.node.budget.take(len(body))
+            if (self._size > HOLD or self._length > HOLD) and self.attempt is not None:
+                self._stream()
+        # The text of an error is of no use to anybody: it is not kept.
+
+    def on_message_complete(self) -> None:
+        if self._complete or self.parser is None:
+            return
+        if 100 <= self._status < 200 and self._status != 101 and self._interim < MAX_INTERIM:
+            self._interim += 1
+            self._begin_answer()
+            return
+        self._keep_alive = self.parser.should_keep_alive()
+        self._complete = True
+
+    def eof_received(self) -> bool:
+        # An answer without length or chunks ends with its connection.
+        if (
+            self._headers_done
+            and not self._complete
+            and self._length < 0
+            and not self._chunked
+            and (self.attempt is not None or self.reader is not None)
+        ):
+            self._complete = True
+            self._dirty = True
+            self._answered()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.attempt is not None:
+            node = self.upstream.node
+            now = time.monotonic_ns()
+            idle = (self.attempt.sent - self.idle_since) // MS if self.idle_since else -1
+            got = self._head_size + self._size
+            if self.idle_since and not got:
+                self.upstream.idle_limit.broke(
+                    now, self.backend, self.attempt.sent - self.idle_since
+                )
+            node.log(
+                f"backend {self.backend} broke off: {exc or 'end'}, idle before {idle} ms, "
+                f"{(now - self.attempt.sent) // MS} ms after the send, "
+                f"{got} bytes of an answer, written {self.written}"
+            )
+        self._broken()
+        self._let_go()
+
+    def _outcome(self) -> Outcome:
+        status = self._status
+        if status == 200:
+            # Before the request's last byte is written no backend has begun it:
+            # such an answer is not one to this request.
+            return Outcome.OK if self.written else Outcome.ERROR
+        if status in (503, 504) and self._not_run:
+            return Outcome.FULL
+        return Outcome.ERROR
+
+    def _answered(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        reader, self.reader = self.reader, None
+        transport = self.transport
+        chunks, self._chunks = self._chunks, []
+        node = self.upstream.node
+        reusable = (
+            not self._dirty
+            and self.written
+            and not self._paused
+            and self._keep_alive
+            and transport is not None
+            and not transport.is_closing()
+        )
+        if reader is not None:
+            reader.stream_end()
+            self.go_on()
+        outcome = self._outcome()
+        if attempt is not None:
+            if self.idle_since:
+                idle = attempt.sent - self.idle_since
+                self.upstream.idle_limit.held(node.now, idle)
+            r = attempt.request
+            if r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
+                r.client.answer(self._type, chunks, self._size)
+            elif r is None and outcome == Outcome.ERROR and self._status == 503:
+                outcome = Outcome.FULL
+        self._give_back()
+        if reusable:
+            self.upstream.put(self)
+        else:
+            self._close()
+        if attempt is not None:
+            node.conclude(attempt, outcome, self._load())
+
+    def _load(self) -> Sequence[float]:
+        """The load report in the settings' order of columns, or nothing."""
+        config = self.upstream.node.config
+        if not self._report or not config.reports:
+            return ()
+        values: dict[str, float] = {}
+        try:
+            for part in self._report.split(b","):
+                word, _, value = part.strip().partition(b"=")
+                values[word.decode()] = values[LOAD_WORDS.get(word, word.decode())] = float(value)
+            return tuple(values[column] for column in config.settings.load_columns)
+        except (ValueError, KeyError):
+            return ()
+
+    # ---- large answers ------------------------------------------------
+
+    def _stream(self) -> None:
+        """Pass on a large answer from its first bytes; from here it is the client's."""
+        attempt = self.attempt
+        assert attempt is not None
+        r = attempt.request
+        self.attempt = None
+        if not self.written or r is None or r.client is None:
+            # Too early to be true, or nobody waits for the rest any more.
+            self._close()
+            self.upstream.node.conclude(attempt, self._outcome(), self._load())
+            return
+        client = self.reader = r.client
+        chunks, self._chunks = self._chunks, []
+        client.stream_begin(self, self._type, self._length if not self._chunked else -1)
+        for chunk in chunks:
+            client.stream_data(chunk)
+        self._give_back()
+        self.upstream.node.conclude(attempt, Outcome.OK, self._load())
+
+    def hold(self) -> None:
+        """The client reads slowly: leave the rest with the backend."""
+        if self.transport is not None and not self._closed and not self._held:
+            self._held = True
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.transport is not None and not self._closed and self._held:
+            self._held = False
+            self.transport.resume_reading()
+
+    # ---- ends ---------------------------------------------------------
+
+    def abandon(self) -> bool:
+        """Stop waiting and close: whatever comes late must reach nobody.
+
+        False where the request's last byte was certainly never written.
+        """
+        sent = self.written
+        self.attempt = None
+        self.reader = None
+        self._close()
+        return sent
+
+    def _broken(self) -> None:
+        """The connection is of no more use; whoever waits on it learns so."""
+        attempt, self.attempt = self.attempt, None
+        reader, self.reader = self.reader, None
+        self._close()
+        if reader is not None:
+            reader.stream_break()
+        if attempt is not None:
+            outcome = Outcome.RESET if self.written else Outcome.CONNECT_FAILED
+            self.upstream.node.conclude(attempt, outcome)
+
+    def _close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self.upstream.take_out(self)
+        self.parser = None
+        self._chunks = []
+        self._give_back()
+        self._pieces = ()
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
+        if self.transport is not None:
+            self.transport.abort()
+        elif self._task is not None and not self._connected:
+            # Past this point the loop owns the socket, and cancelling would close
+            # it behind our back: then connection_made aborts it.
+            self._task.cancel()
+
+    def _let_go(self) -> None:
+        if not self._let:
+            self._let = True
+            self.upstream.count -= 1
+            self.upstream.node.freed()
+
+    def usable(self) -> bool:
+        """Whether an idle connection still stands, as far as the kernel knows.
+
+        The loop may not have come to its end yet: a request written into it
+        would count as may-have-run.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing() or self._sock is None:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # an end, or bytes that nobody asked for
+
+
+class IdleLimit:
+    """How long a connection may have been idle and still be used.
+
+    Backends, or what lies between, may forget idle connections long before the
+    settings' time and say so only when the next request is written: then it
+    counts as may-have-run. A shorter limit is learnt where most connections that
+    had rested so long or longer broke under their first bytes. Breaks that hit
+    long and short rests alike teach nothing, nor does one backend alone, which
+    may just have been restarted: dialling for each request would only hurt.
+    """
+
+    __slots__ = ("_grow_at", "_pause", "_seen", "limit", "most")
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.limit = most
+        # The last uses of rested connections: when, how long idle, the backend that broke.
+        self._seen: deque[tuple[int, int, int | None]] = deque(maxlen=LEARN_USES)
+        self._pause = LEARN_PAUSE_NS
+        self._grow_at = 0
+
+    def held(self, now: int, idle: int) -> None:
+        """A connection that had been idle so long brought an answer."""
+        self._seen.append((now, idle, None))
+
+    def broke(self, now: int, backend: int, idle: int) -> None:
+        """A connection that had been idle so long broke under its first bytes."""
+        seen = self._seen
+        seen.append((now, idle, backend))
+        while now - seen[0][0] > LEARN_WINDOW_NS:
+            seen.popleft()
+        broken = shortest = 0
+        backends = set()
+        longest_first = sorted(seen, key=lambda use: -use[1])
+        for total, (_, age, which) in enumerate(longest_first, 1):
+            if which is not None:
+                broken += 1
+                backends.add(which)
+                if len(backends) >= LEARN_BACKENDS and broken * 3 >= total * 2:
+                    shortest = age * 7 // 10
+        if 0 < shortest < self.limit:
+            self.limit = shortest
+            self._grow_at = now + self._pause
+            # Each time that more was tried and broke again, the next try waits longer.
+            self._pause = min(2 * self._pause, LEARN_PAUSE_MAX_NS)
+
+    def sweep(self, now: int) -> None:
+        if self.limit < self.most and now >= self._grow_at:
+            self.limit = min(self.limit * 3 // 2 + MS, self.most)
+            self._grow_at = now + self._pause
+
+
+class Upstream:
+    """Idle connections by backend, newest first, and by age for giving up."""
+
+    __slots__ = ("by_age", "count", "idle", "idle_limit", "node")
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.count = 0  # descriptors, dials included
+        self.idle: dict[int, list[BackendConnection]] = {}
+        self.by_age: dict[BackendConnection, None] = {}
+        # At the backends' own limit a request would cross their close, and count
+        # as a reset: may have run.
+        limit = node.config.idle_close
+        self.idle_limit: IdleLimit = IdleLimit(max(limit - IDLE_MARGIN_NS, limit // 2))
+
+    def send(self, attempt: Attempt) -> None:
+        backend = attempt.backend
+        address = self.node.discovery.roster.endpoints.get(backend)
+        if address is None:
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            return
+        while (conn := self.pop(backend)) is not None:
+            if attempt.sent - conn.idle_since <= self.idle_limit.limit and conn.usable():
+                conn.begin(attempt)
+                return
+            conn.abandon()
+        if not self.node.room_for_upstream():
+            # Our own want of descriptors says nothing of the backend.
+            self.node.conclude(attempt, Outcome.MOOT)
+            return
+        conn = BackendConnection(self, backend, address)
+        attempt.connection = conn
+        try:
+            conn.dial(attempt)
+        except OSError:
+            attempt.connection = None
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+
+    def pop(self, backend: int) -> BackendConnection | None:
+        conns = self.idle.get(backend)
+        if not conns:
+            return None
+        conn = conns.pop()
+        if not conns:
+            del self.idle[backend]
+        del self.by_age[conn]
+        return conn
+
+    def put(self, conn: BackendConnection) -> None:
+        """Keep a connection for the next attempt, unless its backend has moved or left."""
+        if self.node.discovery.roster.endpoints.get(conn.backend) != conn.address:
+            conn.abandon()
+            return
+        conn.idle_since = time.monotonic_ns()
+        self.idle.setdefault(conn.backend, []).append(conn)
+        self.by_age[conn] = None
+
+    def take_out(self, conn: BackendConnection) -> None:
+        if conn in self.by_age:
+            del self.by_age[conn]
+            conns = self.idle[conn.backend]
+            conns.remove(conn)
+            if not conns:
+                del self.idle[conn.backend]
+
+    def drop_idle(self, backend: int) -> None:
+        for conn in list(self.idle.get(backend, ())):
+            conn.abandon()
+
+    def drop_oldest(self) -> bool:
+        """Give up the connection that has been idle longest; False where none is."""
+        conn = next(iter(self.by_age), None)
+        if conn is None:
+            return False
+        conn.abandon()
+        return True
+
+    def sweep(self, now: int) -> None:
+        """Close what has been idle for too long to be used."""
+        self.idle_limit.sweep(now)
+        oldest = now - self.idle_limit.limit
+        while (conn := next(iter(self.by_age), None)) is not None and conn.idle_since < oldest:
+            conn.abandon()
