A broken connection is no restart: two no longer suspend a backend and mark it cold

Cause: balancer.failed() took two RESETs in a row for a restart: out for 1 s and more, then cold for 8.3 s. Now a break counts like an error (three in a row, eight where many break); a refused dial still tells of a process that ended.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -62,13 +62,13 @@
 # Health.
 FULL_REST_MAX = SECOND // 3  # longest rest of a backend that turned an attempt away
 STALL = 6.0  # silence, in mean latencies, after which a backend in use is passed over
-BREAKS = 2  # connections broken in a row, no answer between, that do the same
 STRIKES = 3  # time-outs in a row, no answer between, that make a backend silent
 # Answers that are errors. Some backends fail at once whatever they get, hold least for
 # it, and would draw the whole stream; any may send a spoilt answer now and then.
 ERR_GAIN = 0.25
 ERR_OUT = 0.55  # errors' smoothed part that takes a backend out: three in a row ...
-ERR_FLEET = 0.25  # ... unless so many of all are: then it is no matter of that one
+ERR_FLEET = 0.12  # ... but where so many of all are, any may have three in a row:
+ERR_SURE = 0.9  # then it takes eight
 ERR_FLEET_GAIN = 0.02
 DOUBT_FOR = SECOND
 DOUBT = 0.2  # what may not be repeated goes elsewhere: one lately, or a few before
@@ -1052,16 +1052,19 @@
             rest = int(c.lat * (0.5 + self.random.random())) << min(b.fulls - 1, 6)
             b.rest_until = max(b.rest_until, now + min(rest, FULL_REST_MAX))
             self.remind(b.rest_until, b)
-        elif outcome == ERROR:
+        elif outcome in (ERROR, RESET):
+            # A break is the network's or the connection's as often as the backend's: a
+            # process that ended refuses the next dial, and one that vanished is silent.
+            # Taken for a restart, two in a row left half of a sound fleet out, then cold.
             b.cost = 6.0
-            b.seen = b.since = now  # it answers
+            b.seen = b.since = now  # it is there
             b.stalled = False
             b.strikes = 0
             b.errs += ERR_GAIN * (1.0 - b.errs)
             self.errs += ERR_FLEET_GAIN * (1.0 - self.errs)
-            if b.errs > ERR_OUT and self.errs < ERR_FLEET:
-                self.suspend(now, b, "errors in a row")
-        elif outcome in (TIMEOUT, CONNECT_FAILED, RESET):
+            if b.errs > (ERR_OUT if self.errs < ERR_FLEET else ERR_SURE):
+                self.suspend(now, b, "errors or breaks in a row")
+        elif outcome in (TIMEOUT, CONNECT_FAILED):
             b.cost = 6.0
             b.seen = now
             if outcome == TIMEOUT:
@@ -1072,12 +1075,10 @@
                 # time-outs tell. A hung backend answers nothing and counts once.
                 self.lost += not b.strikes
             b.strikes += 1
-            # A lone break may be the network's: a process that ended refuses the next
-            # connection. Resting for each took half of a sound fleet out.
-            lost = outcome == CONNECT_FAILED or (outcome == RESET and b.strikes >= BREAKS)
+            lost = outcome == CONNECT_FAILED
             # One time-out may be load: with one slot it always looks like silence.
             if lost:
-                self.suspend(now, b, "connection failed or reset", restarted=True)
+                self.suspend(now, b, "connections failed", restarted=True)
             elif b.strikes >= STRIKES and now - b.since >= taken:
                 self.suspend(now, b, "no answer since the send")
 
