A lone refused dial leaves a backend out for a second, not cold for eight

Cause: balancer.failed() passed restarted=True for the first one. Now the second in a row does; a restart's own start comes with the list.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -1078,7 +1078,9 @@
             lost = outcome == CONNECT_FAILED
             # One time-out may be load: with one slot it always looks like silence.
             if lost:
-                self.suspend(now, b, "connections failed", restarted=True)
+                # Once may be the network's; one that ends refuses the trial too. Its own
+                # start, however short, comes with the list.
+                self.suspend(now, b, "connections failed", restarted=b.strikes > 1)
             elif b.strikes >= STRIKES and now - b.since >= taken:
                 self.suspend(now, b, "no answer since the send")
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -184,3 +184,20 @@
     host.calls.clear()
     balancer.on_timer(due // 1000 * 1000, TIMER_WAKE)
     assert host.named("refuse") or host.named("timer")
+
+
+def test_one_refused_dial_marks_no_backend_cold_and_a_second_one_does() -> None:
+    """The network refuses some dials; a process that is being replaced refuses the next too."""
+    balancer, host = build(Settings(classes=(UNSAFE,), cold=8 * SECOND), count=4)
+    balancer.on_request(MS, 1, 0, SECOND)
+    bad = balancer.backends[int(str(host.named("send")[0][2]))]
+    balancer.on_outcome(2 * MS, 1, 0, 5, MS, True)
+    assert bad.down_until and not bad.cold_until
+    balancer.on_timer(3 * SECOND, TIMER_WAKE)  # back on trial
+    balancer.on_members(3 * SECOND, Update.FULL, [Listing(bad.id, State.READY)])
+    balancer.on_request(3 * SECOND, 2, 0, SECOND)
+    assert host.named("send")[-1][2] == bad.id
+    balancer.ready = 4  # the others are only out of this test's way
+    bad.down_until = balancer.down = 0
+    balancer.on_outcome(4 * SECOND, 2, 0, 5, MS, True)
+    assert bad.cold_until
