A dial's descriptor has one owner: resets no longer kill the node

Cause, now proved: uvloop's create_connection(sock=...) ties the Python socket to its transport only after the waiter's turn; a connection lost or given up before that left a socket that closed its number a second time, by then a stranger's, and libuv aborts when its own poll's descriptor is gone.

Change: dialling by the loop's own create_connection(host, port); a Glance, which never closes, looks at idle connections; an accepted socket that the loop did not take is closed, not detached; accept goes on past errors of the one connection it took. Exceptions in any callback are counted, logged and end their connection; enter and leave are paired whatever is raised, so that no outcome stays untold and no timer unset.

--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -101,9 +101,9 @@
     # ---- the end ------------------------------------------------------
 
     def sweep(self) -> None:
+        self.loop.call_later(SWEEP_S, self.sweep)  # first: the next comes whatever this one does
         self.server.sweep()
         self.node.sweep()
-        self.loop.call_later(SWEEP_S, self.sweep)
 
     def stop(self) -> None:
         if self.server.stopping:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from heapq import heapify, heappop, heappush
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from flinthatch import Balancer, Listing, Outcome, Update
 from windrelay.config import Config
@@ -154,15 +154,19 @@
         self.armed = NO_TIMER
         self.log_second = 0
         self.log_lines = 0
+        self.crashes = 0  # exceptions that nobody foresaw
+        loop.set_exception_handler(self.loop_failed)
         self.balancer = Balancer(config.settings, config.seed, self)
 
     def start(self) -> None:
         """Begin from the list in the configuration; ListError if it is malformed."""
         rows = self.discovery.known(self.config.known)
         self.enter()
-        self.balancer.start(self.now)
-        self.balancer.on_members(self.now, Update.CACHED, rows)
-        self.leave()
+        try:
+            self.balancer.start(self.now)
+            self.balancer.on_members(self.now, Update.CACHED, rows)
+        finally:
+            self.leave()
 
     def reload(self, config: Config) -> None:
         """Go on under new limits and at discovery's new address."""
@@ -179,7 +183,11 @@
         return now
 
     def leave(self) -> None:
-        """Tell the outcomes that came up meanwhile, then set the timer anew."""
+        """Tell the outcomes that came up meanwhile, then set the timer anew.
+
+        Left out once, no outcome would be told and no timer set any more: each event
+        leaves, whatever was raised within it.
+        """
         outcomes = self.outcomes
         while outcomes:
             self.tell(*outcomes.popleft())
@@ -217,7 +225,8 @@
             self.broken()
             if not r.live:
                 self.finish(r, 502)
-        self.leave()
+        finally:
+            self.leave()
         return r
 
     def repeated(self, name: bytes) -> bool:
@@ -235,22 +244,24 @@
         if r.ended:
             return
         now = self.enter()
-        self.end(r)
         try:
+            self.end(r)
             self.balancer.on_gone(now, r.id)
         except Exception:
             self.broken()
-        self.leave()
+        finally:
+            self.leave()
 
     def members_told(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
-        for backend in stale:
-            self.upstream.drop_idle(backend)
         now = self.enter()
         try:
+            for backend in stale:
+                self.upstream.drop_idle(backend)
             self.balancer.on_members(now, update, rows)
         except Exception:
             self.broken()
-        self.leave()
+        finally:
+            self.leave()
 
     def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
         """Settle an attempt's one outcome; the Balancer is told after the current event."""
@@ -261,11 +272,13 @@
         inside = self.inside
         now = self.now if inside else self.enter()
         r = a.request
-        if r is not None and outcome == Outcome.OK and not r.ended:
-            self.end(r)
         self.outcomes.append((a, outcome, now - a.sent, load))
-        if not inside:
-            self.leave()
+        try:
+            if r is not None and outcome == Outcome.OK and not r.ended:
+                self.end(r)
+        finally:
+            if not inside:
+                self.leave()
 
     def tell(self, a: Attempt, outcome: Outcome, taken: int, load: Sequence[float]) -> None:
         r = a.request
@@ -277,7 +290,7 @@
             self.balancer.on_outcome(self.now, r.id, a.number, outcome, taken, r.ended, load)
         except Exception:
             self.broken()
-            if r is not None and not r.live and not r.ended:
+            if r is not None and not r.live:
                 self.finish(r, 502)
         if r is not None:
             self.forget(r)
@@ -336,7 +349,7 @@
         else:
             a.limit = limit
             self.later(now + limit, a)
-            self.upstream.send(a)
+            self.carry(a)
 
     def refuse(self, request: int, retry_after: int) -> None:
         r = self.requests.get(request)
@@ -358,7 +371,15 @@
         a = Attempt(None, 0, backend, now)
         a.limit = 2 * self.config.settings.connect_timeout
         self.later(now + a.limit, a)
-        self.upstream.send(a)
+        self.carry(a)
+
+    def carry(self, a: Attempt) -> None:
+        """Begin an attempt; whatever is raised there is its outcome, never the module's."""
+        try:
+            self.upstream.send(a)
+        except Exception as err:
+            self.crashed("a send", err)
+            self.give_up(a, Outcome.RESET)
 
     def watch(self) -> None:
         self.discovery.watch()
@@ -403,22 +424,28 @@
         self.armed = NO_TIMER
         now = self.enter()
         timers = self.timers
-        while timers and timers[0][0] <= now:
-            item = heappop(timers)[2]
-            if isinstance(item, int):
+        try:
+            while timers and timers[0][0] <= now:
+                item = heappop(timers)[2]
                 try:
-                    self.balancer.on_timer(now, item)
+                    self.due(now, item)
                 except Exception:
-                    # The module sets its next timer in this event: without one
-                    # from here it would never be called again.
                     self.broken()
-                    self.later(now + REARM, item)
-            elif isinstance(item, Attempt):
-                if not item.closed:
-                    self.give_up(item, Outcome.TIMEOUT)
-            elif not item.ended:
-                self.overdue(item)
-        self.leave()
+                    if isinstance(item, int):
+                        # The module sets its next timer in this event: without one
+                        # from here it would never be called again.
+                        self.later(now + REARM, item)
+        finally:
+            self.leave()
+
+    def due(self, now: int, item: int | Attempt | Request) -> None:
+        if isinstance(item, int):
+            self.balancer.on_timer(now, item)
+        elif isinstance(item, Attempt):
+            if not item.closed:
+                self.give_up(item, Outcome.TIMEOUT)
+        elif not item.ended:
+            self.overdue(item)
 
     def give_up(self, a: Attempt, outcome: Outcome) -> None:
         """Stop waiting. Where not all of the request was written it never ran."""
@@ -433,13 +460,32 @@
         """The module owed an answer and gave none; the client must not be left waiting."""
         self.log(f"request {r.id} was overdue")
         self.finish(r, 504)
-        try:
-            self.balancer.on_gone(self.now, r.id)
-        except Exception:
-            self.broken()
+        self.balancer.on_gone(self.now, r.id)
+
+    # ---- faults of our own ---------------------------------------------
 
     def broken(self) -> None:
-        self.log("the decision module raised: " + traceback.format_exc(limit=-4))
+        """The event in hand raised: count it and say where."""
+        self.crashes += 1
+        self.log("an event raised: " + traceback.format_exc(limit=-4))
+
+    def crashed(self, where: str, error: BaseException) -> None:
+        """Count and log an exception that nobody foresaw; its connection is the caller's."""
+        self.crashes += 1
+        text = "".join(traceback.format_exception(error, limit=-4))
+        self.log(f"{where} raised ({self.crashes} so far): {text}")
+
+    def loop_failed(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """The loop's own last word on a callback that raised, whatever it belonged to."""
+        error = context.get("exception")
+        transport = context.get("transport")
+        if isinstance(error, BaseException):
+            self.crashed(str(context.get("message", "a callback")), error)
+        else:
+            self.crashes += 1
+            self.log(f"the loop: {context.get('message')}")
+        if isinstance(transport, asyncio.Transport):
+            transport.abort()
 
     def sweep(self) -> None:
         now = time.monotonic_ns()
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import socket
 import struct
@@ -16,6 +17,7 @@
 import httptools
 
 from flinthatch import Effect
+from windrelay.guard import ends_connection
 
 if TYPE_CHECKING:
     from windrelay.config import Address
@@ -40,6 +42,15 @@
 LINGER_SWEEPS = 4
 LINGER_BYTES = 64 << 10  # read and dropped; the rest is left with a client that goes on
 SILENT_S = 0.03  # a client connects in order to ask: what then says nothing may go
+# What accept says of the one connection it took from the queue (accept(2): errors that are
+# pending on the new socket already are passed on, and to be treated like EAGAIN).
+ONE_LESS = frozenset(
+    (
+        errno.ECONNABORTED, errno.ECONNRESET, errno.EPROTO, errno.EPIPE, errno.ETIMEDOUT,
+        errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH,
+        errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.EPERM, errno.EINTR,
+    )
+)  # fmt: skip
 EVICTED = 4  # connections given up at a time where a descriptor is wanted
 LOOKED_AT = 16  # candidates for it
 
@@ -54,6 +65,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -125,12 +137,13 @@
     __slots__ = (
         "_dropped", "_eof", "_head_size", "_headers_done", "_incoming", "_keep_alive", "_lingering",
         "_parser", "_progress", "_request", "_server", "_since", "_sock", "_transport", "_whole",
-        "_write_since",
+        "_write_since", "made",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
         self._server = server
         self._sock = sock
+        self.made = False  # connection_made was told, so connection_lost will be
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = None
         self._incoming: Incoming | None = None
@@ -148,7 +161,9 @@
 
     # ---- reading ------------------------------------------------------
 
+    @ends_connection
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.made = True
         self._transport = cast(asyncio.Transport, transport)
         self._parser = httptools.HttpRequestParser(self)
         self._server.connections.add(self)
@@ -169,14 +184,20 @@
             parser.feed_data(data)
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
-            self._reject(cause.status if isinstance(cause, BadRequest) else 400, cause)
+            if isinstance(cause, BadRequest):
+                self._reject(cause.status, cause)
+            else:
+                self.crashed("reading a request", cause or err)
             return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self._reject(400, err)
             return
         whole, self._whole = self._whole, None
         if whole is not None:
-            self._begin(whole)
+            try:
+                self._begin(whole)
+            except Exception as err:
+                self.crashed("a request", err)
         elif not self._headers_done and self._head_size > MAX_HEAD:
             self._reject(431)
 
@@ -339,6 +360,16 @@
             self._since = self._server.sweeps
             self._server.idle[self] = None
 
+    def crashed(self, where: str, error: BaseException) -> None:
+        """An exception in a callback: its client is told of a failure, and the connection ends."""
+        self._server.node.crashed(where, error)
+        if self._transport is not None:
+            try:
+                self._reject(500, where)
+            except Exception as err:
+                self._server.node.crashed("a rejection", err)
+                self._transport.abort()
+
     def _reject(self, status: int, why: object = "") -> None:
         """Answer what can't be read as a request, and close."""
         self._server.turned_away(status, why)
@@ -384,18 +415,21 @@
         self._eof = True
         return self._request is not None
 
+    @ends_connection
     def connection_lost(self, exc: Exception | None) -> None:
         server = self._server
         self._transport = None
         self._parser = None
-        server.connections.discard(self)
-        server.rests_no_more(self)
-        self._drop_incoming()
-        request, self._request = self._request, None
-        if request is not None:
-            server.node.client_gone(request)
-        server.node.clients -= 1
-        server.node.freed()
+        try:
+            server.connections.discard(self)
+            server.rests_no_more(self)
+            self._drop_incoming()
+            request, self._request = self._request, None
+            if request is not None:
+                server.node.client_gone(request)
+        finally:
+            server.node.clients -= 1
+            server.node.freed()
 
     def resting(self) -> bool:
         """Whether it can be closed without harm: nothing under way either way."""
@@ -507,29 +541,39 @@
                 sock, _address = self._sock.accept()
             except BlockingIOError:
                 return
-            except ConnectionError:
-                continue
             except OSError as err:
+                if err.errno in ONE_LESS:
+                    continue  # one that waited has gone; those behind it have not
                 # Descriptors are budgeted, but the system may be short of other
                 # things: the accept loop must outlive that.
                 self.node.log(f"accept: {err}")
                 self._pause()
                 return
-            sock.setblocking(False)
             self.node.clients += 1
             task = self.node.loop.create_task(self._welcome(sock))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
     async def _welcome(self, sock: socket.socket) -> None:
-        conn = ClientConnection(self, sock)
+        """Hand an accepted socket over to a transport; see glance for who owns it when."""
+        conn = None
         try:
+            sock.setblocking(False)
+            conn = ClientConnection(self, sock)
             await self.node.loop.connect_accepted_socket(lambda: conn, sock)
-        except OSError:
-            sock.detach()
-            if conn not in self.connections:
+        except BaseException as err:
+            # Closed here where the loop had not taken it; where it had, nothing is left.
+            sock.close()
+            if conn is None or not conn.made:
                 self.node.clients -= 1
                 self.freed()
+            # Else connection_lost has counted it out, or will.
+            if isinstance(err, OSError):
+                self.node.log(f"welcome: {err}")
+            elif isinstance(err, Exception):
+                self.node.crashed("a welcome", err)
+            else:
+                raise
 
     def _room(self) -> bool:
         """Room for one more; else what can best be missed goes, and the next waits its turn."""
@@ -553,10 +597,13 @@
     def _again(self) -> None:
         """Nothing may come free by itself while all that wait are behind silent ones."""
         self._retry = None
-        self.freed()
-        if self._paused and self._sock is not None:
-            self.make_room()
-            self._retry = self.node.loop.call_later(SILENT_S, self._again)
+        try:
+            self.freed()
+            if self._paused and self._sock is not None:
+                self.make_room()
+        finally:
+            if self._paused and self._sock is not None:
+                self._retry = self.node.loop.call_later(SILENT_S, self._again)
 
     def freed(self) -> None:
         """A descriptor has come free: accept again."""
@@ -598,7 +645,10 @@
             self.node.log(f"{self._turned_away} clients turned away, the last: {self._why}")
             self._turned_away = 0
         for conn in list(self.connections):
-            conn.sweep(self.sweeps)
+            try:
+                conn.sweep(self.sweeps)
+            except Exception as err:
+                conn.crashed("a sweep", err)
         self.close_rested(self.fresh, SILENT_SWEEPS)
         # Clients that asked once and stay cost memory and a descriptor each, for good.
         short = 2 * self.node.clients > self.node.sockets
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -15,6 +15,8 @@
 
 from flinthatch import Outcome
 from windrelay.config import Address
+from windrelay.glance import Glance, unread
+from windrelay.guard import ends_connection
 
 if TYPE_CHECKING:
     from windrelay.node import Attempt, Node
@@ -26,6 +28,10 @@
 REST_S = 0.25
 OWN_WANT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 MAX_INTERIM = 8  # 1xx answers before the real one
+# Turns of the loop between a dial's time being up and its end. What the kernel has
+# finished by then is found by this turn's poll and told in the next, behind what was
+# due there already: a loop that was late must not take its own lateness for the server's.
+LAST_TURNS = 3
 SETTLED_NS = 3_000_000  # after which an end that follows an answer is here
 IDLE_MARGIN_NS = 2_000_000_000  # closed so long before the backend would
 LEARN_BACKENDS = 2  # that broke off at first use, for a shorter limit
@@ -54,11 +60,11 @@
     """
 
     __slots__ = (
-        "_chunked", "_chunks", "_closed", "_complete", "_connected", "_dial_timer", "_dirty",
-        "_got", "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run",
-        "_paused", "_report", "_rest_timer", "_size", "_sock", "_spoilt", "_status", "_taken",
-        "_task", "_type", "address", "attempt", "backend", "idle_since", "parser", "transport",
-        "upstream", "written",
+        "_chunked", "_chunks", "_closed", "_complete", "_dial_timer", "_dirty", "_glance", "_got",
+        "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run", "_paused",
+        "_report", "_rest_timer", "_size", "_spoilt", "_status", "_taken", "_task", "_type",
+        "address", "attempt", "backend", "idle_since", "parser", "transport", "upstream",
+        "written",
     )  # fmt: skip
 
     def __init__(self, upstream: Upstream, backend: int, address: Address) -> None:
@@ -69,11 +75,10 @@
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.idle_since = 0
-        self._connected = False
         self._closed = False
         self._let = False
         self._taken = 0  # bytes of the answer that count against the node's budget
-        self._sock: socket.socket | None = None
+        self._glance: Glance | None = None
         self._task: asyncio.Task[None] | None = None
         self._dial_timer: asyncio.TimerHandle | None = None
         self._rest_timer: asyncio.TimerHandle | None = None
@@ -104,46 +109,45 @@
     # ---- dialling -----------------------------------------------------
 
     def dial(self, attempt: Attempt) -> None:
+        """Connect, for this attempt; the loop makes the descriptor and owns it (see glance)."""
         node = self.upstream.node
         self.attempt = attempt
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._sock = sock
         self.upstream.count += 1
         timeout = node.config.settings.connect_timeout / 1e9
-        self._dial_timer = node.loop.call_later(timeout, self._dial_expired)
-        self._task = node.loop.create_task(self._connect(sock))
+        self._dial_timer = node.loop.call_later(timeout, self._dial_expired, LAST_TURNS)
+        self._task = node.loop.create_task(self._connect())
         self._task.add_done_callback(self._dialled)
 
-    async def _connect(self, sock: socket.socket) -> None:
+    async def _connect(self) -> None:
         loop = self.upstream.node.loop
-        await loop.sock_connect(sock, self.address)
-        self._connected = True
-        await loop.create_connection(lambda: self, sock=sock)
+        host, port = self.address
+        await loop.create_connection(lambda: self, host, port, family=socket.AF_INET)
 
+    @ends_connection
     def _dialled(self, task: asyncio.Task[None]) -> None:
-        """However dialling ended: where no transport owns the socket it goes here."""
-        failed = task.cancelled() or task.exception() is not None
+        """However dialling ended. On each failure the loop has closed what it made."""
         self._task = None
-        if not failed or self.transport is not None:
-            return
-        assert self._sock is not None
-        if self._connected:
-            self._sock.detach()  # the loop has closed it, and the number may be in use again
-        else:
-            self._sock.close()
-        self._let_go()
         error = None if task.cancelled() else task.exception()
+        if error is None and not task.cancelled():
+            return  # connection_lost ends it
+        self._let_go()
         if isinstance(error, OSError) and error.errno in OWN_WANT:
             self._settle(Outcome.MOOT)  # says nothing of the backend
-        else:
-            self._broken()
+            return
+        if error is not None and not isinstance(error, OSError):
+            self.upstream.node.crashed("a dial", error)
+        self._broken()
 
-    def _dial_expired(self) -> None:
-        # Between the connection's coming up and being told of it there is a turn
-        # of the loop: a dial that made it is no failure.
-        if not self._connected:
+    @ends_connection
+    def _dial_expired(self, turns: int) -> None:
+        if self._closed or self.transport is not None:
+            return
+        if turns:
+            self.upstream.node.loop.call_soon(self._dial_expired, turns - 1)
+        else:
             self._broken()
 
+    @ends_connection
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if self._dial_timer is not None:
@@ -152,6 +156,7 @@
         if self._closed:
             self.transport.abort()
             return
+        self._glance = Glance(transport)
         # With no room above the kernel's, a write that leaves anything behind
         # pauses us at once: not paused means that every byte has left.
         self.transport.set_write_buffer_limits(high=0)
@@ -225,6 +230,7 @@
         elif self._rest_timer is None:
             self._rest_timer = self.upstream.node.loop.call_later(REST_S, self._rest_expired)
 
+    @ends_connection
     def _rest_expired(self) -> None:
         self._rest_timer = None
         if self.attempt is None:
@@ -308,26 +314,39 @@
         self._keep_alive = self.parser.should_keep_alive()
         self._complete = True
 
+    @ends_connection
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.attempt is not None:
-            node = self.upstream.node
-            now = time.monotonic_ns()
-            idle = (self.attempt.sent - self.idle_since) // MS if self.idle_since else -1
-            got = self._got
-            if self.idle_since and not got:
-                self.upstream.idle_limit.broke(
-                    now, self.backend, self.attempt.sent - self.idle_since
-                )
-            node.log(
-                f"backend {self.backend} broke off: {exc or 'end'}, idle before {idle} ms, "
-                f"{(now - self.attempt.sent) // MS} ms after the send, "
-                f"{got} bytes of an answer, written {self.written}"
-            )
-        if self._got and self.attempt is not None:
-            self._give_up_answer()  # it was alive; had it ended, the next dial would tell
-        else:
-            self._broken()
-        self._let_go()
+        if self._glance is not None:
+            self._glance.end()
+            self._glance = None
+        try:
+            if self.attempt is not None:
+                self._broke_off(self.attempt, exc)
+            if self._got and self.attempt is not None:
+                self._give_up_answer()  # it was alive; had it ended, the next dial would tell
+            else:
+                self._broken()
+        finally:
+            self._let_go()
+
+    def _broke_off(self, attempt: Attempt, exc: Exception | None) -> None:
+        """Learn from a break under an attempt, and log it."""
+        now = time.monotonic_ns()
+        idle = attempt.sent - self.idle_since if self.idle_since else -MS
+        if self.idle_since and not self._got:
+            self.upstream.idle_limit.broke(now, self.backend, idle)
+        self.upstream.node.log(
+            f"backend {self.backend} broke off: {exc or 'end'}, idle before {idle // MS} ms, "
+            f"{(now - attempt.sent) // MS} ms after the send, "
+            f"{self._got} bytes of an answer, written {self.written}"
+        )
+
+    def crashed(self, where: str, error: BaseException) -> None:
+        """An exception in a callback: a break of this connection, and no more."""
+        self.upstream.node.crashed(where, error)
+        self._broken()
+        if self.transport is not None:
+            self.transport.abort()  # also where it was marked as closed half way
 
     def _outcome(self) -> Outcome:
         status = self._status
@@ -427,12 +446,11 @@
             self._dial_timer = None
         if self.transport is not None:
             self.transport.abort()
-        elif self._task is not None and not self._connected:
-            # Past this point the loop owns the socket, and cancelling would close
-            # it behind our back: then connection_made aborts it.
-            self._task.cancel()
+        elif self._task is not None:
+            self._task.cancel()  # connection_made may come all the same: it aborts
 
     def _let_go(self) -> None:
+        """The descriptor is closed, or will be before anything else can be opened."""
         if not self._let:
             self._let = True
             self.upstream.count -= 1
@@ -448,16 +466,7 @@
         return transport is not None and not transport.is_closing() and not self._unread()
 
     def _unread(self) -> bool:
-        """Whether bytes, an end or an error wait in the kernel."""
-        if self._sock is None or self._sock.fileno() < 0:
-            return True
-        try:
-            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return self._glance is None or unread(self._glance)
 
 
 class IdleLimit:
@@ -544,11 +553,7 @@
             return
         conn = BackendConnection(self, backend, address)
         attempt.connection = conn
-        try:
-            conn.dial(attempt)
-        except OSError:
-            attempt.connection = None
-            self.node.conclude(attempt, Outcome.MOOT)
+        conn.dial(attempt)
 
     def pop(self, backend: int, now: int) -> BackendConnection | None:
         """The newest connection that has rested for a moment, else the newest of all.
