A rig of our own: stand-ins that reset, a ledger, and system calls that fail in turn

Need: the resets that killed the node were met by chance only; later issues need the same outside world.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import json
 import os
 import re
@@ -20,55 +19,16 @@
 from pathlib import Path
 from typing import Any
 
+from standins.platform import SETTINGS, answer, config, parts, request, roster, target
+
+__all__ = [
+    "LIMIT", "ROOT", "SETTINGS", "Peer", "Running", "accept", "answer", "caught", "config",
+    "launch", "listen", "node", "request", "roster", "target", "until",
+]  # fmt: skip
+
 ROOT = Path(__file__).resolve().parent.parent
-IDS = itertools.count()
 LIMIT = 20.0  # seconds; a hang, not a measure
 
-SETTINGS: dict[str, Any] = {
-    "areas": ["east", "west"],
-    "balancers": 1,
-    "me": 0,
-    "my_zone": 0,
-    "skus": ["m2"],
-    "registry_mode": "ask",
-    "tick": 5_000_000,
-    "classes": [
-        {
-            "name": "balance",
-            "target": 1_800_000_000,
-            "deadline": 2_000_000_000,
-            "effect": "pure",
-            "credit": 1.0,
-        },
-        {
-            "name": "credit",
-            "target": 1_800_000_000,
-            "deadline": 3_000_000_000,
-            "effect": "side_effect",
-            "credit": 5.0,
-        },
-    ],
-    "limits": {
-        "max_attempts": 4,
-        "dial_timeout": 250_000_000,
-        "idle_close": 60_000_000_000,
-        "max_retry_after": 2_000_000_000,
-        "retry_after": True,
-        "probes": True,
-        "cancelling": True,
-    },
-    "load_info": {"how": "off", "columns": []},
-    "rules": {
-        "ask_within": 10_000_000_000,
-        "drain_grace": 2_000_000_000,
-        "cold": 8_000_000_000,
-        "cold_from": 0.3,
-        "fall": 1_500_000_000,
-        "fall_multiple": 3.0,
-        "grace_to_answer": 20_000_000,
-    },
-}
-
 
 def listen() -> socket.socket:
     sock = socket.create_server(("127.0.0.1", 0))
@@ -76,23 +36,6 @@
     return sock
 
 
-def target(uid: str, port: int, state: str = "active", boot_ms: int = 0) -> dict[str, object]:
-    return {
-        "uid": uid,
-        "endpoint": f"127.0.0.1:{port}",
-        "az": "east",
-        "model": "m2",
-        "pod_group": 1,
-        "state": state,
-        "capacity_hint": 1.0,
-        "boot_ms": boot_ms,
-    }
-
-
-def roster(*targets: dict[str, object], rev: int = 1, whole: bool = True) -> dict[str, object]:
-    return {"rev": rev, "all": whole, "targets": list(targets)}
-
-
 class Peer:
     """One connection, driven by hand."""
 
@@ -118,14 +61,13 @@
             if not self.more():
                 raise EOFError(f"ended after {self.buffer!r}")
         head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
-        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:])}
+        first, headers = parts(head)
         size = int(headers.get("content-length", "0"))
         while len(self.buffer) < size:
             if not self.more():
                 raise EOFError("ended within a body")
         body, self.buffer = self.buffer[:size], self.buffer[size:]
-        return lines[0], headers, body
+        return first, headers, body
 
     def ends(self) -> bytes:
         """Everything up to the end of the connection."""
@@ -175,22 +117,6 @@
         return int(re.findall(rf"{which}:\s+(\d+)", status)[0]) / 1024
 
 
-def config(tmp_path: Path, known: dict[str, object], discovery: int, **over: Any) -> dict[str, str]:
-    """Write a configuration; returns the environment that names it."""
-    raw = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": f"127.0.0.1:{discovery}",
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256} | over.pop("limits", {}),
-        "known": known,
-        "settings": SETTINGS | over.pop("settings", {}),
-    } | over
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(raw))
-    return {"PROXY_CONFIG": str(path), "PROXY_LISTEN": "127.0.0.1:0", "PROXY_NAME": "n0"}
-
-
 def launch(environ: dict[str, str]) -> subprocess.Popen[str]:
     return subprocess.Popen(
         [sys.executable, "-B", "-m", "windrelay"],
@@ -233,36 +159,6 @@
             process.stderr.close()
 
 
-def request(
-    path: str = "/balance/7f3a",
-    body: bytes | None = None,
-    timeout: int = 1500,
-    rid: str = "",
-    **headers: str,
-) -> bytes:
-    """A request's bytes; a header named x_y is sent as X-Y, an empty one left out.
-
-    Each has an id of its own where none is given.
-    """
-    lines = {
-        "Host": "app.svc",
-        "X-Request-ID": rid or f"r-{next(IDS)}",
-        "X-Priority-Class": path.split("/")[1],
-        "X-Tenant-Id": "acme",
-        "X-Timeout-Ms": str(timeout),
-    } | {name.replace("_", "-"): value for name, value in headers.items()}
-    if body is not None and "Content-Length" not in lines:
-        lines["Content-Length"] = str(len(body))
-    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
-    method = "GET" if body is None else "POST"
-    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + (body or b"")
-
-
-def answer(body: bytes = b"", status: str = "200 OK", *headers: str) -> bytes:
-    lines = "".join(f"{line}\r\n" for line in headers)
-    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
-
-
 def accept(server: socket.socket) -> Peer:
     return Peer(server.accept()[0])
 
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,96 @@
+"""A whole small world in one test: servers, their list, a node, callers, and the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from standins import faults
+from standins.callers import Caller, Manner
+from standins.ledger import Ledger
+from standins.platform import roster, target
+from standins.process import NodeProcess
+from standins.registry import Mood, Registry
+from standins.servers import Behaviour, TopupServer
+
+AT_REST = 30  # descriptors of a node that serves nobody, at most
+
+
+class World:
+    """Built in a test's own loop; the node is a process."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.ledger = Ledger()
+        self.servers: list[TopupServer] = []
+        self.registry = Registry(Random(seed + 1))
+        self.node: NodeProcess
+
+    def caller(self, name: str, **over: Any) -> Caller:
+        return Caller(name, self.node.port, self.ledger, Random(self.rng.random()), **over)
+
+    async def crowd(
+        self, count: int, asks: int, manners: dict[Manner, float] | None = None, **over: Any
+    ) -> None:
+        """So many callers at once, each with so many requests in turn."""
+        at = len(self.ledger.entries)
+        callers = [self.caller(f"c{at}.{i}", manners=manners, **over) for i in range(count)]
+
+        async def go(caller: Caller) -> None:
+            for _ in range(asks):
+                if await caller.ask() is None and caller.refused_dials > 100:
+                    break
+            caller.drop()
+
+        await asyncio.gather(*(go(caller) for caller in callers))
+
+    async def settles(self) -> bool:
+        """Whether the node gives back every descriptor; waits for what only it can do."""
+        return await self.comes(lambda: self.node.descriptors() <= AT_REST)
+
+    async def comes(self, condition: Callable[[], bool], seconds: float = 15.0) -> bool:
+        for _ in range(int(seconds / 0.02)):
+            if condition():
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+
+@contextlib.asynccontextmanager
+async def world(
+    folder: Path,
+    behaviours: Sequence[Behaviour],
+    plan: Sequence[faults.Fault] | None = None,
+    seed: int = 1,
+    moods: dict[Mood, float] | None = None,
+    **over: Any,
+) -> AsyncIterator[World]:
+    """A node before one server for each behaviour; above the fault layer where there is a plan."""
+    w = World(seed)
+    w.registry.moods = moods or w.registry.moods
+    try:
+        for i, behaviour in enumerate(behaviours):
+            server = TopupServer(f"s-{i}", w.ledger, Random(w.rng.random()), behaviour)
+            await server.start()
+            w.servers.append(server)
+            w.registry.put(target(server.name, server.port))
+        await w.registry.start()
+        known = roster(*(target(s.name, s.port) for s in w.servers))
+        w.node = NodeProcess(folder, known, w.registry.port, **over)
+        environ = None
+        if plan is not None:
+            ports = [s.port for s in w.servers]
+            environ = faults.environment(folder / "faults.log", ports, plan)
+        await asyncio.to_thread(w.node.start, environ)
+        yield w
+    finally:
+        if hasattr(w, "node"):
+            w.node.kill()
+        w.registry.close()
+        for server in w.servers:
+            server.kill()
+        await asyncio.sleep(0)
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -175,7 +175,6 @@
     def _write_request(self) -> None:
         attempt = self.attempt
         assert attempt is not None
-        attempt.connection = self
         r = attempt.request
         if r is None:
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
@@ -216,6 +215,9 @@
         self._got += len(data)
         try:
             parser.feed_data(data)
+        except httptools.HttpParserCallbackError as err:
+            self.upstream.node.crashed("reading an answer", err.__context__ or err)
+            self._spoilt = True
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._dirty = True
             self._spoilt = not self._complete
@@ -544,6 +546,7 @@
             return
         while (conn := self.pop(backend, attempt.sent)) is not None:
             if attempt.sent - conn.idle_since <= self.idle_limit.limit and conn.usable():
+                attempt.connection = conn
                 conn.begin(attempt)
                 return
             conn.abandon()
