Time-outs cut the level only where attempts are slow

Above 4 % such time-outs cut the level, 3.6 to 1.0 within ten seconds, and a third was refused beside idle servers. Ruled out: crowding (0.1), servers left out before 15 s (none), descriptors, CPU.

Change: time-outs cut the level only where attempts, time-outs counted in, take 0.35 of their aim or more: a jam that ends in time-outs is slow for all.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -39,7 +39,8 @@
 JUDGED = 10  # answers that judge a class's crowding; fewer are carried to the next cycle
 TAKEN_MOST = 1.2  # most aims one attempt may count as
 FULL_SHARE = 0.05  # refusals by backends above this share of outcomes cut the level
-LOST_SHARE = 0.04  # the same of time-outs by backends that answer otherwise
+LOST_SHARE = 0.04  # the same of time-outs by backends that answer otherwise ...
+LOST_SLOW = 0.35  # ... where attempts take this part of their aim, time-outs counted in
 SPILL = 0.34  # part of the level that is dealt to nodes of other zones
 ROUND_STEP = 0.618034  # golden section: any run of ranks rounds up in proportion
 MIN_SLOTS = 3  # a node holds at least this many slots, however thin its deal
@@ -1186,7 +1187,7 @@
         """Twice a second: caps from what was seen, then shares from the model."""
         self.send_rate += 0.3 * (self.sends * SECOND / CYCLE - self.send_rate)
         self.sends = 0
-        worst = 0.0
+        worst = slowest = 0.0
         judged = False
         cut = False
         for i, n in enumerate(self.ratio_n):
@@ -1194,6 +1195,8 @@
             c = self.classes[i]
             if c.lat_n > 20:
                 c.base = min(c.base * BASE_RISE, c.lat) if c.base else c.lat
+            if n >= 3:
+                slowest = max(slowest, self.ratio_sum[i] / n)
             # Without a base yet, half an aim on idle backends would pass for a jam;
             # with many nodes a thin class stays so for most of a minute.
             if n >= 3 and c.base:
@@ -1207,10 +1210,14 @@
             # or connections: fewer slots would not ease it. Cut for it all the same, the
             # level fell to 2 and a fifth was refused with every backend idle.
             full = self.fulls > FULL_SHARE * n
+            # A jam that ends in time-outs is slow for all. Where the rest is quick they
+            # are requests or answers that went astray: cut for one in twenty of these,
+            # the level fell from 4 to 1 and a third was refused beside idle servers.
+            lost = self.lost > max(LOST_SHARE * n, 1) and slowest > LOST_SLOW
             if (
                 worst > HIGH_CROWDING
                 or (full and (worst > LOW_CROWDING or self.level > FULL_LEVEL))
-                or self.lost > max(LOST_SHARE * n, 1)
+                or lost
             ):
                 cut = True
                 deep = worst > 2.0 * HIGH_CROWDING
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -109,6 +109,25 @@
     assert balancer.level < before
 
 
+def test_answers_that_go_astray_among_quick_ones_do_not_cut_the_level() -> None:
+    """One in ten is never answered and the others are quick: fewer slots would lose more."""
+    balancer, host = build(count=8)
+    before = balancer.level
+    for cycle in range(1, 9):
+        now = cycle * SECOND // 2
+        for i in range(20):
+            balancer.on_request(now, 100 * cycle + i, 0, SECOND)
+        for c in list(host.named("send"))[-20:]:
+            request = int(str(c[1]))
+            if request % 10:
+                balancer.on_outcome(now + 10 * MS, request, 0, 1, 10 * MS, True)
+            else:
+                balancer.on_outcome(now + 195 * MS, request, 0, 4, 195 * MS, True)
+        balancer.on_timer(now + 400 * MS, 2)
+    assert len(host.named("send")) == 160
+    assert balancer.level >= before
+
+
 def test_hung_backends_do_not_cut_the_level() -> None:
     """One long time-out among answers is a matter of that backend's health."""
     slow = RequestClass("slow", 200 * MS, 6 * SECOND, Effect.SIDE_EFFECT, late_worth=0.3)
