--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Two commands for a newcomer, on a fresh machine with Python 3.11 and a C compiler:
+#   make test    all checks and tests, some two minutes
+#   make demo    the main job over stand-ins, half a minute, with a live table
+.PHONY: test demo lint setup
+
+PY = .venv-dev/bin/python
+STAMP = .venv-dev/requirements.txt
+
+test: lint
+	$(PY) -m pytest
+
+lint: setup
+	$(PY) -m ruff check .
+	$(PY) -m ruff format --check .
+	$(PY) -m mypy
+
+demo: setup
+	$(PY) -m standins.demo
+
+# The node as deploy/balancer.toml builds it, then what tests and tools need beside it.
+setup: $(STAMP)
+	@sh -c "$$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/balancer.toml", "rb"))["build"])')"
+
+$(STAMP): requirements.txt requirements-dev.txt
+	rm -rf .venv-dev
+	python3 -m venv .venv-dev
+	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	cat requirements.txt requirements-dev.txt > $(STAMP)
