The store's core: log, index, compaction and recovery, crashed at every operation

Change: tansywood/store/ (frames, hints, manifest, engine, an asyncio face with group commit) behind one Files port, and standins/disk.py, a disk that its test owns. The platform node loads none of it (tests/test_rooms.py).

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,10 @@
 setup: $(STAMP)
 	@sh -c "$$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/balancer.toml", "rb"))["build"])')"
 
-$(STAMP): requirements.txt requirements-dev.txt
+REQUIREMENTS = requirements.txt requirements-service.txt requirements-dev.txt
+
+$(STAMP): $(REQUIREMENTS)
 	rm -rf .venv-dev
 	python3 -m venv .venv-dev
-	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt
-	cat requirements.txt requirements-dev.txt > $(STAMP)
+	.venv-dev/bin/pip -q install $(REQUIREMENTS:%=-r %)
+	cat $(REQUIREMENTS) > $(STAMP)
--- /dev/null
+++ b/tests/store/test_crash.py
@@ -0,0 +1,298 @@
+"""A crash at every operation, every cut, every flipped byte: the promise holds."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from standins.disk import Crash, Disk
+from tansywood.store import Store, StoreCorrupt, StoreError, StoreFailed, StoreFormat, StoreFull
+from tansywood.store.frames import HEAD
+
+from .model import SMALL, Model, a_write, batch, content, script
+
+WRITES = 60
+
+
+def reopened(disk: Disk) -> Store:
+    return Store.open(files=disk, **SMALL)  # type: ignore[arg-type]
+
+
+def crash_at(number: int) -> Callable[[int, str], None]:
+    def before(count: int, _what: str) -> None:
+        if count == number:
+            raise Crash
+
+    return before
+
+
+def operations(seed: int) -> int:
+    disk = Disk()
+    script(disk, Model(), seed, WRITES)
+    return disk.count
+
+
+@pytest.mark.parametrize("holes", [False, True], ids=["cut", "holes"])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_crash_at_every_operation_leaves_a_prefix_with_all_that_was_acknowledged(
+    seed: int, holes: bool
+) -> None:
+    """Compaction's and recovery's own operations too: a second crash hits the recovery."""
+    total = operations(seed)
+    assert total > 150
+    for number in range(1, total + 1):
+        disk = Disk()
+        disk.before = crash_at(number)
+        model = Model()
+        with pytest.raises(Crash):
+            script(disk, model, seed, WRITES)
+        rng = Random(1000 * seed + number)
+        after = disk.crashed(rng, holes)
+        # In the recovery once more, at one of its operations.
+        after.before = crash_at(1 + number % 7)
+        try:
+            reopened(after).close()
+        except Crash:
+            after = after.crashed(rng, holes)
+        else:
+            after = after.copy()
+        after.before = lambda _n, _what: None
+        after.locked = False
+        with reopened(after) as store:
+            found = content(store)
+            assert model.holds(found), f"operation {number}: {disk.log[-3:]}"
+            # And it goes on from there.
+            store.put(b"new", b"value", durable=True)
+            assert content(store) == found | {b"new": b"value"}
+        with reopened(after) as store:
+            assert content(store) == found | {b"new": b"value"}
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("times", [1, 1000])
+@pytest.mark.parametrize("seed", range(2))
+def test_an_operation_that_fails_loses_nothing_acknowledged(
+    seed: int, times: int, error: int
+) -> None:
+    """Each in turn, once or from then on; reads go on, and the next opening finds it all."""
+    total = operations(seed)
+    for number in range(1, total + 1):
+        disk = Disk()
+
+        def before(count: int, _what: str, number: int = number) -> None:
+            if number <= count < number + times:
+                raise OSError(error, os.strerror(error))
+
+        disk.before = before
+        model = Model()
+        rng = Random(seed)
+        try:
+            store = reopened(disk)
+        except (OSError, StoreError):
+            continue
+        failed = False  # a sync or a truncation: only a new opening helps
+        for n in range(WRITES):
+            ops = a_write(rng)
+            durable = rng.random() < 0.3
+            before_it = content(store)
+            model.write(ops)
+            try:
+                store.write(batch(ops), durable=durable)
+                if durable:
+                    model.acknowledged = len(model.states) - 1
+            except StoreFull:
+                model.states.pop()
+                assert content(store) == before_it  # reads go on, nothing of it is there
+            except StoreFailed:
+                failed = True
+                break
+            if n == WRITES // 2:
+                try:
+                    store.compact()
+                except StoreFull:
+                    pass
+                except StoreFailed:
+                    failed = True
+                    break
+        assert content(store) in model.states
+        disk.before = lambda _n, _what: None
+        if error == errno.ENOSPC and not failed:
+            store.put(b"again", b"there is room", durable=True)
+            model.write([(b"again", b"there is room")])
+            model.acknowledged = len(model.states) - 1
+        after = disk.crashed(Random(number))
+        with reopened(after) as store:
+            assert model.holds(content(store)), f"operation {number}: {disk.log[number - 1]}"
+
+
+def built(seed: int = 5) -> tuple[Disk, Model]:
+    """A store with several segments, batches, deletions, a big value and a compaction."""
+    disk = Disk()
+    model = Model()
+    rng = Random(seed)
+    store = reopened(disk)
+    for n in range(40):
+        ops = a_write(rng)
+        model.write(ops)
+        store.write(batch(ops), durable=n % 4 == 0)
+        if n == 20:
+            store.compact()
+    store.sync()
+    store._let_go()  # as when the process dies: no clean close
+    disk.durable = dict(disk.entries)
+    return disk, model
+
+
+def test_every_file_cut_at_every_byte_is_a_prefix_or_refused() -> None:
+    disk, model = built()
+    opened = refused = 0
+    for name, inode in disk.entries.items():
+        for size in range(len(inode.data)):
+            cut = disk.copy()
+            del cut.entries[name].data[size:]
+            cut.locked = False
+            try:
+                store = reopened(cut)
+            except (StoreCorrupt, StoreFormat):
+                refused += 1
+                continue
+            opened += 1
+            with store:
+                assert content(store) in model.states, (name, size)
+    assert opened > 100 and refused > 100
+
+
+def test_every_byte_flipped_never_serves_a_wrong_value() -> None:
+    disk, model = built()
+    values = {key: {state.get(key) for state in model.states} for key in model.states[-1]}
+    opened = refused = 0
+    for name, inode in disk.entries.items():
+        for at in range(len(inode.data)):
+            bad = disk.copy()
+            bad.entries[name].data[at] ^= 1 << (at % 8)
+            bad.locked = False
+            try:
+                with reopened(bad) as store:
+                    for key, possible in values.items():
+                        assert store.get(key) in possible
+                    found = content(store)
+            except (StoreCorrupt, StoreFormat) as err:
+                assert not isinstance(err, StoreCorrupt) or name.split(".")[0] in err.path
+                refused += 1
+                continue
+            opened += 1
+            assert found in model.states, (name, at)
+    assert opened > 100 and refused > 100
+
+
+def test_a_torn_tail_is_cut_and_reported() -> None:
+    disk = Disk()
+    store = reopened(disk)
+    store.put(b"a", b"1", durable=True)
+    store.put(b"b", b"2")
+    store._let_go()
+    name = next(n for n in disk.entries if n.endswith(".log"))
+    data = disk.entries[name].data
+    del data[-3:]
+    with reopened(disk) as again:
+        assert content(again) == {b"a": b"1"}
+        report = again.stats().recovery
+        assert report.cut_path.endswith(name) and report.cut_bytes > 0
+        assert "cut short" in report.cut_why
+
+
+def test_rot_in_what_was_durable_is_refused_with_its_place() -> None:
+    disk = Disk()
+    store = reopened(disk)
+    store.put(b"a", b"1" * 50, durable=True)
+    at = len(disk.entries["00000001.log"].data) - 10
+    store.put(b"b", b"2")
+    store._let_go()
+    disk.entries["00000001.log"].data[at] ^= 1
+    with pytest.raises(StoreCorrupt) as caught:
+        reopened(disk)
+    assert caught.value.path.endswith("00000001.log") and caught.value.offset == HEAD.size
+
+
+def test_rot_in_the_last_record_is_refused_after_a_clean_close() -> None:
+    disk = Disk()
+    with reopened(disk) as store:
+        store.put(b"a", b"1" * 50, durable=True)
+    disk.entries["00000001.log"].data[-1] ^= 1
+    with pytest.raises(StoreCorrupt):
+        reopened(disk)
+
+
+def test_a_failed_sync_acknowledges_nothing_again() -> None:
+    """The pages may be gone although a later sync succeeds."""
+    disk = Disk()
+    store = reopened(disk)
+    store.put(b"a", b"1", durable=True)
+
+    def before(_count: int, what: str) -> None:
+        if what.startswith("sync 0"):
+            disk.before = lambda _n, _w: None
+            raise OSError(errno.EIO, "Input/output error")
+
+    disk.before = before
+    with pytest.raises(StoreFailed):
+        store.put(b"b", b"2", durable=True)
+    for again in (lambda: store.put(b"c", b"3"), store.sync, store.compact):
+        with pytest.raises(StoreFailed):
+            again()
+    assert store.get(b"a") == b"1"
+    store.close()
+    after = disk.crashed(Random(1))
+    with reopened(after) as store:
+        assert store.get(b"a") == b"1"
+        store.put(b"c", b"3", durable=True)
+
+
+def test_a_full_disk_refuses_writes_and_takes_them_again_by_itself() -> None:
+    disk = Disk()
+    store = reopened(disk)
+    store.put(b"a", b"1" * 100, durable=True)
+    disk.room = disk.used() + 40
+    with pytest.raises(StoreFull):
+        store.put(b"b", b"2" * 100)
+    assert store.stats().full and content(store) == {b"a": b"1" * 100}
+    disk.room = None
+    store.put(b"b", b"2" * 100, durable=True)
+    assert not store.stats().full
+    store.close()
+    with reopened(disk) as again:
+        assert content(again) == {b"a": b"1" * 100, b"b": b"2" * 100}
+
+
+def test_overwrites_of_one_key_stay_within_a_bound() -> None:
+    disk = Disk()
+    store = Store.open(files=disk, segment_bytes=64 << 10, least_garbage=32 << 10)
+    most = 0
+    for n in range(60_000):
+        store.put(b"key", b"%050d" % n)
+        if n % 500 == 0:
+            most = max(most, disk.used())
+    assert most < 300 << 10
+    assert store.get(b"key") == b"%050d" % 59_999
+    stats = store.stats()
+    assert stats.compactions > 10
+    assert (stats.written_bytes + stats.copied_bytes) / stats.written_bytes < 3
+    store.close()
+
+
+def test_a_half_finished_compaction_is_cleaned_away() -> None:
+    disk, model = built()
+    disk.entries["00000099.log"] = (
+        disk.entries["00000001.log"]
+        if ("00000001.log" in disk.entries)
+        else next(iter(disk.entries.values()))
+    )
+    disk.locked = False
+    with reopened(disk) as store:
+        assert "00000099.log" in store.stats().recovery.left_over
+        assert content(store) == model.states[-1]
+    assert "00000099.log" not in disk.entries
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -16,6 +16,8 @@
 
 from flinthatch import Outcome
 from windrelay import server as windrelay_server
+from windrelay.config import Address
+from windrelay.discovery import Call
 from windrelay.glance import Glance
 from windrelay.node import Attempt
 from windrelay.upstream import BackendConnection
@@ -254,3 +256,49 @@
         one.run(drive())
         one.server._sock = real
         assert not one.server._paused
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_welcome_cancelled_after_any_number_of_turns_leaks_nothing(
+    tmp_path: Path, turns: int
+) -> None:
+    with inside(tmp_path, roster()) as one:
+        port = one.server.listen(one.config.listen)
+
+        async def drive() -> None:
+            client = socket.create_connection(("127.0.0.1", port))
+            await one.until(lambda: one.server._tasks or one.server.connections)
+            tasks = list(one.server._tasks)
+            await one.turns(turns)
+            for task in tasks:
+                task.cancel()
+            await one.until(lambda: not one.server._tasks)
+            client.close()
+            await one.until(lambda: not one.node.clients)
+
+        one.run(drive())
+        strangers = Strangers()
+        gc.collect()
+        strangers.check()
+        assert one.node.clients == 0 and not one.node.crashes
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_call_of_the_list_dropped_after_any_number_of_turns_leaks_nothing(
+    tmp_path: Path, turns: int
+) -> None:
+    with listen() as service, inside(tmp_path, roster()) as one:
+        ended: list[object] = []
+
+        async def drive() -> None:
+            address = Address("127.0.0.1", service.getsockname()[1])
+            call = Call(address, "/registry/instances", 5.0, ended.append)
+            await one.turns(turns)
+            call.drop()
+            await one.turns()
+
+        one.run(drive())
+        strangers = Strangers()
+        gc.collect()
+        strangers.check()
+        assert not ended and not one.node.crashes
--- /dev/null
+++ b/tests/test_rooms.py
@@ -0,0 +1,47 @@
+"""Who may import whom: arrows run down only, and the platform node loads nothing of the service."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+# A room, and the rooms of this project it may import.
+MAY = {
+    "flinthatch": {"flinthatch"},
+    "windrelay": {"windrelay", "flinthatch"},
+    "tansywood/store": {"tansywood.store"},
+    "standins": {"standins"},
+    "benchmarks": {"benchmarks", "standins", "tansywood.store"},
+}
+OURS = ("flinthatch", "windrelay", "tansywood", "standins", "benchmarks", "tests")
+
+
+def test_arrows_run_down_only() -> None:
+    for room, may in MAY.items():
+        for file in sorted((ROOT / room).rglob("*.py")):
+            for node in ast.walk(ast.parse(file.read_text())):
+                if isinstance(node, ast.ImportFrom):
+                    names = [node.module or ""]
+                elif isinstance(node, ast.Import):
+                    names = [alias.name for alias in node.names]
+                else:
+                    continue
+                for name in names:
+                    if name.split(".")[0] in OURS:
+                        assert any(name == m or name.startswith(m + ".") for m in may), (file, name)
+
+
+def test_the_platform_node_loads_nothing_of_the_service() -> None:
+    program = (
+        "import runpy, sys\n"
+        "import windrelay.__main__, flinthatch.drill\n"
+        "print([m for m in sys.modules if m.split('.')[0] in"
+        " ('tansywood', 'standins', 'google_crc32c')])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, cwd=ROOT, check=True
+    )
+    assert done.stdout.strip() == "[]"
