--- a/tansywood/store/engine.py
+++ b/tansywood/store/engine.py
@@ -40,8 +40,18 @@
     read_head,
     readable_behind,
     segment_head,
+    value_of,
+)
+from tansywood.store.hints import (
+    MOST_OFFSET,
+    MOST_SIZE,
+    SEGMENT_SHIFT,
+    SIZE_BITS,
+    Collector,
+    Hint,
+    place,
+    unplace,
 )
-from tansywood.store.hints import Collector, Hint, place, unplace
 from tansywood.store.manifest import Manifest, Segment
 
 SEGMENT_BYTES = 32 << 20
@@ -51,7 +61,8 @@
 # Copied for each byte written while one runs: it is done before as much is dead again.
 COPY_FOR_WRITTEN = 2
 COPY_LEAST = 64 << 10
-COPY_BATCH = 256 << 10  # bytes of one frame of what is kept
+COPY_BATCH = 64 << 10  # bytes of one frame of what is kept
+BREATH = 500  # keys between two moments at which another thread may run
 SYNC_EVERY = 4 << 20  # bytes of a compaction between its syncs, so that none takes long
 NO_ROOM = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
 
@@ -129,7 +140,7 @@
         self.snapshot = snapshot
         self.target = target
         self.dropped = dropped  # the segments that it replaces
-        self.keys = snapshot.keys()
+        self.keys = snapshot.every()
         self.at = 0
         self.collector = Collector()
         self.old: list[int] = []  # places that the collector's entries had
@@ -158,6 +169,13 @@
         found = self._store._index.get(key)
         return self._before.get(key, found)
 
+    def every(self) -> list[bytes]:
+        """All its keys, in no order; cheaper than `keys` by the sorting."""
+        with self._store._state:
+            if not self._before:
+                return [*self._store._index]
+        return self.keys()
+
     def keys(self, start: bytes = b"", end: bytes | None = None) -> list[bytes]:
         """From start on, up to end and without it, in order."""
         with self._store._state:
@@ -273,7 +291,7 @@
         self._next = manifest.next_number
         for segment in manifest.segments:
             self._load(segment, names)
-        self._live = sum(found & 0xFFFFFFFF for found in self._index.values())
+        self._live = sum(found & MOST_SIZE for found in self._index.values())
         self._sorted = []
         self._unsorted = dict.fromkeys(self._index)
         last = self._open[self._order[-1]]
@@ -394,28 +412,29 @@
         return self._value(key, found)
 
     def _value(self, key: bytes, found: int) -> bytes:
-        number, offset, size = unplace(found)
-        opened = self._open.get(number)
+        opened = self._open.get(found >> SEGMENT_SHIFT)
         if opened is None:
-            self._check_open()
-            # A compaction replaced the file between the two look-ups.
-            again = self._index.get(key)
-            if again is None or again == found:
-                raise StoreError(f"segment {number} of {key!r} has gone")
-            return self._value(key, again)
-        name = opened.segment.name
+            return self._moved(key, found)
+        offset, size = (found >> SIZE_BITS) & MOST_OFFSET, found & MOST_SIZE
         try:
             data = opened.file.read(offset, size)
         except OSError as err:
+            if opened is not self._open.get(found >> SEGMENT_SHIFT):
+                return self._moved(key, found)  # closed between the look-up and the read
             self._check_open()
-            raise StoreError(f"{self._path(name)} at byte {offset}: {err.strerror}") from err
+            raise StoreError(f"{self._path(opened.segment.name)} at byte {offset}: {err}") from err
         try:
-            op = decode_op(data)
-            if op.key != key or op.value is None:
-                raise ValueError("it holds another key")
+            return value_of(data, size, key)
         except ValueError as err:
-            raise StoreCorrupt(self._path(name), offset, str(err)) from None
-        return op.value
+            raise StoreCorrupt(self._path(opened.segment.name), offset, str(err)) from None
+
+    def _moved(self, key: bytes, found: int) -> bytes:
+        """Read again what a compaction has moved since its place was looked up."""
+        self._check_open()
+        again = self._index.get(key)
+        if again is None or again == found:
+            raise StoreError(f"the segment of {key!r} has gone")
+        return self._value(key, again)
 
     def scan(self, start: bytes = b"", end: bytes | None = None) -> Iterator[tuple[bytes, bytes]]:
         """Keys from start on, up to end and without it, with values, in the keys' order,
@@ -538,14 +557,14 @@
             snapshot._before.setdefault(key, old)
         if found is not None:
             self._index[key] = found
-            self._live += found & 0xFFFFFFFF
+            self._live += found & MOST_SIZE
             if old is None:
                 self._unsorted[key] = None
         elif old is not None:
             del self._index[key]
             self._unsorted.pop(key, None)
         if old is not None:
-            self._live -= old & 0xFFFFFFFF
+            self._live -= old & MOST_SIZE
 
     def sync(self, sequence: int | None = None) -> None:
         """Return once all writes up to this one (by default the last) are on the disk.
@@ -633,11 +652,12 @@
             return
         following = self._order.index(segment.number) + 1
         last = self._open[self._order[following]].segment.first - 1 if not segment.kept else 0
-        data = collector.encode(segment.number, segment.length, last or segment.first)
+        pieces = collector.encode(segment.number, segment.length, last or segment.first)
         try:
             file = self._create(segment.hint)
             try:
-                file.append(data)
+                for piece in pieces:
+                    file.append(piece)
                 file.sync()
             finally:
                 file.close()
@@ -740,6 +760,7 @@
         try:
             while budget > 0 and run.at < len(run.keys):
                 budget -= self._copy_frame(run)
+                time.sleep(0)  # an event loop may wait to run
             if run.at == len(run.keys):
                 self._end_compaction(run)
         except OSError as err:
@@ -814,10 +835,10 @@
     def _repoint(self, run: _Compaction, number: int) -> None:
         """Let the index name the copies, where no write has come since."""
         index = self._index
-        columns = zip(
-            run.collector.keys, run.collector.offsets, run.collector.sizes, run.old, strict=True
-        )
-        for key, offset, size, old in columns:
+        columns = zip(run.keys, run.collector.offsets, run.collector.sizes, run.old, strict=True)
+        for n, (key, offset, size, old) in enumerate(columns):
+            if n % BREATH == 0:
+                time.sleep(0)
             if index.get(key) == old:
                 with self._state:
                     if index.get(key) == old:
--- a/tansywood/store/files.py
+++ b/tansywood/store/files.py
@@ -9,6 +9,7 @@
 import errno
 import fcntl
 import os
+from os import pread
 from pathlib import Path
 from typing import Protocol
 
@@ -79,12 +80,12 @@
             view = view[written:]
 
     def read(self, offset: int, size: int) -> bytes:
-        data = os.pread(self._fd, size, offset)
+        data = pread(self._fd, size, offset)
         if len(data) == size or not data:
             return data
         parts = [data]
         left = size - len(data)
-        while left and (data := os.pread(self._fd, left, offset + size - left)):
+        while left and (data := pread(self._fd, left, offset + size - left)):
             parts.append(data)
             left -= len(data)
         return b"".join(parts)
--- a/tansywood/store/frames.py
+++ b/tansywood/store/frames.py
@@ -108,6 +108,19 @@
     return Op(key, data[OP.size + key_size :] if kind == PUT else None)
 
 
+def value_of(data: bytes, size: int, key: bytes) -> bytes:
+    """The value of this key out of one whole operation; ValueError where it is not that."""
+    if len(data) != size:
+        raise ValueError("cut short")
+    crc, kind, key_size, value_size = OP.unpack_from(data)
+    if crc != crc32c(data[CRC.size :]):
+        raise ValueError("does not match its checksum")
+    at = OP.size + key_size
+    if kind != PUT or at + value_size != size or data[OP.size : at] != key:
+        raise ValueError("it holds another key")
+    return data[at:]
+
+
 def decode(data: bytes, at: int) -> Frame:
     """The frame that begins there; ValueError says why there is none."""
     if len(data) - at < FRAME.size:
--- a/tansywood/store/hints.py
+++ b/tansywood/store/hints.py
@@ -8,8 +8,10 @@
 
 import struct
 from array import array
+from collections.abc import Iterator
 from itertools import accumulate
 
+from google_crc32c import extend
 from google_crc32c import value as crc32c
 
 MAGIC = b"TWHINT\n\x01"
@@ -18,43 +20,52 @@
 CRC = struct.Struct("<I")
 OFFSET_BITS = 40  # of a place: segment, offset, size from the top
 SIZE_BITS = 32
+SEGMENT_SHIFT = OFFSET_BITS + SIZE_BITS
+MOST_OFFSET = (1 << OFFSET_BITS) - 1
+MOST_SIZE = (1 << SIZE_BITS) - 1
+PIECE = 256 << 10  # bytes of a hint written at a time
 
 
 def place(segment: int, offset: int, size: int) -> int:
     """Where an operation lies, as one integer."""
-    return (segment << (OFFSET_BITS + SIZE_BITS)) | (offset << SIZE_BITS) | size
+    return (segment << SEGMENT_SHIFT) | (offset << SIZE_BITS) | size
 
 
 def unplace(packed: int) -> tuple[int, int, int]:
     """Segment, offset and size."""
-    return (
-        packed >> (OFFSET_BITS + SIZE_BITS),
-        (packed >> SIZE_BITS) & ((1 << OFFSET_BITS) - 1),
-        packed & ((1 << SIZE_BITS) - 1),
-    )
+    return packed >> SEGMENT_SHIFT, (packed >> SIZE_BITS) & MOST_OFFSET, packed & MOST_SIZE
 
 
 class Collector:
-    """The entries of one segment as it is written; `encode` gives its hint."""
+    """The entries of one segment as it is written; `encode` gives its hint.
+
+    In columns from the start: to put a million keys together at the end would hold up every
+    other thread for as long.
+    """
 
     def __init__(self) -> None:
-        self.keys: list[bytes] = []
         self.offsets = array("Q")
         self.sizes = array("I")  # 0 for a deletion
+        self._lengths = array("H")
+        self._blob = bytearray()
 
     def add(self, key: bytes, offset: int, size: int) -> None:
-        self.keys.append(key)
+        self._lengths.append(len(key))
+        self._blob += key
         self.offsets.append(offset)
         self.sizes.append(size)
 
-    def encode(self, number: int, length: int, last: int) -> bytes:
-        lengths = array("H", map(len, self.keys))
-        blob = b"".join(self.keys)
-        head = HEAD.pack(MAGIC, number, length, last, len(self.keys), len(blob))
-        body = b"".join(
-            (head, lengths.tobytes(), self.offsets.tobytes(), self.sizes.tobytes(), blob)
-        )
-        return body + CRC.pack(crc32c(body))
+    def encode(self, number: int, length: int, last: int) -> Iterator[bytes]:
+        """The hint in pieces, the last of them its checksum."""
+        yield (head := HEAD.pack(MAGIC, number, length, last, len(self.sizes), len(self._blob)))
+        crc = crc32c(head)
+        for column in (self._lengths, self.offsets, self.sizes, self._blob):
+            view = memoryview(column).cast("B")
+            for at in range(0, len(view), PIECE):
+                piece = bytes(view[at : at + PIECE])
+                crc = extend(crc, piece)
+                yield piece
+        yield CRC.pack(crc)
 
 
 class Hint:
@@ -86,7 +97,7 @@
 
     def into(self, index: dict[bytes, int]) -> None:
         """Bring an index up to date with this segment, in its order."""
-        top = self.number << (OFFSET_BITS + SIZE_BITS)
+        top = self.number << SEGMENT_SHIFT
         places = [top | (o << SIZE_BITS) | s for o, s in zip(self.offsets, self.sizes, strict=True)]
         if 0 not in self.sizes:
             index.update(zip(self.keys, places, strict=True))
