Repair without a manifest takes segments in the order of what they hold

Cause: a compaction's result has a higher number than segments written behind it; taken by number, old values went over newer ones. Change: ordered by the last sequence number in each.

--- a/tansywood/store/tool.py
+++ b/tansywood/store/tool.py
@@ -85,7 +85,8 @@
 def survey(files: Files) -> tuple[Manifest | None, list[Found], list[Fault]]:
     """Everything readable in a folder, and every fault; nothing is changed.
 
-    Without a readable manifest the segments are taken in the order of their numbers.
+    Without a readable manifest the segments are taken in the order of what they hold: a
+    compaction's result has a higher number than segments that were written behind it.
     """
     names = files.names()
     faults: list[Fault] = []
@@ -114,6 +115,10 @@
                 Hint(read_all(files, segment.hint), segment.number, segment.length)
             except ValueError as err:
                 faults.append(Fault(segment.hint, 0, f"{err}; the segment is read", False))
+    if manifest is None:
+        found.sort(
+            key=lambda one: (one.frames[-1].sequence if one.frames else 0, one.segment.number)
+        )
     known = {manifests.NAME, *(s.name for s in segments), *(s.hint for s in segments)}
     for name in names:
         if name not in known:
--- a/tests/store/test_tool.py
+++ b/tests/store/test_tool.py
@@ -61,7 +61,7 @@
     path = tmp_path / "s"
     make(path)
     last = sorted(path.glob("*.log"))[-1]
-    sealed = sorted(path.glob("*.log"))[1]
+    sealed = sorted(path.glob("*.log"))[0]  # written after the compaction, one key a frame
     data = bytearray(sealed.read_bytes())
     data[80] ^= 1  # in its first frame
     sealed.write_bytes(data)
@@ -106,3 +106,19 @@
     assert "one writer at a time" in capsys.readouterr().err
     assert main(["store", "stats", str(tmp_path / "no")]) == 2
     assert not (tmp_path / "no").exists()
+
+
+def test_repair_without_a_manifest_takes_the_segments_in_the_order_of_their_writes(
+    tmp_path: Path,
+) -> None:
+    """A compaction's result has a higher number than what was written behind it."""
+    path = tmp_path / "s"
+    with Store.open(path, automatic=False) as store:
+        for n in range(5):
+            store.put(b"k", b"%d" % n)
+        store.compact()
+        store.put(b"k", b"newest")
+    (path / "MANIFEST").unlink()
+    assert main(["store", "repair", str(path)]) == 1
+    with Store.open(tmp_path / "s.repaired") as repaired:
+        assert dict(repaired.scan()) == {b"k": b"newest"}
