Server health over a restart: the record and back, and a node that keeps it

Change: flinthatch/recall.py turns what the module has learnt into a plain record and back, by the module's own rules; python -m tansywood node keeps it in the store; windrelay offers one port, off on the platform.

Measured: on loopback a node started again sends 0 of 20 requests to the server it had left alone, one without the record does. Hard cases: a new start, a new id, a clock set back, 60 s and 10 min, another format, nonsense, more than half. 19 tests.

--- /dev/null
+++ b/flinthatch/recall.py
@@ -0,0 +1,148 @@
+"""What a Balancer has learnt, as a plain record, and back. Pure: it reads no clock.
+
+A node that starts knows nothing of its servers: it sends first attempts to the dead one
+again, and begins from guesses in the middle of an overload. What is recalled is never more
+than the module itself would have decided: servers are left alone by its own rule, at most
+half of them; a cold one stays cold; what does not fit or is too old is not believed.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from flinthatch.balancer import (
+    BACKOFF,
+    BACKOFF_MAX,
+    MAX_LEVEL,
+    MIN_LEVEL,
+    MS,
+    SECOND,
+    Backend,
+    Balancer,
+    State,
+)
+
+FORMAT = 1
+# Health and the level: longer than the longest time a server is left alone, so that a quick
+# restart forgets none; not much longer, since servers are replaced and loads change.
+HEALTH_AGE = 60 * SECOND
+# Latencies of classes change with the servers' work, over hours; they are corrected by the
+# first answers. Past this a guess is as good.
+LATENCY_AGE = 10 * 60 * SECOND
+LEAST_LEFT = 100 * MS  # of a time that is nearly over: it ends with a trial, as ever
+ANSWERS = 20.0  # that a recalled latency counts as: the next ones still move it
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What came of a record; `why` says what was not believed, and is empty otherwise."""
+
+    left_alone: int = 0
+    latencies: int = 0
+    why: str = ""
+
+
+def save(balancer: Balancer, now: int, wall: int) -> dict[str, Any]:
+    """The record, of JSON's types. `now` is the module's clock, `wall` Unix time; nanoseconds.
+
+    The difference of the two has to be the one with which the host reads its list's starts:
+    with another the same start would look like a later one.
+    """
+    clock = wall - now
+    return {
+        "format": FORMAT,
+        "saved": wall,
+        "level": balancer.level,
+        "classes": {
+            c.spec.name: {"lat": c.lat, "base": c.base} for c in balancer.classes if c.lat_n
+        },
+        "backends": {
+            str(b.id): {
+                "boot": b.boot + clock if b.boot else 0,
+                "lat": b.lat,
+                "down": max(b.down_until - now, 0) if b.down_until else 0,
+                "trial": b.trial,
+                "backoff": b.backoff,
+                "strikes": b.strikes,
+                "cold": max(b.cold_until - now, 0),
+            }
+            for b in balancer.backends.values()
+            if b.state == State.READY
+        },
+    }
+
+
+def restore(balancer: Balancer, now: int, wall: int, record: object) -> Recalled:
+    """Take a record into a Balancer that has just been told its list. Never raises on a
+    record, whatever it holds: it is believed in parts, or not at all."""
+    if not isinstance(record, dict) or record.get("format") != FORMAT:
+        return Recalled(why=f"not a record of format {FORMAT}")
+    age = wall - number(record.get("saved"), -1.0)
+    if age < 0:
+        return Recalled(why="it is from the future: the clock was set back")
+    if age > LATENCY_AGE:
+        return Recalled(why=f"it is {age / SECOND:.0f} s old, {LATENCY_AGE // SECOND} at most")
+    latencies = recall_latencies(balancer, record.get("classes"))
+    if age > HEALTH_AGE:
+        why = f"health is {age / SECOND:.0f} s old, {HEALTH_AGE // SECOND} at most"
+        return Recalled(0, latencies, why)
+    balancer.level = max(MIN_LEVEL, min(number(record.get("level"), balancer.level), MAX_LEVEL))
+    rows = record.get("backends")
+    left = recall_backends(balancer, now, wall, int(age), rows if isinstance(rows, dict) else {})
+    balancer.recap()
+    return Recalled(left, latencies)
+
+
+def number(value: object, otherwise: float) -> float:
+    """A finite number, or the other one."""
+    if isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value):
+        return float(value)
+    return otherwise
+
+
+def recall_latencies(balancer: Balancer, rows: object) -> int:
+    count = 0
+    for c in balancer.classes:
+        row = rows.get(c.spec.name) if isinstance(rows, dict) else None
+        lat = number(row.get("lat"), 0.0) if isinstance(row, dict) else 0.0
+        if isinstance(row, dict) and 0 < lat <= 2 * c.aim:
+            c.lat = lat
+            c.lat_n = ANSWERS
+            base = number(row.get("base"), 0.0)
+            c.base = base if 0 < base <= lat else 0.0
+            count += 1
+    return count
+
+
+def recall_backends(
+    balancer: Balancer, now: int, wall: int, age: int, rows: dict[str, object]
+) -> int:
+    """Those left alone longest first: the module allows half of the ready ones."""
+    known: list[tuple[float, Backend, dict[str, object]]] = []
+    for b in balancer.backends.values():
+        row = rows.get(str(b.id))
+        if b.state != State.READY or not isinstance(row, dict):
+            continue
+        boot = b.boot + (wall - now) if b.boot else 0
+        if number(row.get("boot"), -1.0) // MS != boot // MS:
+            continue  # it has started since: cold, and nothing that was known of it holds
+        known.append((number(row.get("down"), 0.0), b, row))
+    left = 0
+    for down, b, row in sorted(known, key=lambda entry: (-entry[0], entry[1].id)):
+        b.lat = min(max(number(row.get("lat"), 1.0), 0.1), 10.0)
+        # Never warmer than its start says: only a later end counts.
+        cold = int(number(row.get("cold"), 0.0)) - age
+        if cold > 0:
+            b.cold_until = max(b.cold_until, now + min(cold, balancer.settings.cold))
+        backoff = min(max(int(number(row.get("backoff"), BACKOFF)), BACKOFF), BACKOFF_MAX)
+        strikes = min(max(int(number(row.get("strikes"), 0.0)), 0), 100)
+        if down > 0 or row.get("trial") is True:
+            b.backoff = min(max(int(down) - age, LEAST_LEFT), BACKOFF_MAX)
+            balancer.suspend(now, b, "left alone before the restart")
+            left += bool(b.down_until)
+            b.strikes = strikes
+        b.backoff = backoff
+        balancer.settle(b)
+    return left
--- a/tansywood/__main__.py
+++ b/tansywood/__main__.py
@@ -13,9 +13,18 @@
     parser = argparse.ArgumentParser(prog="tansywood", description=__doc__)
     verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
     store_tool.add_to(verbs)
+    node = verbs.add_parser("node", help="one node that remembers its servers over a restart")
+    node.add_argument("store", metavar="PATH", help="the store's folder, on a disk that lasts")
+    node.set_defaults(run=run_node)
     options = parser.parse_args(arguments)
     return int(options.run(options))
 
 
+def run_node(options: argparse.Namespace) -> int:
+    from tansywood.service.node import main as node_main  # its signals are its own matter
+
+    return node_main(options.store)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tansywood/service/__init__.py
@@ -0,0 +1,1 @@
+"""Where the parts are put together."""
--- /dev/null
+++ b/tansywood/service/node.py
@@ -0,0 +1,84 @@
+"""One node whose learnt server health lasts over its restarts: `tansywood node PATH`.
+
+The node is windrelay's own, told by the same environment. What its module has learnt goes
+into a store every few seconds and at a stop, and is recalled at a start. Without a readable
+store it runs all the same, and remembers nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+
+from flinthatch import Balancer
+from flinthatch.recall import restore, save
+from tansywood.store import Batch, Store, StoreError
+from tansywood.store.aio import AsyncStore
+from windrelay.__main__ import Run
+from windrelay.__main__ import main as run_main
+
+KEY = b"health/1"
+SAVE_S = 2.0  # a quarter of the longest time that a server is left alone
+
+
+class Keeper:
+    """Recalls at the start, saves now and then and at the end."""
+
+    def __init__(self, run: Run, face: AsyncStore) -> None:
+        self.run = run
+        self.face = face
+        self.clock = run.node.discovery.roster.clock
+
+    def recall(self, balancer: Balancer, now: int) -> None:
+        """Never raises: what can't be read is not recalled."""
+        log = self.run.node.log
+        try:
+            raw = self.face.get(KEY)
+            record = None if raw is None else json.loads(raw)
+        except (StoreError, ValueError, RecursionError) as err:
+            log(f"nothing recalled: {err}")
+            return
+        if record is None:
+            return
+        done = restore(balancer, now, now + self.clock, record)
+        log(
+            f"recalled {done.left_alone} servers left alone, {done.latencies} latencies"
+            + (f"; {done.why}" if done.why else "")
+        )
+
+    async def save(self) -> None:
+        now = time.monotonic_ns()
+        record = save(self.run.node.balancer, now, now + self.clock)
+        try:
+            await self.face.write(Batch().put(KEY, json.dumps(record).encode()))
+        except StoreError as err:
+            self.run.node.log(f"health not saved: {err}")
+
+    async def saves(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_S)
+            await self.save()
+
+
+def main(path: str) -> int:
+    """Run it to its end; 2 where the store or the configuration can't be used."""
+
+    async def around(run: Run) -> None:
+        async with AsyncStore(store) as face:
+            keeper = Keeper(run, face)
+            run.node.recall = keeper.recall
+            saving = asyncio.ensure_future(keeper.saves())
+            try:
+                await run.run()
+            finally:
+                saving.cancel()
+                await keeper.save()
+
+    try:
+        store = Store.open(path)
+    except (StoreError, OSError) as err:
+        print(f"tansywood node: {err}", file=sys.stderr)
+        return 2
+    return run_main(around)
--- /dev/null
+++ b/tests/test_recall.py
@@ -0,0 +1,291 @@
+"""What a node recalls of its servers after a restart, and what it must not believe."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+
+import pytest
+
+from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
+from flinthatch.balancer import MAX_LEVEL, TIMER_WAKE
+from flinthatch.recall import HEALTH_AGE, LATENCY_AGE, LEAST_LEFT, restore, save
+from tansywood.service.node import KEY
+from tansywood.store import Store
+from windrelay.discovery import backend_id
+
+from .fakes import MS, SECOND, UNSAFE, Host, build, rows
+from .harness import LIMIT, ROOT, Peer, answer, config, listen, request, roster, target
+
+WALL = 1_700_000_000 * SECOND  # of the first process's clock at 0
+LATER = 50 * SECOND  # of the second's: its own clock began elsewhere
+
+
+def learnt(count: int = 6, down: int = 1) -> Balancer:
+    """A module that has left some servers alone."""
+    balancer, _ = build(Settings(classes=(UNSAFE,), cold=8 * SECOND), count=count)
+    for backend in list(balancer.backends.values())[:down]:
+        backend.strikes = 4
+        backend.backoff = 4 * SECOND
+        balancer.suspend(10 * SECOND, backend, "test")
+    return balancer
+
+
+def fresh(count: int = 6, boots: dict[int, int] | None = None) -> tuple[Balancer, Host]:
+    host = Host()
+    balancer = Balancer(Settings(classes=(UNSAFE,), cold=8 * SECOND), 2, host)
+    balancer.start(LATER)
+    listed = [r._replace(boot=(boots or {}).get(r.backend, 0)) for r in rows(count)]
+    balancer.on_members(LATER, Update.CACHED, listed)
+    return balancer, host
+
+
+def recalled(saved: Balancer, balancer: Balancer, age: int = SECOND) -> object:
+    record = json.loads(json.dumps(save(saved, 10 * SECOND, WALL + 10 * SECOND)))
+    return restore(balancer, LATER, WALL + 10 * SECOND + age, record)
+
+
+def test_a_server_left_alone_stays_so_for_the_rest_of_its_time() -> None:
+    saved = learnt()
+    balancer, host = fresh()
+    done = recalled(saved, balancer)
+    b = balancer.backends[100]
+    assert done.left_alone == 1 and balancer.down == 1  # type: ignore[attr-defined]
+    assert b.down_until == LATER + 3 * SECOND and b.strikes == 4 and b.backoff == 8 * SECOND
+    for i in range(12):
+        balancer.on_request(LATER, i, 0, SECOND)
+    assert 100 not in [c[2] for c in host.named("send")]
+    balancer.on_timer(LATER + 3 * SECOND, TIMER_WAKE)
+    assert b.trial and not b.down_until
+
+
+def test_one_whose_time_has_passed_comes_back_by_a_trial() -> None:
+    saved = learnt()
+    balancer, _ = fresh()
+    recalled(saved, balancer, age=20 * SECOND)
+    assert balancer.backends[100].down_until == LATER + LEAST_LEFT
+
+
+def test_no_more_are_left_alone_than_the_module_allows() -> None:
+    saved = learnt(count=6, down=3)
+    record = save(saved, 10 * SECOND, WALL + 10 * SECOND)
+    for row in record["backends"].values():
+        row["down"] = 5 * SECOND
+    balancer, _ = fresh()
+    done = restore(balancer, LATER, WALL + 11 * SECOND, record)
+    assert done.left_alone == balancer.down == 3
+
+
+def test_a_server_that_started_since_is_cold_whatever_was_saved() -> None:
+    """And one of a new id at an old address has no record at all."""
+    saved = learnt()
+    saved.backends[100].lat = 3.0
+    clock = WALL + 11 * SECOND - LATER
+    boot = WALL + 10 * SECOND - clock  # a second ago
+    balancer, _ = fresh(boots={100: boot})
+    recalled(saved, balancer)
+    b = balancer.backends[100]
+    assert not b.down_until and b.lat == 1.0 and b.cold_until == boot + 8 * SECOND
+    balancer.on_members(LATER, Update.DELTA, [Listing(999, State.READY, boot=boot)])
+    assert balancer.backends[999].cold_until == boot + 8 * SECOND
+
+
+def test_the_same_start_is_the_same_in_the_next_process() -> None:
+    """Starts are told by the wall clock and held by a clock that began elsewhere."""
+    saved, _ = build(Settings(classes=(UNSAFE,), cold=8 * SECOND))
+    wall_boot = WALL + 6 * SECOND
+    saved.on_members(9 * SECOND, Update.FULL, [Listing(100, State.READY, boot=6 * SECOND)])
+    saved.backends[100].lat = 3.0
+    balancer, _ = fresh(boots={100: wall_boot - (WALL + 11 * SECOND - LATER)})
+    recalled(saved, balancer)
+    assert balancer.backends[100].lat == 3.0
+    # Warm at 14 s of the first clock, and no sooner for being remembered.
+    assert balancer.backends[100].cold_until == LATER + 3 * SECOND
+
+
+def test_a_record_never_makes_a_cold_server_warm() -> None:
+    saved = learnt(down=0)
+    clock = WALL + 11 * SECOND - LATER
+    boot = WALL + 10 * SECOND - clock
+    balancer, _ = fresh(boots={100: boot})
+    record = save(saved, 10 * SECOND, WALL + 10 * SECOND)
+    record["backends"]["100"] |= {"boot": boot + clock, "cold": -(10**18), "lat": 0.2}
+    restore(balancer, LATER, WALL + 11 * SECOND, record)
+    assert balancer.backends[100].cold_until == boot + 8 * SECOND
+
+
+@pytest.mark.parametrize(
+    ("age", "says"),
+    [(-SECOND, "set back"), (HEALTH_AGE + SECOND, "health is"), (LATENCY_AGE + SECOND, "s old")],
+)
+def test_what_is_too_old_or_from_the_future_is_not_believed(age: int, says: str) -> None:
+    saved = learnt()
+    balancer, _ = fresh()
+    before = balancer.level
+    done = recalled(saved, balancer, age)
+    assert says in done.why and not balancer.down  # type: ignore[attr-defined]
+    assert balancer.level == before
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        None,
+        [],
+        {},
+        {"format": 2, "saved": WALL},
+        {"format": 1, "saved": "yesterday"},
+        {"format": 1, "saved": float("nan")},
+    ],
+    ids=str,
+)
+def test_a_record_of_another_format_is_not_believed(record: object) -> None:
+    balancer, _ = fresh()
+    assert restore(balancer, LATER, WALL, record).why
+    assert not balancer.down
+
+
+def test_a_record_full_of_nonsense_changes_nothing_beyond_the_modules_bounds() -> None:
+    balancer, _ = fresh()
+    nonsense = {
+        "lat": 1e300,
+        "down": 1e300,
+        "boot": 0,
+        "backoff": "x",
+        "strikes": -5,
+        "cold": 1e300,
+    }
+    record = {
+        "format": 1,
+        "saved": WALL,
+        "level": 1e300,
+        "classes": {"unsafe": {"lat": -1, "base": []}, "other": 7},
+        "backends": {"100": nonsense, "101": 5, "abc": {}},
+    }
+    restore(balancer, LATER, WALL, record)
+    b = balancer.backends[100]
+    assert balancer.level <= MAX_LEVEL and b.lat <= 10 and b.strikes >= 0
+    assert b.down_until <= LATER + 8 * SECOND and b.cold_until <= LATER + 8 * SECOND
+
+
+def test_latencies_of_classes_are_recalled_and_still_learnt() -> None:
+    classes = (RequestClass("quick", 200 * MS, SECOND),)
+    saved, _ = build(Settings(classes=classes))
+    saved.classes[0].lat, saved.classes[0].base, saved.classes[0].lat_n = 20e6, 15e6, 100.0
+    balancer, _ = build(Settings(classes=classes))
+    record = save(saved, SECOND, WALL)
+    assert restore(balancer, SECOND, WALL + MS, record).latencies == 1
+    assert (balancer.classes[0].lat, balancer.classes[0].base) == (20e6, 15e6)
+    balancer.on_request(2 * SECOND, 1, 0, SECOND)
+    balancer.on_outcome(2 * SECOND + 60 * MS, 1, 0, 1, 60 * MS, True)
+    assert 20e6 < balancer.classes[0].lat < 60e6
+
+
+# ---- on loopback: a node killed and started again, one server dead ------------------
+
+
+@contextmanager
+def node(folder: Path, known: dict[str, object], store: Path) -> Iterator[tuple[int, Path]]:
+    """A node that remembers, and its log."""
+    log = folder / f"log-{time.monotonic_ns()}"
+    with log.open("wb") as file:
+        process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "tansywood", "node", str(store)],
+            cwd=ROOT,
+            env=os.environ | config(folder, known, 1),
+            stderr=file,
+        )
+    try:
+        end = time.monotonic() + LIMIT
+        while "listening on" not in log.read_text():
+            assert process.poll() is None and time.monotonic() < end, log.read_text()
+            time.sleep(0.01)
+        yield int(log.read_text().split("listening on")[1].split()[0].rsplit(":", 1)[1]), log
+    finally:
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(LIMIT) == 0
+
+
+def ask(port: int, count: int) -> int:
+    served = 0
+    peer = Peer(socket.create_connection(("127.0.0.1", port), LIMIT))
+    for _ in range(count):
+        peer.send(request("/balance/1", timeout=1500))
+        served += peer.message()[0].split(" ")[1] == "200"
+    peer.close()
+    return served
+
+
+class Server:
+    """Answers at once, or (dead) takes connections, counts them and resets each."""
+
+    def __init__(self, dead: bool) -> None:
+        self.dead = dead
+        self.taken = 0
+        self.sock = listen()
+        self.port = int(self.sock.getsockname()[1])
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        with suppress(OSError):
+            while True:
+                peer = Peer(self.sock.accept()[0])
+                self.taken += 1
+                if self.dead:
+                    peer.reset()
+                else:
+                    threading.Thread(target=self._serve, args=(peer,), daemon=True).start()
+
+    def _serve(self, peer: Peer) -> None:
+        with suppress(EOFError, OSError):
+            while True:
+                peer.message()
+                peer.send(answer(b"served"))
+
+
+def test_a_node_started_again_sends_nothing_to_the_server_it_had_left_alone(
+    tmp_path: Path,
+) -> None:
+    """And one without the record does."""
+    dead, sound = Server(dead=True), [Server(dead=False) for _ in range(3)]
+    known = roster(*(target(f"s-{i}", s.port) for i, s in enumerate([dead, *sound])))
+    with node(tmp_path, known, tmp_path / "store") as (port, log):
+        end = time.monotonic() + LIMIT
+        while " out: " not in log.read_text():
+            ask(port, 10)
+            assert time.monotonic() < end
+    # As after several failures, so that a slow machine's restart does not outlast it.
+    with Store.open(tmp_path / "store") as store:
+        record = json.loads(store.get(KEY) or b"{}")
+        row = record["backends"][str(backend_id("s-0"))]
+        assert row["down"] > 0 or row["trial"]
+        row["down"] = 8 * SECOND
+        store.put(KEY, json.dumps(record).encode())
+    with node(tmp_path, known, tmp_path / "store") as (port, log):
+        before = dead.taken
+        assert "recalled 1 servers left alone" in log.read_text()
+        assert ask(port, 20) == 20
+        assert dead.taken == before
+    with node(tmp_path, known, tmp_path / "another") as (port, _):
+        ask(port, 20)
+        assert dead.taken > before
+
+
+def test_a_node_whose_store_is_in_use_says_so_and_ends(tmp_path: Path) -> None:
+    with Store.open(tmp_path / "s"):
+        done = subprocess.run(
+            [sys.executable, "-m", "tansywood", "node", str(tmp_path / "s")],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+    assert done.returncode == 2 and "one writer at a time" in done.stderr
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -13,6 +13,7 @@
     "flinthatch": {"flinthatch"},
     "windrelay": {"windrelay", "flinthatch"},
     "tansywood/store": {"tansywood.store"},
+    "tansywood/service": {"tansywood", "windrelay", "flinthatch"},
     "standins": {"standins"},
     "benchmarks": {"benchmarks", "standins", "tansywood.store"},
 }
@@ -39,7 +40,7 @@
         "import runpy, sys\n"
         "import windrelay.__main__, flinthatch.drill\n"
         "print([m for m in sys.modules if m.split('.')[0] in"
-        " ('tansywood', 'standins', 'google_crc32c')])"
+        " ('tansywood', 'standins', 'google_crc32c') or m == 'flinthatch.recall'])"
     )
     done = subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, cwd=ROOT, check=True
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -4,7 +4,9 @@
 
 import signal
 import sys
+from collections.abc import Callable, Coroutine
 from types import FrameType
+from typing import Any
 
 _early: set[int] = set()
 
@@ -136,7 +138,12 @@
             self.ended.set_result(None)
 
 
-def main() -> int:
+async def alone(run: Run) -> None:
+    await run.run()
+
+
+def main(around: Callable[[Run], Coroutine[Any, Any, None]] = alone) -> int:
+    """Run one node to its end; `around` may do more before and after its run."""
     try:
         config = load(os.environ)
     except ConfigError as err:
@@ -145,8 +152,7 @@
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     try:
-        run = Run(config, loop)
-        loop.run_until_complete(run.run())
+        loop.run_until_complete(around(Run(config, loop)))
     except (ListError, OSError) as err:
         print(f"windrelay: {err}", file=sys.stderr)
         return 2
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -133,6 +133,8 @@
         self.clients = 0
         # The server's, once it listens.
         self.freed: Callable[[], None] = lambda: None
+        # What an installation with a lasting disk recalls into the module at the start.
+        self.recall: Callable[[Balancer, int], None] = lambda _balancer, _now: None
         self.evict: Callable[[], bool] = lambda: False
         self.sockets = config.sockets - RESERVED
         self.upstream = Upstream(self)
@@ -165,6 +167,7 @@
         try:
             self.balancer.start(self.now)
             self.balancer.on_members(self.now, Update.CACHED, rows)
+            self.recall(self.balancer, self.now)
         finally:
             self.leave()
 
