A client that was told of a fault of ours gets no second answer

Cause: where taking a request raised after it had been registered, the client got 500 and the request's own answer met a connection that had ended its sending: an exception more. Change: a connection that lingers has had its answer.

--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -362,8 +362,8 @@
         """Write an answer that is whole, and go on to what follows it."""
         self._request = None
         transport = self._transport
-        if transport is None or transport.is_closing():
-            return
+        if transport is None or self._lingering or transport.is_closing():
+            return  # gone, or it has had its one answer
         closes = self._closes()
         end = b"Connection: close\r\n\r\n" if closes else b"\r\n"
         transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
