--- a/tansywood/store/tool.py
+++ b/tansywood/store/tool.py
@@ -126,14 +126,20 @@
     return manifest, found, faults
 
 
-def check(options: argparse.Namespace) -> int:
-    """Name every fault; change nothing."""
-    files = existing(options.path)
+def survey_at(path: str) -> tuple[list[Found], list[Fault]]:
+    """The same of a folder that nobody else has open meanwhile."""
+    files = existing(path)
     files.lock()
     try:
         _, found, faults = survey(files)
     finally:
         files.unlock()
+    return found, faults
+
+
+def check(options: argparse.Namespace) -> int:
+    """Name every fault; change nothing."""
+    found, faults = survey_at(options.path)
     for fault in faults:
         print(f"{'FAULT' if fault.grave else 'mends itself'}: {fault}")
     count = sum(len(one.frames) for one in found)
@@ -195,12 +201,7 @@
     target = Path(f"{options.path.rstrip('/')}.repaired")
     if target.exists():
         raise StoreFormat(f"{target} is there already: move it away first")
-    files = existing(options.path)
-    files.lock()
-    try:
-        _, found, faults = survey(files)
-    finally:
-        files.unlock()
+    found, faults = survey_at(options.path)
     total = sum(len(one.frames) for one in found)
     with Store.open(target, automatic=False) as store:
         for done, frame in enumerate(f for one in found for f in one.frames):
