The store told of unreadable disks, short writes and rot met by a compaction

Need: hard cases of the store that no test met. Change: three tests; a disk whose reads fail; and one wrapper less around a node's run.

--- a/standins/disk.py
+++ b/standins/disk.py
@@ -53,6 +53,7 @@
         # Told the number and the words of each operation; may raise OSError or Crash.
         self.before: Callable[[int, str], None] = lambda _n, _what: None
         self.room: int | None = None  # bytes that fit, over all files
+        self.unreadable: int | None = None  # the errno with which reads fail
 
     def step(self, what: str) -> None:
         self.count += 1
@@ -163,6 +164,8 @@
 
     def read(self, offset: int, size: int) -> bytes:
         self._usable()
+        if self.disk.unreadable is not None:
+            raise OSError(self.disk.unreadable, os.strerror(self.disk.unreadable))
         return bytes(self.inode.data[offset : offset + size])
 
     def sync(self) -> None:
--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -296,3 +296,31 @@
         assert "00000099.log" in store.stats().recovery.left_over
         assert content(store) == model.states[-1]
     assert "00000099.log" not in disk.entries
+
+
+def test_a_disk_that_can_not_be_read_is_told_with_its_place_and_costs_nothing_more() -> None:
+    disk = Disk()
+    with reopened(disk) as store:
+        store.put(b"a", b"1", durable=True)
+        disk.unreadable = errno.EIO
+        with pytest.raises(StoreError, match=r"00000001\.log at byte 50"):
+            store.get(b"a")
+        store.put(b"b", b"2", durable=True)
+        disk.unreadable = None
+        assert content(store) == {b"a": b"1", b"b": b"2"}
+
+
+def test_a_compaction_that_meets_rot_says_so_and_changes_nothing() -> None:
+    """Copied on, rotten bytes would stand in a sound frame."""
+    disk = Disk()
+    store = Store.open(files=disk, automatic=False)
+    for n in range(20):
+        store.put(b"k%d" % n, b"v" * 30, durable=True)
+    before = sorted(disk.entries)
+    disk.entries["00000001.log"].data[70] ^= 1  # within the first value
+    with pytest.raises(StoreCorrupt):
+        store.compact()
+    assert sorted(disk.entries)[0] == before[0]  # what it would have replaced is there
+    assert store.get(b"k9") == b"v" * 30
+    store.put(b"new", b"1", durable=True)
+    assert store.get(b"new") == b"1"
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -182,6 +182,16 @@
     asyncio.run(main())
 
 
+def test_short_writes_are_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = os.write
+    monkeypatch.setattr("tansywood.store.files.os.write", lambda fd, data: real(fd, data[:7]))
+    with Store.open(tmp_path / "s") as store:
+        store.put(b"key", b"value" * 20, durable=True)
+    monkeypatch.undo()
+    with Store.open(tmp_path / "s") as store:
+        assert store.get(b"key") == b"value" * 20
+
+
 KILLED = """
 import sys
 from random import Random
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -138,11 +138,7 @@
             self.ended.set_result(None)
 
 
-async def alone(run: Run) -> None:
-    await run.run()
-
-
-def main(around: Callable[[Run], Coroutine[Any, Any, None]] = alone) -> int:
+def main(around: Callable[[Run], Coroutine[Any, Any, None]] = Run.run) -> int:
     """Run one node to its end; `around` may do more before and after its run."""
     try:
         config = load(os.environ)
