--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -316,11 +316,10 @@
     store = Store.open(files=disk, automatic=False)
     for n in range(20):
         store.put(b"k%d" % n, b"v" * 30, durable=True)
-    before = sorted(disk.entries)
     disk.entries["00000001.log"].data[70] ^= 1  # within the first value
     with pytest.raises(StoreCorrupt):
         store.compact()
-    assert sorted(disk.entries)[0] == before[0]  # what it would have replaced is there
+    assert "00000001.log" in disk.entries  # what it would have replaced is there
     assert store.get(b"k9") == b"v" * 30
     store.put(b"new", b"1", durable=True)
     assert store.get(b"new") == b"1"
