--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -205,6 +205,25 @@
     return {"longest stall, ms: store": during * 1000, "longest stall, ms: idle": floor * 1000}
 
 
+def one_key(folder: Path, count: int) -> None:
+    """Overwrite one key so many times; the most room that it took on the way."""
+    most = 0
+    began = time.perf_counter()
+    with Store.open(folder / "one-key") as store:
+        for n in range(count):
+            store.put(b"key", b"%0200d" % n)
+            if n % 10_000 == 0:
+                most = max(most, store.stats().disk_bytes)
+            if n % 1_000_000 == 0:
+                print(f"{n:,} of {count:,}: at most {most:,} bytes", file=sys.stderr, flush=True)
+        spent = time.perf_counter() - began
+        stats = store.stats()
+    print(
+        f"{count:,} overwrites of one key, {count * 203:,} bytes: at most {most:,} bytes of room, "
+        f"{stats.compactions} compactions, {count / spent:,.0f} a second"
+    )
+
+
 LOWER_IS_BETTER = ("reopen, s", "written a byte", "room a live byte", "longest stall, ms")
 
 
@@ -233,7 +252,12 @@
     parser.add_argument("--keys", type=int, default=1_000_000)
     parser.add_argument("--puts", type=int, default=4000)
     parser.add_argument("--folder", default=None)
+    parser.add_argument("--one-key", type=int, default=0, help="only so many overwrites of one key")
     options = parser.parse_args()
+    if options.one_key:
+        with tempfile.TemporaryDirectory(prefix="store-", dir=options.folder) as where:
+            one_key(Path(where), options.one_key)
+        return 0
     rounds: list[Figures] = []
     for n in range(options.rounds):
         folder = Path(tempfile.mkdtemp(prefix="store-", dir=options.folder))
