A write does not fail for rot that its share of a compaction meets

Cause: a write that was in the log raised StoreCorrupt for another key's rot, and compact raised StoreFull for an earlier write's want of room. Change: rot goes into the stats and stops compactions; the want of room is that of this compaction.

--- a/tansywood/store/engine.py
+++ b/tansywood/store/engine.py
@@ -115,6 +115,7 @@
     written_bytes: int  # by writes, since opening
     syncs: int
     full: bool  # the last write found no room
+    rot: str  # what a compaction met; none is begun by itself after it
     opened_s: float  # how long opening took
     recovery: Recovery
 
@@ -238,6 +239,7 @@
         self._durable = 0
         self._failed: str = ""
         self._full = False
+        self._rot = ""
         self._closed = False
         self._compaction: _Compaction | None = None
         self._garbage_then = 0  # garbage at which the last compaction found no room
@@ -505,7 +507,10 @@
         with self._writing:
             sequence = self._append(batch.ops)
             if self._automatic:
-                self._compact_some()
+                try:
+                    self._compact_some()
+                except StoreCorrupt as err:
+                    self._rot = str(err)  # not this write's: it is in the log
         if durable:
             self.sync(sequence)
         return sequence
@@ -708,6 +713,7 @@
         """
         with self._writing:
             self._check_writable()
+            self._full = False
             if self._compaction is None:
                 self._begin_compaction()
             while self._compaction is not None:
@@ -863,6 +869,7 @@
                 written_bytes=self._written,
                 syncs=self._syncs,
                 full=self._full,
+                rot=self._rot,
                 opened_s=self._opened_s,
                 recovery=self._recovery,
             )
--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -323,3 +323,29 @@
     assert store.get(b"k9") == b"v" * 30
     store.put(b"new", b"1", durable=True)
     assert store.get(b"new") == b"1"
+
+
+def test_a_write_does_not_fail_for_rot_that_its_share_of_a_compaction_meets() -> None:
+    disk = Disk()
+    store = Store.open(files=disk, segment_bytes=700, least_garbage=600)
+    store.put(b"rotten", b"v" * 30, durable=True)
+    disk.entries["00000001.log"].data[70] ^= 1
+    for n in range(100):
+        store.put(b"k", b"%d" % n, durable=True)
+    assert "00000001.log at byte" in store.stats().rot and store.get(b"k") == b"99"
+    with pytest.raises(StoreCorrupt):
+        store.get(b"rotten")
+
+
+def test_a_compaction_after_a_full_disk_is_no_failure() -> None:
+    disk = Disk()
+    store = Store.open(files=disk, automatic=False)
+    store.put(b"a", b"1" * 100, durable=True)
+    disk.room = disk.used() + 20
+    with pytest.raises(StoreFull):
+        store.put(b"a", b"2" * 100)
+    with pytest.raises(StoreFull):
+        store.compact()
+    disk.room = None
+    store.compact()
+    assert content(store) == {b"a": b"1" * 100}
