--- a/tansywood/store/tool.py
+++ b/tansywood/store/tool.py
@@ -107,6 +107,7 @@
         if segment.name not in names:
             faults.append(Fault(segment.name, 0, "the file is missing"))
             continue
+        print(f"{segment.name}, {len(found) + 1} of {len(segments)}", file=sys.stderr)
         one = look_at(segment, read_all(files, segment.name), segment.length is not None)
         found.append(one)
         faults += one.faults
--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -349,3 +349,19 @@
     disk.room = None
     store.compact()
     assert content(store) == {b"a": b"1" * 100}
+
+
+def test_a_folder_that_may_not_be_read_is_told_as_that_and_left_unlocked() -> None:
+    disk, model = built()
+    disk.locked = False
+
+    def before(_count: int, what: str) -> None:
+        if what.startswith("open"):
+            raise PermissionError(errno.EACCES, os.strerror(errno.EACCES), what[5:])
+
+    disk.before = before
+    with pytest.raises(PermissionError, match="MANIFEST"):
+        reopened(disk)
+    disk.before = lambda _n, _what: None
+    with reopened(disk) as store:
+        assert content(store) == model.states[-1]
