A read that a compaction overtakes never takes another file's bytes for rot

Cause: a reader needs no lock, so a replaced segment may be closed between its look-up and its read, and its number be another file's by then; checksum and key refuse those bytes, and they were told as corruption. Change: where the segment has gone meanwhile the key is looked up anew. Measured: two tests that force the order, each failing without it; tests/store green.

--- a/tansywood/store/engine.py
+++ b/tansywood/store/engine.py
@@ -428,6 +428,8 @@
         try:
             return value_of(data, size, key)
         except ValueError as err:
+            if opened is not self._open.get(found >> SEGMENT_SHIFT):
+                return self._moved(key, found)  # its number was another file's by then
             raise StoreCorrupt(self._path(opened.segment.name), offset, str(err)) from None
 
     def _moved(self, key: bytes, found: int) -> bytes:
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -182,6 +182,26 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("seen", ["an error", "another file's bytes"])
+def test_a_read_that_a_compaction_overtakes_is_read_again_where_it_went(seen: str) -> None:
+    """The file is closed between the look-up and the read, and its number may be reused."""
+    store = Store.open(files=Disk(), automatic=False)
+    store.put(b"k", b"value")
+    file = store._open[1].file
+    real = file.read
+
+    def read(offset: int, size: int) -> bytes:
+        file.read = real  # type: ignore[method-assign]
+        store.compact()
+        if seen == "an error":
+            return real(offset, size)  # closed by now: EBADF
+        return b"x" * size
+
+    file.read = read  # type: ignore[method-assign]
+    assert store.get(b"k") == b"value"
+    assert store.stats().compactions == 1
+
+
 def test_short_writes_are_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     real = os.write
     monkeypatch.setattr("tansywood.store.files.os.write", lambda fd, data: real(fd, data[:7]))
