--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -12,6 +12,7 @@
 from random import Random
 
 import pytest
+from google_crc32c import value as crc32c
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -125,8 +126,6 @@
 def test_a_newer_format_is_refused_by_its_number(tmp_path: Path) -> None:
     with Store.open(tmp_path / "s") as store:
         store.put(b"a", b"1")
-    from google_crc32c import value as crc32c
-
     name = tmp_path / "s" / "00000001.log"
     data = name.read_bytes()
     bare = HEAD.pack(b"TWSTORE\n", 2, 1, 0)[:-4]
@@ -135,6 +134,16 @@
         Store.open(tmp_path / "s")
 
 
+def test_a_manifest_of_a_newer_format_is_refused_by_its_number(tmp_path: Path) -> None:
+    with Store.open(tmp_path / "s") as store:
+        store.put(b"a", b"1")
+    name = tmp_path / "s" / "MANIFEST"
+    text = name.read_bytes().partition(b"\n")[2].strip().replace(b'"format":1', b'"format":2')
+    name.write_bytes(b"%08x\n%s\n" % (crc32c(text), text))
+    with pytest.raises(StoreFormat, match="format 2"):
+        Store.open(tmp_path / "s")
+
+
 def test_writers_that_wait_together_share_a_sync(tmp_path: Path) -> None:
     with Store.open(tmp_path / "s") as store:
         barrier = threading.Barrier(8)
