--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -365,3 +365,18 @@
     disk.before = lambda _n, _what: None
     with reopened(disk) as store:
         assert content(store) == model.states[-1]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_what_a_dead_process_left_in_the_log_is_synced_before_it_counts_as_durable(
+    seed: int,
+) -> None:
+    """Found by the next opening it may still be in the system's memory alone."""
+    disk = Disk()
+    store = reopened(disk)
+    store.put(b"a", b"1")
+    store._let_go()  # the process dies, the machine goes on
+    store = reopened(disk)
+    store.sync()
+    with reopened(disk.crashed(Random(seed))) as again:  # now the machine
+        assert content(again) == {b"a": b"1"}
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -212,3 +212,22 @@
         one.loop.call_exception_handler({"message": "no exception"})
         assert transport.aborted and one.node.crashes == 2
         assert "Fault" in one.logged[-2] and "no exception" in one.logged[-1]
+
+
+def test_a_client_told_of_a_fault_gets_no_second_answer(tmp_path: Path) -> None:
+    """What raised came after the request was taken: its own answer arrives all the same."""
+    with inside(tmp_path, roster()) as one:
+        port = one.server.listen(one.config.listen)
+
+        async def drive() -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await one.until(lambda: one.server.connections)
+            (conn,) = one.server.connections
+            conn.crashed("a test", Fault("after it was taken"))
+            conn.answer_empty(503, 0)
+            data = await reader.read()
+            assert data.count(b"HTTP/1.1") == 1 and data.startswith(b"HTTP/1.1 500 ")
+            writer.close()
+
+        one.run(drive())
+        assert one.node.crashes == 1
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -123,6 +123,17 @@
     assert balancer.backends[100].cold_until == boot + 8 * SECOND
 
 
+def test_a_shorter_saved_time_does_not_end_a_cold_one_sooner() -> None:
+    saved = learnt(down=0)
+    clock = WALL + 11 * SECOND - LATER
+    boot = WALL + 10 * SECOND - clock
+    balancer, _ = fresh(boots={100: boot})
+    record = save(saved, 10 * SECOND, WALL + 10 * SECOND)
+    record["backends"]["100"] |= {"boot": boot + clock, "cold": 2 * SECOND}
+    restore(balancer, LATER, WALL + 11 * SECOND, record)
+    assert balancer.backends[100].cold_until == boot + 8 * SECOND
+
+
 @pytest.mark.parametrize(
     ("age", "says"),
     [(-SECOND, "set back"), (HEALTH_AGE + SECOND, "health is"), (LATENCY_AGE + SECOND, "s old")],
