A welcome that is cancelled at any of its turns counts its client out exactly once

Cause: the loop closes the transport of a cancelled connect_accepted_socket without telling connection_lost, tells connection_made or not, and a task that is cancelled before its first turn runs none of its own handlers. The count of clients then stayed one too high, or went one below 0, for good. Here the test had passed because the accept happened one turn earlier.

Change: what ends a welcome is settled in the task's done callback, and connection_lost of a client's connection counts it out once, whoever tells it. One coroutine less for each accept. The test accepts by itself, so that the turns it counts are the same on every machine.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -267,8 +267,9 @@
 
         async def drive() -> None:
             client = socket.create_connection(("127.0.0.1", port))
-            await one.until(lambda: one.server._tasks or one.server.connections)
+            one.server._accept()  # now, not when the loop gets to it: the turns are counted
             tasks = list(one.server._tasks)
+            assert tasks
             await one.turns(turns)
             for task in tasks:
                 task.cancel()
--- a/windrelay/glance.py
+++ b/windrelay/glance.py
@@ -21,6 +21,9 @@
     handed over         the transport, from within the loop's    as above; the loop empties the
                         one call that opens it and ties the      Python socket when it closes the
                         Python socket to it                      number, so its close() is harmless
+    given up while      the loop: the task is cancelled, and it  the loop closes it, and may tell
+      the news of it    closes the transport                     neither connection_made nor
+      is on its way                                              connection_lost
 
 Read off uvloop 0.23.0: loop.pyx, `create_connection` (with a host: libuv makes the socket,
 `tr._close()` on each failure; with `sock=`: the socket is tied to the transport only after
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Iterable
 from itertools import chain, islice
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 from zlib import crc32
 
 import httptools
@@ -143,13 +143,13 @@
     __slots__ = (
         "_dropped", "_eof", "_head_size", "_headers_done", "_incoming", "_keep_alive", "_lingering",
         "_parser", "_progress", "_request", "_server", "_since", "_sock", "_transport", "_whole",
-        "_write_since", "made",
+        "_write_since", "counted",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
         self._server = server
         self._sock = sock
-        self.made = False  # connection_made was told, so connection_lost will be
+        self.counted = True  # among the node's clients, until it is lost
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = None
         self._incoming: Incoming | None = None
@@ -169,7 +169,9 @@
 
     @ends_connection
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.made = True
+        if not self.counted:
+            cast(asyncio.Transport, transport).abort()  # its welcome was given up
+            return
         self._transport = cast(asyncio.Transport, transport)
         self._parser = httptools.HttpRequestParser(self)
         self._server.connections.add(self)
@@ -430,6 +432,9 @@
 
     @ends_connection
     def connection_lost(self, exc: Exception | None) -> None:
+        if not self.counted:
+            return
+        self.counted = False
         server = self._server
         self._transport = None
         self._parser = None
@@ -522,7 +527,7 @@
         self._retry: asyncio.TimerHandle | None = None
         self._turned_away = 0
         self._why = ""
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         self._sock: socket.socket | None = None
         settings = node.config.settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
@@ -563,30 +568,31 @@
                 self._pause()
                 return
             self.node.clients += 1
-            task = self.node.loop.create_task(self._welcome(sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            sock.setblocking(False)
+            self._welcome(sock, ClientConnection(self, sock))
 
-    async def _welcome(self, sock: socket.socket) -> None:
+    def _welcome(self, sock: socket.socket, conn: ClientConnection) -> None:
         """Hand an accepted socket over to a transport; see glance for who owns it when."""
-        conn = None
-        try:
-            sock.setblocking(False)
-            conn = ClientConnection(self, sock)
-            await self.node.loop.connect_accepted_socket(lambda: conn, sock)
-        except BaseException as err:
-            # Closed here where the loop had not taken it; where it had, nothing is left.
-            sock.close()
-            if conn is None or not conn.made:
-                self.node.clients -= 1
-                self.freed()
-            # Else connection_lost has counted it out, or will.
-            if isinstance(err, OSError):
-                self.node.log(f"welcome: {err}")
-            elif isinstance(err, Exception):
-                self.node.crashed("a welcome", err)
-            else:
-                raise
+        loop = self.node.loop
+        task = loop.create_task(loop.connect_accepted_socket(lambda: conn, sock))
+        self._tasks.add(task)
+        task.add_done_callback(lambda task: self._welcomed(task, sock, conn))
+
+    def _welcomed(
+        self, task: asyncio.Task[Any], sock: socket.socket, conn: ClientConnection
+    ) -> None:
+        """Not within the task: one that is cancelled before its first turn runs none of itself."""
+        self._tasks.discard(task)
+        err = None if task.cancelled() else task.exception()
+        if not task.cancelled() and err is None:
+            return
+        # Closed here where the loop had not taken it; where it had, nothing is left.
+        sock.close()
+        conn.connection_lost(None)  # the loop may tell it, and may not
+        if isinstance(err, OSError):
+            self.node.log(f"welcome: {err}")
+        elif err is not None:
+            self.node.crashed("a welcome", err)
 
     def _room(self) -> bool:
         """Room for one more; else what can best be missed goes, and the next waits its turn."""
