--- a/tansywood/store/engine.py
+++ b/tansywood/store/engine.py
@@ -708,18 +708,21 @@
         self._written_then = self._written
         self._copy(max(share, COPY_LEAST))
 
-    def compact(self) -> None:
+    def compact(self, progress: Callable[[int, int], None] | None = None) -> None:
         """Rewrite what lives and give back the room of the rest, to its end.
 
-        StoreFull where there is no room for the copy: the store is as before.
+        `progress` is told now and then how many keys of how many are copied. StoreFull where
+        there is no room for the copy: the store is as before.
         """
         with self._writing:
             self._check_writable()
             self._full = False
             if self._compaction is None:
                 self._begin_compaction()
-            while self._compaction is not None:
+            while (run := self._compaction) is not None:
                 self._copy(COPY_BATCH)
+                if progress is not None:
+                    progress(run.at, len(run.keys))
             if self._full:
                 raise StoreFull(f"{self._files.path}: no room to compact; nothing is lost")
 
--- a/tansywood/store/tool.py
+++ b/tansywood/store/tool.py
@@ -188,7 +188,16 @@
 def compact(options: argparse.Namespace) -> int:
     with opened(options) as store:
         before = store.stats().disk_bytes
-        store.compact()
+        told = -1
+
+        def progress(done: int, total: int) -> None:
+            nonlocal told
+            tenth = 10 * done // max(total, 1)
+            if tenth != told:
+                told = tenth
+                print(f"{done} of {total} keys", file=sys.stderr)
+
+        store.compact(progress)
         print(f"{before} bytes before, {store.stats().disk_bytes} after")
     return OK
 
--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -4,8 +4,11 @@
 
 import errno
 import os
+import re
 from collections.abc import Callable
+from functools import partial
 from random import Random
+from unittest.mock import patch
 
 import pytest
 
@@ -147,8 +150,40 @@
     return disk, model
 
 
-def test_every_file_cut_at_every_byte_is_a_prefix_or_refused() -> None:
+def under_way(step: str, times: int) -> tuple[Disk, Model]:
+    """The same, killed in its second compaction at the last of so many operations like this."""
     disk, model = built()
+    disk.locked = False
+    store = reopened(disk)
+    left = times
+
+    def before(_count: int, what: str) -> None:
+        nonlocal left
+        left -= re.fullmatch(step, what) is not None
+        if not left:
+            raise Crash
+
+    disk.before = before
+    with patch("tansywood.store.engine.COPY_BATCH", 100), pytest.raises(Crash):
+        store.compact()
+    store._let_go()
+    disk.before = lambda _n, _what: None
+    return disk, model
+
+
+WAYS: dict[str, Callable[[], tuple[Disk, Model]]] = {
+    "finished": built,
+    # The second frame of the copy half written, next to all that it is made from.
+    "while it copies": partial(under_way, r"append \d{3} 00000015\.log", 2),
+    # The first rename is that of the rotation before it.
+    "copied, manifest beside": partial(under_way, "rename .*", 2),
+    "switched, nothing dropped": partial(under_way, "remove .*", 1),
+}
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_every_file_cut_at_every_byte_is_a_prefix_or_refused(way: str) -> None:
+    disk, model = WAYS[way]()
     opened = refused = 0
     for name, inode in disk.entries.items():
         for size in range(len(inode.data)):
@@ -166,6 +201,20 @@
     assert opened > 100 and refused > 100
 
 
+def test_the_ways_of_a_compaction_are_what_they_are_called() -> None:
+    sizes = {
+        way: {name: len(inode.data) for name, inode in make()[0].entries.items()}
+        for way, make in WAYS.items()
+    }
+    whole = sizes["switched, nothing dropped"]
+    assert 100 < sizes["while it copies"]["00000015.log"] < whole["00000015.log"]
+    assert "MANIFEST.new" not in sizes["while it copies"]
+    assert sizes["copied, manifest beside"]["00000015.log"] == whole["00000015.log"]
+    assert "MANIFEST.new" in sizes["copied, manifest beside"]
+    assert {"00000012.log", "00000013.log", "00000015.hint"} <= set(whole)
+    assert "MANIFEST.new" not in whole
+
+
 def test_every_byte_flipped_never_serves_a_wrong_value() -> None:
     disk, model = built()
     values = {key: {state.get(key) for state in model.states} for key in model.states[-1]}
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -260,6 +260,42 @@
                 assert values[b"k%d" % (n % 50)] == b"%d" % n
 
 
+INTERRUPTED = """
+import signal, sys
+from tansywood.store import Store
+ticks = 0
+def tick(*_):
+    global ticks
+    ticks += 1
+signal.signal(signal.SIGALRM, tick)
+signal.siginterrupt(signal.SIGALRM, True)
+signal.setitimer(signal.ITIMER_REAL, 0.0002, 0.0002)
+n = 0
+with Store.open(sys.argv[1], segment_bytes=1 << 20, least_garbage=1 << 20) as store:
+    while n < 200 or ticks < 100 and n < 100_000:
+        store.put(b"k%d" % n, b"%d" % n * 2000, durable=True)
+        assert store.get(b"k%d" % (n // 2)) == b"%d" % (n // 2) * 2000
+        n += 1
+signal.setitimer(signal.ITIMER_REAL, 0)
+print(n, ticks)
+"""
+
+
+def test_calls_that_a_signal_interrupts_lose_and_repeat_nothing(tmp_path: Path) -> None:
+    """EINTR: Python calls again (PEP 475); a write that was cut short is gone on with."""
+    done = subprocess.run(
+        [sys.executable, "-c", INTERRUPTED, str(tmp_path / "s")],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    count, ticks = map(int, done.stdout.split())
+    assert ticks > 0
+    with Store.open(tmp_path / "s") as store:
+        assert dict(store.scan()) == {b"k%d" % n: b"%d" % n * 2000 for n in range(count)}
+
+
 KEYS = st.sampled_from([b"a", b"b", b"c", b"ab", b"\x00", b"\xff" * 3])
 VALUES = st.binary(max_size=60)
 OPS = st.lists(st.tuples(KEYS, st.none() | VALUES), min_size=1, max_size=4)
--- a/tests/store/test_tool.py
+++ b/tests/store/test_tool.py
@@ -95,7 +95,8 @@
     assert main(["store", "stats", str(path)]) == 0
     assert json.loads(capsys.readouterr().out)["keys"] == 3
     assert main(["store", "compact", str(path)]) == 0
-    assert "after" in capsys.readouterr().out
+    told = capsys.readouterr()
+    assert "after" in told.out and "3 of 3 keys" in told.err
 
 
 def test_a_store_in_use_and_a_folder_that_is_not_there(
