--- /dev/null
+++ b/tansywood/tenancy/settings.py
@@ -0,0 +1,107 @@
+"""A checked document as values with their defaults, for those who run a tenant."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from tansywood.tenancy.schema import DEFAULT_LIMITS
+
+ACTIVE, SUSPENDED, DRAINING, DELETED = "active", "suspended", "draining", "deleted"
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    name: str
+    aim_ms: int
+    deadline_ms: int
+    worth: float
+    repeat: str  # safe, keyed, never
+    window_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    name: str
+    address: str
+    zone: str
+    rating: float
+    draining: bool
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    rate_per_s: float
+    burst: int
+    open: int
+    held_bytes: int
+    connections: int
+    connections_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TenantSettings:
+    name: str
+    hosts: tuple[str, ...]
+    listeners: tuple[str, ...]
+    key_required: bool
+    classes: tuple[ClassRule, ...]
+    servers: tuple[ServerEntry, ...]
+    limits: Limits
+    cpu_share: float
+    max_attempts: int
+
+
+def read(document: Mapping[str, Any]) -> TenantSettings:
+    """The values of a document that `checks.faults` found nothing wrong with.
+
+    On any other it raises what its first wrong value raises: KeyError, TypeError, ValueError.
+    """
+    callers = document.get("callers", {})
+    limits = DEFAULT_LIMITS | document.get("limits", {})
+    first_zone = document["servers"][0].get("zone", "here")
+    return TenantSettings(
+        name=document["name"],
+        hosts=tuple(callers.get("hosts", ())),
+        listeners=tuple(callers.get("listeners", ())),
+        key_required=callers.get("key_required", True),
+        classes=tuple(
+            ClassRule(
+                name=c["name"],
+                aim_ms=c["aim_ms"],
+                deadline_ms=c["deadline_ms"],
+                worth=float(c.get("worth", 1.0)),
+                repeat=c["repeat"],
+                window_ms=c.get("repeat_window_ms", 0),
+            )
+            for c in document["classes"]
+        ),
+        servers=tuple(
+            ServerEntry(
+                name=s["name"],
+                address=s["address"],
+                zone=s.get("zone", first_zone),
+                rating=float(s.get("rating", 1.0)),
+                draining=s.get("state", "active") == "draining",
+                started_ms=s.get("started_ms", 0),
+            )
+            for s in document["servers"]
+        ),
+        limits=Limits(
+            rate_per_s=float(limits["rate_per_s"]),
+            burst=limits["burst"],
+            open=limits["open"],
+            held_bytes=limits["held_bytes"],
+            connections=limits["connections"],
+            connections_per_s=float(limits["connections_per_s"]),
+        ),
+        cpu_share=float(document.get("cpu_share", 1.0)),
+        max_attempts=document.get("max_attempts", 3),
+    )
+
+
+def server_uid(row: Mapping[str, Any]) -> str:
+    """A server's identity: another address under an old name is another process."""
+    return f"{row['name']}@{row['address']}"
