The administration API: one table for routes and OpenAPI, one way to change anything

Need: operators and tenants change settings while traffic flows, two at once, with repeats after time-outs, and a tenant must never learn of another.

Change: tansywood/admin, a process of its own: Starlette and uvicorn, 40 operations from one table that the OpenAPI 3.1 description is made from too; ETags, idempotent creation, RFC 9457 problems, signed cursors, a long poll, dry runs, changes that undo themselves, history with rollback, an audit trail numbered for each tenant by itself, and a feed of durable changes.

--- /dev/null
+++ b/tansywood/admin/__main__.py
@@ -0,0 +1,106 @@
+"""The administration's process: `python -m tansywood.admin`, started by the supervisor."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import secrets
+import socket
+import sys
+from pathlib import Path
+
+import uvicorn
+
+import tansywood.service.part as part
+from tansywood.admin.api import Api
+from tansywood.admin.core import Administration
+from tansywood.store import Batch, Store, StoreError
+from tansywood.store.aio import AsyncStore
+
+SECRET = b"meta/cursors"
+KEY_FILE = "operator.key"
+STOP_S = 2
+
+
+def keep_first_key(run: str, token: str) -> str:
+    """The first key goes into a file that only its user may read; returns its path."""
+    path = Path(run) / KEY_FILE
+    part.unlink(str(path))
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    with os.fdopen(descriptor, "w") as file:
+        file.write(token + "\n")
+    return str(path)
+
+
+async def serve(loop: asyncio.AbstractEventLoop, options: argparse.Namespace) -> int:
+    place = part.Place(options.run)
+    Path(options.store).parent.mkdir(parents=True, exist_ok=True)
+    store = Store.open(options.store)
+    async with AsyncStore(store) as face:
+        secret = face.get(SECRET)
+        if secret is None:
+            secret = secrets.token_hex(32).encode()
+            await face.durable(Batch().put(SECRET, b'"' + secret + b'"'))
+        admin = Administration(face, place.feed, options.listener, options.rate)
+        token = await admin.first_key()
+        if token is not None:
+            path = keep_first_key(options.run, token)
+            print(f"admin: the first operator's key is in {path}", file=sys.stderr, flush=True)
+        api = Api(admin, secret.strip(b'"'))
+        server = uvicorn.Server(
+            uvicorn.Config(
+                api,
+                log_level="warning",
+                access_log=False,
+                lifespan="off",
+                server_header=False,
+                date_header=False,
+                limit_concurrency=200,
+                timeout_keep_alive=15,
+                timeout_graceful_shutdown=STOP_S,
+                h11_max_incomplete_event_size=16 << 10,
+            )
+        )
+        server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
+
+        def stop() -> None:
+            admin.stopping = True
+            server.should_exit = True
+
+        part.watch(loop, stop)
+        await admin.feed.start()
+        undoing = loop.create_task(admin.undo_for_ever())
+        failing = loop.create_task(admin.failed.wait())
+        failing.add_done_callback(lambda task: None if task.cancelled() else stop())
+        sock = socket.socket(fileno=int(options.descriptor))
+        part.ready()
+        # Its own serve() would take over the signals.
+        await server._serve([sock])
+        undoing.cancel()
+        failing.cancel()
+        admin.feed.close()
+        return 1 if admin.failed.is_set() else 0
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="tansywood.admin")
+    parser.add_argument("run")
+    parser.add_argument("store")
+    parser.add_argument("descriptor", help="of the listening socket")
+    parser.add_argument("rate", type=float, help="calls a second of one key")
+    parser.add_argument("--listener", action="append", default=[])
+    options = parser.parse_args()
+
+    async def run(loop: asyncio.AbstractEventLoop) -> int:
+        try:
+            return await serve(loop, options)
+        except StoreError as err:
+            print(f"admin: {err}", file=sys.stderr, flush=True)
+            return 1
+
+    part.run("admin", run)
+
+
+if __name__ == "__main__":
+    main()
