The hosted service: a door, workers with a node for each tenant, and a supervisor

Need: one running program for many tenants, where a flood or a fault of one costs the others nothing, and an end of any part costs no credit.

Change: `python -m tansywood serve FILE` and `check FILE`. The door reads one head and hands the connection itself to its tenant's worker; a worker runs windrelay nodes, one for each tenant that has callers, and asks for every request again whose it is. Tenants keep their owner until it ends. A supervisor starts parts again; its own end is the end of a pipe that they hold, and they answer what they have first. windrelay's server can be told its classes anew and be given lists; the platform node loads nothing of it.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -38,6 +38,7 @@
         manners: Mapping[Manner, float] | None = None,
         credit_part: float = 0.35,
         timeout_ms: int = 1500,
+        headers: Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
         self.port = port
@@ -46,6 +47,7 @@
         self.manners = manners or {Manner.WAIT: 1.0}
         self.credit_part = credit_part
         self.timeout_ms = timeout_ms
+        self.headers = headers or {}  # as of platform.request: a name x_y is sent as X-Y
         self.count = 0
         self.refused_dials = 0
         self._reader: asyncio.StreamReader | None = None
@@ -85,7 +87,9 @@
         unsafe = kind == "credit"
         self.ledger.asked(rid, kind, unsafe)
         body = b"x" if unsafe else None
-        data = request(f"/{kind}/{self.name}", body, timeout=self.timeout_ms, rid=rid)
+        data = request(
+            f"/{kind}/{self.name}", body, timeout=self.timeout_ms, rid=rid, **self.headers
+        )
         try:
             self._writer.write(data[: len(data) // 2] if manner == Manner.HALF else data)
             if manner == Manner.END:
--- a/tansywood/__main__.py
+++ b/tansywood/__main__.py
@@ -16,6 +16,12 @@
     node = verbs.add_parser("node", help="one node that remembers its servers over a restart")
     node.add_argument("store", metavar="PATH", help="the store's folder, on a disk that lasts")
     node.set_defaults(run=run_node)
+    serve = verbs.add_parser("serve", help="the hosted service, for many tenants")
+    serve.add_argument("file", metavar="FILE", help="such as deploy/service.toml")
+    serve.set_defaults(run=run_service)
+    check = verbs.add_parser("check", help="every fault of a service's or a tenant's file")
+    check.add_argument("file", metavar="FILE", help="service.toml, or a tenant's JSON document")
+    check.set_defaults(run=run_check)
     options = parser.parse_args(arguments)
     return int(options.run(options))
 
@@ -26,5 +32,17 @@
     return node_main(options.store)
 
 
+def run_service(options: argparse.Namespace) -> int:
+    from tansywood.service.supervisor import main as serve_main
+
+    return serve_main(options.file)
+
+
+def run_check(options: argparse.Namespace) -> int:
+    from tansywood.service.check import main as check_main
+
+    return check_main(options.file)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tansywood/service/settings.py
@@ -0,0 +1,134 @@
+"""The operator's file: where the service listens, keeps its state, and how many workers it has."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from jsonschema import Draft202012Validator
+
+from tansywood.tenancy.checks import Fault, schema_faults
+from tansywood.tenancy.schema import NAME, whole
+from windrelay.config import Address, parse_address
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["service", "listeners", "admin"],
+    "properties": {
+        "service": {
+            "type": "object",
+            "additionalProperties": False,
+            "required": ["run", "store"],
+            "properties": {
+                "run": {"type": "string", "description": "folder for the parts' sockets"},
+                "store": {"type": "string", "description": "the store's, on a disk that lasts"},
+                "workers": whole(1, 64, "processes that serve tenants; 2"),
+            },
+        },
+        "listeners": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": 16,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["name", "address"],
+                "properties": {
+                    "name": {"type": "string", "pattern": NAME},
+                    "address": {"type": "string"},
+                },
+            },
+        },
+        "admin": {
+            "type": "object",
+            "additionalProperties": False,
+            "required": ["address"],
+            "properties": {
+                "address": {"type": "string", "description": "of the administration API"},
+                "rate_per_s": {"type": "number", "minimum": 1, "maximum": 10_000},
+            },
+        },
+    },
+}
+_VALIDATOR = Draft202012Validator(SCHEMA)
+LONGEST_SOCKET = 107  # bytes of a path in sockaddr_un (unix(7))
+
+
+class SettingsError(Exception):
+    """The file can't be used; `faults` names every place."""
+
+    def __init__(self, path: str, faults: list[Fault]) -> None:
+        super().__init__(f"{path}: " + "; ".join(map(str, faults)))
+        self.path = path
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    run: Path
+    store: Path
+    workers: int
+    listeners: dict[str, Address]
+    admin: Address
+    admin_rate_per_s: float
+
+
+def load(path: str) -> ServiceSettings:
+    """Read and check; relative folders are taken from the file's own. SettingsError."""
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+    except OSError as err:
+        raise SettingsError(path, [Fault("", f"can't be read: {err.strerror}")]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as err:
+        raise SettingsError(path, [Fault("", f"is not TOML: {err}")]) from None
+    found = faults(raw, Path(path).parent)
+    if found:
+        raise SettingsError(path, found)
+    folder = Path(path).parent
+    service = raw["service"]
+    return ServiceSettings(
+        run=(folder / service["run"]).absolute(),
+        store=(folder / service["store"]).absolute(),
+        workers=service.get("workers", 2),
+        listeners={row["name"]: parse_address(row["address"]) for row in raw["listeners"]},
+        admin=parse_address(raw["admin"]["address"]),
+        admin_rate_per_s=float(raw["admin"].get("rate_per_s", 50.0)),
+    )
+
+
+def faults(raw: dict[str, Any], folder: Path) -> list[Fault]:
+    """Every fault of the file's words, with its place."""
+    found = schema_faults(_VALIDATOR, raw)
+    rows = raw.get("listeners")
+    places: list[tuple[str, object]] = [
+        (f"/listeners/{i}/address", row.get("address"))
+        for i, row in enumerate(rows if isinstance(rows, list) else ())
+        if isinstance(row, dict)
+    ]
+    if isinstance(raw.get("admin"), dict):
+        places.append(("/admin/address", raw["admin"].get("address")))
+    seen: dict[Address, str] = {}
+    for place, text in places:
+        if not isinstance(text, str):
+            continue
+        try:
+            address = parse_address(text)
+        except ValueError as err:
+            found.append(Fault(place, str(err), "IPv4:port, port 0 for any that is free"))
+            continue
+        if address.port and address in seen:
+            found.append(Fault(place, f"{text} is that of {seen[address]} too"))
+        seen[address] = place
+    names = [row.get("name") for row in rows or () if isinstance(row, dict)] if rows else []
+    for i, name in enumerate(names):
+        if name in names[:i]:
+            found.append(Fault(f"/listeners/{i}/name", f"{name!r} is there twice"))
+    service = raw.get("service")
+    if isinstance(service, dict) and isinstance(service.get("run"), str):
+        longest = str((folder / service["run"]).absolute() / "worker-63.sock")
+        if len(longest.encode()) > LONGEST_SOCKET:
+            found.append(Fault("/service/run", "is too long for a socket's path", "a shorter one"))
+    return sorted(set(found), key=lambda fault: fault.path)
--- /dev/null
+++ b/tansywood/service/tenant.py
@@ -0,0 +1,335 @@
+"""One tenant in a worker: a node of its own, its callers' connections, its limits and counts.
+
+Its node is windrelay's, with its own decision module, budgets and retries: nothing of it is
+another tenant's. What is told here is only who may come in and at what rate; which server,
+whether again and what is refused for want of room is the module's, as ever.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from flinthatch.amend import amend, refuse_waiting
+from tansywood.service import shape
+from tansywood.service.report import Report
+from tansywood.tenancy.limits import Bucket
+from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
+from windrelay.node import RESERVED, Node
+from windrelay.server import EMPTY, BadRequest, ClientConnection, Incoming, Server
+
+SECOND = 1_000_000_000
+AWAY = 2 * SECOND  # told to callers of a tenant that is suspended or drains
+LAST_WORD_S = 1.0
+KEY = b"x-tenant-key"
+# What nobody's requests get, whoever asked for whatever: the same bytes in every case.
+UNKNOWN = EMPTY[404] + b"Connection: close\r\n\r\n"
+FULL = EMPTY[503] + b"Retry-After: 1.000\r\nConnection: close\r\n\r\n"
+
+
+class TenantConnection(ClientConnection):
+    """A caller's connection that came with a first head, and must stay its tenant's."""
+
+    __slots__ = (
+        "_cls",
+        "_first",
+        "_hosted",
+        "_key",
+        "_numbers",
+        "_proved",
+        "_proved_in",
+        "listener",
+    )
+
+    def __init__(self, hosted: TenantServer, sock: socket.socket, listener: str, first: bytes):
+        super().__init__(hosted, sock)
+        self._hosted = hosted
+        self.listener = listener
+        self._first = first
+        self._key = b""
+        self._proved: tuple[bytes, bytes, bytes] | None = None  # what the head before showed
+        self._proved_in = 0  # and in which epoch that was this tenant's
+        self._numbers = 0  # the classes' numbering that its request was read under
+        self._cls = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        first, self._first = self._first, b""
+        if first and not self._hosted.held:
+            self.data_received(first)
+        elif first:
+            self._first = first
+            self.pause()
+
+    def data_received(self, data: bytes) -> None:
+        began = time.perf_counter_ns()
+        if self._first:  # the loop began to read all the same
+            data, self._first = self._first + data, b""
+        try:
+            super().data_received(data)
+        finally:
+            self._hosted.used += time.perf_counter_ns() - began
+
+    def pause(self) -> None:
+        self._pause_reading()
+
+    def go_on(self) -> None:
+        """Read again, what came with the connection first."""
+        first, self._first = self._first, b""
+        if first:
+            self.data_received(first)
+        transport = self._transport
+        if transport is not None and not transport.is_closing() and not self._lingering:
+            transport.resume_reading()
+
+    # ---- whose it is --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        self._key = b""
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(name) == len(KEY) and name.lower() == KEY and not self._headers_done:
+            if self._key:
+                raise BadRequest(400, "two keys")
+            self._key = value.strip(b" \t") or b"-"
+            return  # never sent on: the servers are not to know it
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        incoming, hosted = self._incoming, self._hosted
+        assert incoming is not None
+        fields = incoming.fields
+        shown = (fields.get(b"host", b""), fields.get(b"x-tenant-id", b""), self._key)
+        if shown != self._proved or hosted.epoch != self._proved_in:
+            if not hosted.mine(self.listener, *shown):
+                self._keep_alive = False
+                raise BadRequest(404, "not this tenant's")
+            self._proved = shown
+            self._proved_in = hosted.epoch
+        super().on_headers_complete()
+        self._numbers = hosted.numbering
+
+    def _begin(self, incoming: Incoming) -> None:
+        hosted = self._hosted
+        self._cls = ""
+        if not incoming.probe:
+            if self._numbers != hosted.numbering:
+                # Its body was slow, and the classes have changed since its head was read.
+                try:
+                    hosted.read_head(incoming)
+                except BadRequest as err:
+                    hosted.node.budget.give(incoming.reserved)
+                    self._reject(err.status, err)
+                    return
+                self._numbers = hosted.numbering
+            self._cls = hosted.class_names.get(incoming.cls, "")
+            hosted.report.asked(self._cls)
+            refusal = hosted.refusal()
+            if refusal is not None:
+                status, wait, why = refusal
+                hosted.node.budget.give(incoming.reserved)
+                self._keep_alive = incoming.keep_alive and status == 429
+                hosted.report.refused(self._cls, why)
+                super().answer_empty(status, wait)
+                return
+        super()._begin(incoming)
+
+    # ---- what it got --------------------------------------------------------------------
+
+    def answer(self, content_type: bytes, chunks: list[bytes], size: int) -> None:
+        request = self._request
+        if request is not None:
+            self._hosted.report.served(self._cls, self._hosted.node.now - request.arrived)
+        super().answer(content_type, chunks, size)
+
+    def answer_empty(self, status: int, retry_after: int) -> None:
+        report = self._hosted.report
+        if status == 503:
+            report.refused(self._cls, "busy" if retry_after or self._request else "open")
+        else:
+            report.failed(self._cls)
+        super().answer_empty(status, retry_after)
+
+    def _reject(self, status: int, why: object = "") -> None:
+        self._hosted.report.turned_away(status)
+        super()._reject(status, why)
+
+
+class TenantServer(Server):
+    """The connections of one tenant; they come from a door instead of a listener."""
+
+    def __init__(
+        self, node: Node, uid: str, identify: Callable[[str, bytes, bytes, bytes], str | None]
+    ) -> None:
+        self.uid = uid
+        self._identify = identify
+        self.report = Report()
+        self.status = ACTIVE
+        self.epoch = 1  # grows where what its callers have shown must be looked at again
+        self.numbering = 0  # grows with each new numbering of the classes
+        self.class_names: dict[int, str] = {}
+        self.used = 0  # nanoseconds spent on its callers in this window
+        self.held = False  # not read from at present
+        self.most = 0  # connections of callers
+        self.bucket: Bucket | None = None
+        super().__init__(node)
+
+    def know(self, classes: Any, numbers: Any) -> None:
+        super().know(classes, numbers)
+        self.numbering += 1
+        self.class_names = {number: name for name, number in numbers.items()}
+
+    def mine(self, listener: str, host: bytes, name: bytes, key: bytes) -> bool:
+        return self._identify(listener, host, name, key) == self.uid
+
+    def refusal(self) -> tuple[int, int, str] | None:
+        """Status, time to stay away and reason where a request must not come in."""
+        if self.status != ACTIVE:
+            return 503, AWAY, self.status
+        assert self.bucket is not None
+        wait = self.bucket.take(time.monotonic_ns())
+        return (429, wait, "rate") if wait else None
+
+    def adopt(self, sock: socket.socket, listener: str, first: bytes) -> None:
+        """Take over a connection and what was read from it."""
+        full = self.node.clients >= self.most or not self.node.room_for_client()
+        if full and not self.evict():
+            self.report.turned_away(503)
+            with_answer(self.node.loop, sock, FULL)
+            return
+        sock.setblocking(False)
+        self.node.clients += 1
+        self._welcome(sock, TenantConnection(self, sock, listener, first))
+
+    def hold(self, held: bool) -> None:
+        """Read nothing from its callers for now, or go on."""
+        if held == self.held:
+            return
+        self.held = held
+        for conn in list(self.connections):
+            if isinstance(conn, TenantConnection):
+                if held:
+                    conn.pause()
+                else:
+                    conn.go_on()
+
+    def close_all(self) -> None:
+        for conn in list(self.connections):
+            if conn.resting():
+                conn.close()
+
+
+def with_answer(loop: asyncio.AbstractEventLoop, sock: socket.socket, answer: bytes) -> None:
+    """A last word to a connection that nobody takes. It is closed a moment later: closed on
+    unread bytes it would be reset, and the reset could reach the caller before the answer."""
+    try:
+        sock.setblocking(False)
+        sock.send(answer)
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        sock.close()
+        return
+    loop.call_later(LAST_WORD_S, sock.close)
+
+
+class Hosted:
+    """One tenant at work."""
+
+    def __init__(
+        self,
+        view: dict[str, Any],
+        loop: asyncio.AbstractEventLoop,
+        identify: Callable[[str, bytes, bytes, bytes], str | None],
+    ) -> None:
+        self.uid: str = view["uid"]
+        self.version: int = view["version"]
+        self.settings: TenantSettings = read(view["document"])
+        self.rev = 1
+        self.node = Node(shape.config(self.uid, self.settings), loop)
+        self.node.budget.limit(self.settings.limits.held_bytes)
+        self.server = TenantServer(self.node, self.uid, identify)
+        limits = self.settings.limits
+        self.server.bucket = Bucket(time.monotonic_ns(), limits.rate_per_s, limits.burst)
+        self.server.status = view["status"]
+        self.server.most = limits.connections
+        self.node.start()
+        self.node.discovery.tell(shape.members(self.settings, view["since"], self.rev))
+
+    def change(self, view: dict[str, Any]) -> None:
+        """Go on under another version; what is under way ends by the stricter rules."""
+        if view["version"] == self.version:
+            self.server.epoch += 1  # its keys
+            return
+        self.version = view["version"]
+        node, server = self.node, self.server
+        new = read(view["document"])
+        old, self.settings = self.settings, new
+        config = shape.config(self.uid, new)
+        node.config = config
+        node.sockets = config.sockets - RESERVED
+        node.budget.limit(new.limits.held_bytes)
+        server.most = new.limits.connections
+        if new.limits != old.limits:
+            assert server.bucket is not None
+            server.bucket.change(time.monotonic_ns(), new.limits.rate_per_s, new.limits.burst)
+        now = node.enter()
+        try:
+            numbers = amend(node.balancer, now, config.settings)
+        finally:
+            node.leave()
+        server.know(config.settings.classes, numbers)
+        if new.servers != old.servers:
+            self.rev += 1
+            node.discovery.roster.name_zones(shape.zones(new))
+            node.discovery.tell(shape.members(new, view["since"], self.rev))
+        self.set_status(view["status"])
+        server.epoch += 1
+
+    def set_status(self, status: str) -> None:
+        """Suspended or deleted: what waits is answered at once. Draining: it is served yet."""
+        server, node = self.server, self.node
+        before, server.status = server.status, status
+        if status in (before, ACTIVE):
+            return
+        server.epoch += 1
+        if status != DRAINING:
+            now = node.enter()
+            try:
+                refuse_waiting(node.balancer, now)
+            finally:
+                node.leave()
+        server.close_all()
+
+    def delete(self) -> None:
+        self.set_status(DELETED)
+        self.server.stopping = True  # each answer closes its connection
+
+    def stop(self) -> None:
+        self.server.stopping = True
+
+    def idle(self) -> bool:
+        """Whether nothing would be lost with it: no caller, no request, nothing out."""
+        return not (self.node.requests or self.server.connections or self.server._tasks)
+
+    def finished(self) -> bool:
+        return self.server.finished() and not self.node.requests
+
+    def end(self) -> None:
+        """Answer what is left, and let go of everything."""
+        self.node.fail_all()
+        for conn in list(self.server.connections):
+            conn.close()
+        while self.node.upstream.drop_oldest():
+            pass
+        self.node.discovery.close()
+        if self.node.timer is not None:
+            self.node.timer.cancel()
+        self.node.timers.clear()
+
+    def sweep(self) -> None:
+        self.server.sweep()
+        self.node.sweep()
--- /dev/null
+++ b/tansywood/service/worker.py
@@ -0,0 +1,299 @@
+"""A worker: some tenants at work in one process and one loop. `python -m tansywood.service.worker`.
+
+A tenant is set up when its first connection comes and let go of when it has rested for long,
+so a thousand that sleep cost a worker their settings and nothing else.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import os
+import socket
+import sys
+import time
+from typing import Any
+
+from tansywood.service import part
+from tansywood.service.follow import Follower
+from tansywood.service.tenant import FULL, Hosted, with_answer
+from tansywood.service.wire import Handed, WireError, take
+from tansywood.tenancy.fair import waits
+from tansywood.tenancy.identity import Directory, Key, Known, Shown
+from tansywood.tenancy.settings import read
+
+MS = 1_000_000
+WINDOW_S = 0.02  # of the fair share
+SWEEP_S = 0.25
+REPORT_S = 0.25
+TAKEN = 64  # connections taken over in one turn
+AWAITED_S = 1.0  # a connection waits so long for news of its tenant
+REST_S = 300.0  # after which a tenant without callers is let go of
+STOP_S = 0.7  # on top of the longest deadline
+POLL_S = 0.01
+
+
+def known_of(view: dict[str, Any]) -> Known:
+    settings = read(view["document"])
+    return Known(
+        view["uid"], settings.name, settings.hosts, settings.listeners, settings.key_required
+    )
+
+
+def keys_of(view: dict[str, Any]) -> list[Key]:
+    return [Key(**record) for record in view["keys"]]
+
+
+class Worker:
+    """Its tenants, its doors and its windows of time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, place: part.Place, name: str) -> None:
+        self.loop = loop
+        self.place = place
+        self.name = name
+        self.life = f"{name}.{os.getpid()}"  # counters begin anew with each
+        self.directory = Directory()
+        self.hosted: dict[str, Hosted] = {}
+        self.leaving: list[Hosted] = []  # deleted tenants that end what they hold
+        self.rested: dict[str, float] = {}
+        self.awaited: list[tuple[float, Handed]] = []
+        self.doors: set[socket.socket] = set()
+        self.follower = Follower(place.feed, name, self.changed)
+        self.listener: socket.socket | None = None
+        self.holds: dict[str, asyncio.TimerHandle] = {}
+        self.told = 0  # the link that all reports were told by
+        self.stopping = False
+        self.ended: asyncio.Future[int] = loop.create_future()
+        self.crashes = 0
+
+    # ---- news ------------------------------------------------------------------------------
+
+    def changed(self, uid: str, view: dict[str, Any] | None) -> None:
+        """A tenant is another; what fails is that tenant's trouble alone."""
+        hosted = self.hosted.get(uid)
+        if view is None:
+            self.directory.drop(uid)
+            if hosted is not None:
+                del self.hosted[uid]
+                hosted.delete()
+                self.leaving.append(hosted)
+            return
+        self.directory.set(known_of(view), keys_of(view))
+        if hosted is not None:
+            try:
+                hosted.change(view)
+            except Exception as err:
+                hosted.node.crashed("a change of settings", err)
+        waiting, self.awaited = self.awaited, []
+        for since, handed in waiting:
+            self.take_over(handed, since)
+
+    def identify(self, listener: str, host: bytes, name: bytes, key: bytes) -> str | None:
+        words = (w.decode("latin-1") for w in (host, name, key))
+        return self.directory.identify(Shown(listener, *words), time.time_ns() // MS)
+
+    # ---- connections -------------------------------------------------------------------------
+
+    def listen(self) -> None:
+        path = self.place.worker(self.name)
+        part.unlink(path)
+        self.listener = sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock.setblocking(False)
+        sock.bind(path)
+        sock.listen(16)
+        self.loop.add_reader(sock, self.accept)
+
+    def accept(self) -> None:
+        assert self.listener is not None
+        try:
+            door, _ = self.listener.accept()
+        except OSError:
+            return
+        door.setblocking(False)
+        try:
+            # Ownership outlives a door: the next one is told.
+            door.send(json.dumps({"worker": self.name, "owns": sorted(self.hosted)}).encode())
+        except OSError:
+            door.close()
+            return
+        self.doors.add(door)
+        self.loop.add_reader(door, self.handed, door)
+
+    def handed(self, door: socket.socket) -> None:
+        for _ in range(TAKEN):
+            try:
+                one = take(door)
+            except BlockingIOError:
+                return
+            except (OSError, WireError) as err:
+                self.log(f"a connection was not handed over: {err}")
+                continue
+            if one is None:
+                self.loop.remove_reader(door)
+                self.doors.discard(door)
+                door.close()
+                return
+            self.take_over(one, self.loop.time())
+
+    def take_over(self, one: Handed, since: float) -> None:
+        hosted = self.hosted.get(one.uid)
+        if hosted is None:
+            view = self.follower.views.get(one.uid)
+            if view is None:
+                # The door was told of it first, or it is deleted by now.
+                self.awaited.append((since, one))
+                return
+            hosted = self.host(view)
+        self.rested.pop(one.uid, None)
+        try:
+            hosted.server.adopt(one.sock, one.listener, one.first)
+        except OSError as err:
+            one.sock.close()
+            self.log(f"a connection was lost: {err}")
+
+    def host(self, view: dict[str, Any]) -> Hosted:
+        hosted = self.hosted[view["uid"]] = Hosted(view, self.loop, self.identify)
+        self.loop.set_exception_handler(self.loop_failed)  # each node sets its own
+        if self.stopping:
+            hosted.stop()
+        return hosted
+
+    # ---- time ----------------------------------------------------------------------------------
+
+    def window(self) -> None:
+        """Who has had too much of the last window is not read from for a while."""
+        self.loop.call_later(WINDOW_S, self.window)
+        used = {}
+        for uid, hosted in self.hosted.items():
+            if hosted.server.used:
+                used[uid] = hosted.server.used
+                hosted.server.used = 0
+        if len(used) < 2:
+            return
+        shares = {uid: self.hosted[uid].settings.cpu_share for uid in used}
+        for uid, wait in waits(used, shares, round(WINDOW_S * 1e9)).items():
+            old = self.holds.pop(uid, None)
+            if old is not None:
+                old.cancel()
+            self.hosted[uid].server.hold(True)
+            self.holds[uid] = self.loop.call_later(wait / 1e9, self.release, uid)
+
+    def release(self, uid: str) -> None:
+        self.holds.pop(uid, None)
+        hosted = self.hosted.get(uid)
+        if hosted is not None:
+            hosted.server.hold(False)
+
+    def sweep(self) -> None:
+        self.loop.call_later(SWEEP_S, self.sweep)
+        now = self.loop.time()
+        for uid, hosted in list(self.hosted.items()):
+            hosted.sweep()
+            # A key may have ended by its time.
+            hosted.server.epoch += 1
+            if not hosted.idle():
+                self.rested.pop(uid, None)
+            elif (
+                now - self.rested.setdefault(uid, now) > REST_S and not hosted.server.report.changed
+            ):
+                del self.hosted[uid], self.rested[uid]
+                hosted.end()
+        for hosted in list(self.leaving):
+            hosted.sweep()
+            if hosted.finished():
+                self.leaving.remove(hosted)
+                hosted.end()
+        waiting, self.awaited = self.awaited, []
+        for since, one in waiting:
+            if now - since > AWAITED_S:
+                with_answer(self.loop, one.sock, FULL)
+            else:
+                self.awaited.append((since, one))
+
+    def tell(self) -> None:
+        self.loop.call_later(REPORT_S, self.tell)
+        records = {}
+        anew = self.follower.links != self.told
+        for uid, hosted in self.hosted.items():
+            if anew or hosted.server.report.changed:
+                records[uid] = hosted.server.report.record()
+        if records and self.follower.tell({"life": self.life, "reports": records}):
+            self.told = self.follower.links
+            for uid in records:
+                self.hosted[uid].server.report.changed = False
+
+    # ---- the process -----------------------------------------------------------------------------
+
+    def log(self, text: str) -> None:
+        print(f"{self.name}: {text}", file=sys.stderr, flush=True)
+
+    def loop_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self.crashes += 1
+        error = context.get("exception")
+        self.log(f"a callback raised: {context.get('message')}: {error!r}")
+        transport = context.get("transport")
+        if isinstance(transport, asyncio.Transport):
+            transport.abort()
+
+    async def run(self) -> int:
+        following = self.loop.create_task(self.follower.run())
+        part.watch(self.loop, self.stop)
+        told = self.loop.create_task(self.follower.ready.wait())
+        told.add_done_callback(lambda _task: self.begin())
+        code = await self.ended
+        following.cancel()
+        return code
+
+    def begin(self) -> None:
+        if self.ended.done():
+            return
+        self.listen()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(5_000, 10, 20)
+        self.window()
+        self.sweep()
+        self.tell()
+        part.ready()
+
+    def stop(self) -> None:
+        """Take nothing new, answer what is held, then end."""
+        self.stopping = True
+        for hosted in self.hosted.values():
+            hosted.stop()
+        longest = max(
+            (c.deadline_ms for h in self.hosted.values() for c in h.settings.classes), default=0
+        )
+        self.wait(self.loop.time() + longest / 1000 + STOP_S)
+
+    def wait(self, until: float) -> None:
+        all_of_them = [*self.hosted.values(), *self.leaving]
+        late = self.loop.time() >= until
+        if not late and not all([h.finished() for h in all_of_them]):
+            self.loop.call_later(POLL_S, self.wait, until)
+            return
+        for hosted in all_of_them:
+            hosted.node.fail_all()
+        self.loop.call_later(POLL_S, self.end)  # one more turn, so that the last answers leave
+
+    def end(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(0)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="tansywood.service.worker")
+    parser.add_argument("run")
+    parser.add_argument("name")
+    options = parser.parse_args()
+
+    async def run(loop: asyncio.AbstractEventLoop) -> int:
+        return await Worker(loop, part.Place(options.run), options.name).run()
+
+    part.run(options.name, run)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -13,6 +13,16 @@
     "flinthatch": {"flinthatch"},
     "windrelay": {"windrelay", "flinthatch"},
     "tansywood/store": {"tansywood.store"},
+    "tansywood/tenancy": {"tansywood.tenancy"},
+    "tansywood/admin": {
+        "tansywood.admin",
+        "tansywood.tenancy",
+        "tansywood.store",
+        # The service's port: frames, counters, a process's place in it.
+        "tansywood.service.part",
+        "tansywood.service.report",
+        "tansywood.service.wire",
+    },
     "tansywood/service": {"tansywood", "windrelay", "flinthatch"},
     "standins": {"standins"},
     "benchmarks": {"benchmarks", "standins", "tansywood.store"},
@@ -40,7 +50,8 @@
         "import runpy, sys\n"
         "import windrelay.__main__, flinthatch.drill\n"
         "print([m for m in sys.modules if m.split('.')[0] in"
-        " ('tansywood', 'standins', 'google_crc32c') or m == 'flinthatch.recall'])"
+        " ('tansywood', 'standins', 'google_crc32c') or m in"
+        " ('flinthatch.recall', 'flinthatch.amend', 'jsonschema', 'starlette', 'uvicorn')])"
     )
     done = subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, cwd=ROOT, check=True
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from hashlib import blake2b
 from typing import Any, cast
 
@@ -58,6 +58,11 @@
         self.rows: dict[int, Listing] = {}
         self.rev = 0
 
+    def name_zones(self, names: Iterable[str]) -> None:
+        """Number further zones behind those that are known; rows read from here on use them."""
+        for name in names:
+            self._zones.setdefault(name, len(self._zones))
+
     def read(self, raw: Any) -> tuple[Update, list[Listing], dict[int, Address], int]:
         """Check an answer and convert it; nothing in hand changes yet.
 
@@ -284,6 +289,15 @@
         self.roster.apply(raw["rev"], update, rows, endpoints)
         return rows
 
+    def tell(self, raw: Any) -> None:
+        """Take a whole list from whoever hosts the node; ListError where it can't be used."""
+        update, rows, endpoints, bad = self.roster.read(raw)
+        if bad:
+            self.log(f"{bad} rows of a list can't be read")
+        rows += self.roster.taken_over(rows, endpoints)
+        stale = self.roster.apply(raw["rev"], update, rows, endpoints)
+        self._told(update, rows, stale)
+
     def watch(self) -> None:
         """Ask for changes from the version in hand on; goes on until a call fails."""
         if self._watching:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -68,6 +68,10 @@
     def resize(self, memory_mb: int) -> None:
         self.room = max(((memory_mb << 20) - self.base) // 2, LEAST_ROOM)
 
+    def limit(self, room: int) -> None:
+        """So many bytes, whatever the process takes: where several nodes share one."""
+        self.room = room
+
     def has_room(self, size: int) -> bool:
         return self.held + size <= self.room
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -9,14 +9,14 @@
 import struct
 import termios
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from itertools import chain, islice
 from typing import TYPE_CHECKING, Any, cast
 from zlib import crc32
 
 import httptools
 
-from flinthatch import Effect
+from flinthatch import Effect, RequestClass
 from windrelay.guard import ends_connection
 
 if TYPE_CHECKING:
@@ -70,6 +70,7 @@
     405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
@@ -530,13 +531,18 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._sock: socket.socket | None = None
         settings = node.config.settings
-        self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self.know(settings.classes, {c.name: i for i, c in enumerate(settings.classes)})
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
-        self._deadlines = [c.deadline for c in settings.classes]
-        self._methods = [b"GET" if c.effect == Effect.PURE else b"POST" for c in settings.classes]
         node.freed = self.freed
         node.evict = self.evict
 
+    def know(self, classes: Iterable[RequestClass], numbers: Mapping[str, int]) -> None:
+        """What a head is held against: the classes, and the numbers they are told by."""
+        rows = {numbers[c.name]: c for c in classes}
+        self._classes = {c.name.encode(): i for i, c in rows.items()}
+        self._deadlines = {i: c.deadline for i, c in rows.items()}
+        self._methods = {i: b"GET" if c.effect == Effect.PURE else b"POST" for i, c in rows.items()}
+
     def listen(self, address: Address) -> int:
         """Take connections at this address; returns the port."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
