--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands for a newcomer, on a fresh machine with Python 3.11 and a C compiler:
 #   make test    all checks and tests, some two minutes
-#   make demo    the main job over stand-ins, half a minute, with a live table
+#   make demo    a node, then the hosted service, over stand-ins: a minute, with live tables
 .PHONY: test demo lint setup
 
 PY = .venv-dev/bin/python
@@ -16,6 +16,8 @@
 
 demo: setup
 	$(PY) -m standins.demo
+	@echo
+	$(PY) -m standins.demo_service
 
 # The node as deploy/balancer.toml builds it, then what tests and tools need beside it.
 setup: $(STAMP)
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -20,6 +20,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from standins.platform import answer, config, parts, request, roster, target
@@ -52,18 +53,18 @@
             self.transport.write(answer(b"x" * 200))
 
 
-async def asks(port: int, count: int, name: str) -> int:
+async def asks(port: int, count: int, name: str, head: Mapping[str, str] | None = None) -> int:
     """So many requests in turn on one connection; how many were served."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     served = 0
     for i in range(count):
         rid = f"{name}-{i}"
         if i % 3:
-            writer.write(request(f"/balance/{i}", rid=rid))
+            writer.write(request(f"/balance/{i}", rid=rid, more=head))
         else:
-            writer.write(request(f"/credit/{i}", b"x" * 100, rid=rid))
-        head = await reader.readuntil(b"\r\n\r\n")
-        first, headers = parts(head[:-4])
+            writer.write(request(f"/credit/{i}", b"x" * 100, rid=rid, more=head))
+        came = await reader.readuntil(b"\r\n\r\n")
+        first, headers = parts(came[:-4])
         await reader.readexactly(int(headers["content-length"]))
         served += first.split(" ")[1] == "200"
     writer.close()
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -47,7 +47,7 @@
         self.manners = manners or {Manner.WAIT: 1.0}
         self.credit_part = credit_part
         self.timeout_ms = timeout_ms
-        self.headers = headers or {}  # as of platform.request: a name x_y is sent as X-Y
+        self.headers = headers  # as of platform.request: a name x_y is sent as X-Y
         self.count = 0
         self.refused_dials = 0
         self._reader: asyncio.StreamReader | None = None
@@ -88,7 +88,7 @@
         self.ledger.asked(rid, kind, unsafe)
         body = b"x" if unsafe else None
         data = request(
-            f"/{kind}/{self.name}", body, timeout=self.timeout_ms, rid=rid, **self.headers
+            f"/{kind}/{self.name}", body, timeout=self.timeout_ms, rid=rid, more=self.headers
         )
         try:
             self._writer.write(data[: len(data) // 2] if manner == Manner.HALF else data)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -99,9 +100,11 @@
     body: bytes | None = None,
     timeout: int = 1500,
     rid: str = "",
+    more: Mapping[str, str] | None = None,
     **headers: str,
 ) -> bytes:
-    """A request's bytes; a header named x_y is sent as X-Y, an empty one left out.
+    """A request's bytes; a header named x_y is sent as X-Y, an empty one left out. `more` are
+    headers as well, for those who have them at hand.
 
     Each has an id of its own where none is given.
     """
@@ -111,7 +114,7 @@
         "X-Priority-Class": path.split("/")[1],
         "X-Tenant-Id": "acme",
         "X-Timeout-Ms": str(timeout),
-    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    } | {name.replace("_", "-"): value for name, value in {**(more or {}), **headers}.items()}
     if body is not None and "Content-Length" not in lines:
         lines["Content-Length"] = str(len(body))
     head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -21,6 +21,7 @@
 SECRET = b"meta/cursors"
 KEY_FILE = "operator.key"
 STOP_S = 2
+NICE = 5  # where there is one core for all, callers come first
 
 
 def keep_first_key(run: str, token: str) -> str:
@@ -92,6 +93,8 @@
     parser.add_argument("--listener", action="append", default=[])
     options = parser.parse_args()
 
+    os.nice(NICE)
+
     async def run(loop: asyncio.AbstractEventLoop) -> int:
         try:
             return await serve(loop, options)
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -14,12 +14,13 @@
 import socket
 import sys
 import time
+from collections import deque
 from typing import Any
 
 from tansywood.service import part
 from tansywood.service.follow import Follower
 from tansywood.service.tenant import FULL, UNKNOWN, with_answer
-from tansywood.service.wire import hand
+from tansywood.service.wire import TAKEN, hand
 from tansywood.service.worker import keys_of, known_of
 from tansywood.tenancy.door import MAX_HEAD, Lobby, look
 from tansywood.tenancy.identity import Directory, Shown
@@ -85,6 +86,8 @@
         self.directory = Directory()
         self.placement = Placement()
         self.links: dict[str, socket.socket] = {}
+        # Handed over and not known to be taken: see `wire` for what that is good for.
+        self.handed: dict[str, deque[Waiting]] = {}
         self.lobby = Lobby()
         self.lingering: dict[Visitor, None] = {}
         self.waiting: list[Waiting] = []
@@ -134,10 +137,7 @@
             visitor = Visitor(sock, address[0], name)
             goes = self.lobby.enter(visitor, address[0], time.monotonic_ns() // MS)
             if isinstance(goes, Visitor):
-                self.lobby.leave(goes)
-                self.loop.remove_reader(goes.sock)
-                goes.sock.close()
-                self.turned_away += 1
+                self.last_word(goes, FULL)
             if goes is not visitor:
                 self.loop.add_reader(sock, self.readable, visitor)
                 self.readable(visitor)  # mostly its request is there already
@@ -229,7 +229,7 @@
             except OSError:
                 self.lost(owner)
                 continue
-            one.sock.close()  # the worker has its own descriptor of it
+            self.handed[owner].append(one)
             return
         if len(self.waiting) >= WAITING:
             self.send_away(one)
@@ -253,6 +253,7 @@
                     link.close()
                     continue
                 self.links[name] = link
+                self.handed[name] = deque()
                 self.loop.add_reader(link, self.said, name)
         if self.waiting:
             waiting, self.waiting = self.waiting, []
@@ -264,26 +265,39 @@
                     self.hand_over(one)
 
     def said(self, name: str) -> None:
-        try:
-            data = self.links[name].recv(8 << 20)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if not data:
+        if not self.hear(name):
             self.lost(name)
-            return
-        self.placement.joined(name, json.loads(data)["owns"])
+
+    def hear(self, name: str) -> bool:
+        """All that a worker has said; False where it has ended."""
+        while True:
+            try:
+                data = self.links[name].recv(8 << 20)
+            except BlockingIOError:
+                return True
+            except OSError:
+                return False
+            if not data:
+                return False
+            if data == TAKEN:
+                self.handed[name].popleft().sock.close()  # it has its own descriptor of it
+            else:
+                self.placement.joined(name, json.loads(data)["owns"])
 
     def lost(self, name: str) -> None:
-        """A worker has ended: its tenants' next connections go to others, at once."""
-        link = self.links.pop(name, None)
-        if link is None:
+        """A worker has ended: its tenants' next connections go to others, at once, and so do
+        those that it had not taken. What it said last is heard first."""
+        if name not in self.links:
             return
+        self.hear(name)
+        link = self.links.pop(name)
         self.loop.remove_reader(link)
         link.close()
         tenants = self.placement.left(name)
+        again = self.handed.pop(name)
         self.log(f"{name} is gone, {len(tenants)} tenants go to others")
+        for one in again:
+            self.hand_over(one)
 
     # ---- the process -----------------------------------------------------------------------------
 
@@ -339,7 +353,9 @@
         self.wait(self.loop.time() + STOP_S)
 
     def wait(self, until: float) -> None:
-        if (len(self.lobby) or self.waiting) and self.loop.time() < until:
+        if (
+            len(self.lobby) or self.waiting or any(self.handed.values())
+        ) and self.loop.time() < until:
             self.loop.call_later(0.01, self.wait, until)
         elif not self.ended.done():
             self.ended.set_result(0)
--- a/tansywood/service/wire.py
+++ b/tansywood/service/wire.py
@@ -2,8 +2,11 @@
 
 Frames go over stream sockets: four bytes of length, big-endian, then the JSON. A connection is
 handed over as one message on a SOCK_SEQPACKET socket: a line of JSON, what was read of the
-connection so far, and the descriptor (unix(7), SCM_RIGHTS). Both ends of either are parts of
-this program, in a folder that only its user may enter.
+connection so far, and the descriptor (unix(7), SCM_RIGHTS). Whoever takes it says so before
+anything is done with it, and the giver keeps its descriptor until then. So of a taker that ends
+all that it had not begun is known, and can go to another: nothing of it has run.
+
+Both ends of either are parts of this program, in a folder that only its user may enter.
 """
 
 from __future__ import annotations
@@ -17,6 +20,7 @@
 LENGTH = struct.Struct(">I")
 MAX_FRAME = 256 << 20  # some ten thousand tenants
 MAX_HANDED = 64 << 10
+TAKEN = b"+"
 
 
 class WireError(ValueError):
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -16,7 +16,7 @@
 import time
 from typing import Any
 
-from tansywood.service import part
+from tansywood.service import part, wire
 from tansywood.service.follow import Follower
 from tansywood.service.tenant import FULL, Hosted, with_answer
 from tansywood.service.wire import Handed, WireError, take
@@ -129,14 +129,25 @@
                 return
             except (OSError, WireError) as err:
                 self.log(f"a connection was not handed over: {err}")
-                continue
+                self.leave(door)
+                return
             if one is None:
-                self.loop.remove_reader(door)
-                self.doors.discard(door)
-                door.close()
+                self.leave(door)
+                return
+            try:
+                door.send(wire.TAKEN)  # first: see wire
+            except OSError:
+                # It can't be told, so it goes on as one that was not taken.
+                one.sock.close()
+                self.leave(door)
                 return
             self.take_over(one, self.loop.time())
 
+    def leave(self, door: socket.socket) -> None:
+        self.loop.remove_reader(door)
+        self.doors.discard(door)
+        door.close()
+
     def take_over(self, one: Handed, since: float) -> None:
         hosted = self.hosted.get(one.uid)
         if hosted is None:
--- a/tests/service/test_service.py
+++ b/tests/service/test_service.py
@@ -14,7 +14,9 @@
 from standins.servers import Behaviour
 from standins.service import alive
 
-from .world import Hosting, Side, hosting
+from .world import PATIENT, Hosting, Side, hosting
+
+HASTY = [dict(row, aim_ms=1000, deadline_ms=2000) for row in PATIENT]
 
 
 def served(side: Side) -> int:
@@ -80,7 +82,7 @@
     async def main() -> None:
         async with hosting(tmp_path, workers=3) as h:
             flooded = await h.tenant("flooded", limits={"rate_per_s": 40, "burst": 5})
-            dead = await h.tenant("dead")
+            dead = await h.tenant("dead", classes=HASTY)
             third = await h.tenant("third")
             for server in dead.servers:
                 server.kill()  # its settings are valid and point at nobody
@@ -110,15 +112,21 @@
                     assert answer.status == 404
 
             await asyncio.gather(
-                flood(), silent(), nobody(), h.crowd(dead, 10, 5), h.crowd(third, 10, 40)
+                flood(),
+                silent(),
+                nobody(),
+                h.crowd(dead, 10, 5, timeout_ms=1500),
+                h.crowd(third, 10, 40),
             )
             # The third: every request served, each once, each its own answer.
             assert served(third) == 400 and not third.ledger.problems(breaks=False)
             for side in (flooded, dead):
                 assert not side.ledger.problems(breaks=False)
-            assert served(dead) == 0 and refusals(flooded) > 500 > served(flooded) > 0
+            assert served(dead) == 0 and served(flooded) > 0
+            assert served(flooded) + refusals(flooded) == 2400
             report = await comes_to(h, "flooded", lambda r: asked(r) == 2400)
-            assert sum(c["refused"].get("rate", 0) for c in report["classes"].values()) > 500
+            limited = sum(c["refused"].get("rate", 0) for c in report["classes"].values())
+            assert limited == refusals(flooded) > 0
             assert asked(await h.call("GET", "/v1/tenants/third/report")) == 400
 
     asyncio.run(main())
@@ -272,6 +280,15 @@
             assert await side.caller(h.service.port, "old").ask("balance") == End.FAILED
             side.token = new["token"]
             assert await side.caller(h.service.port, "new").ask("balance") == End.SERVED
+            # One that ends by its time ends on a connection that is open, too.
+            short = await h.call("POST", "/v1/tenants/cork/keys", {"role": "caller", "lasts_s": 1})
+            side.token = short["token"]
+            caller = side.caller(h.service.port, "short")
+            for _ in range(1000):
+                if await caller.ask("balance") == End.FAILED:
+                    break
+                await asyncio.sleep(0.01)
+            assert side.ledger.counts()["balance", End.FAILED] == 3
 
     asyncio.run(main())
 
@@ -288,7 +305,7 @@
             document = (await h.call("GET", path))["document"]
             balance, credit = document["classes"]
             for n in range(12):
-                await h.call("PATCH", path, {"classes": [dict(balance, aim_ms=900), credit]})
+                await h.call("PATCH", path, {"classes": [dict(balance, aim_ms=20_000), credit]})
                 name = f"s-{n % 4}"
                 row = next(s for s in document["servers"] if s["name"] == name)
                 drains = {k: v for k, v in row.items() if k != "name"} | {"state": "draining"}
@@ -297,14 +314,14 @@
                 await h.call("DELETE", f"{path}/servers/{name}")
                 back = {k: v for k, v in row.items() if k != "name"}
                 await h.call("PUT", f"{path}/servers/{name}", back)
-                shorter = dict(credit, deadline_ms=1500)
+                shorter = dict(credit, aim_ms=9_000, deadline_ms=10_000)
                 await h.call("PATCH", path, {"classes": [credit, balance]})
                 await h.call("PATCH", path, {"classes": [balance, shorter]})
                 extra = dict(balance, name=f"extra-{n}")
                 await h.call("PATCH", path, {"classes": [extra, credit, balance]})
             await load
             assert not side.ledger.problems(breaks=False)
-            assert served(side) > 900
+            assert served(side) == 960
             load = asyncio.create_task(h.crowd(side, 16, 30))
             await asyncio.sleep(0.1)
             await h.call("DELETE", path)
@@ -336,3 +353,36 @@
             assert served(side) == 9
 
     asyncio.run(main())
+
+
+def test_a_change_while_a_worker_is_away_is_in_force_in_all_of_them_once_it_is_back(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with hosting(tmp_path, workers=2) as h:
+            sides = [await h.tenant(f"t-{i}") for i in range(6)]
+            for side in sides:
+                await h.crowd(side, 1, 1)
+            victim = h.service.pid("worker-0")
+            os.kill(victim, signal.SIGKILL)
+            for side in sides:
+                row = {"aim_ms": 1000, "deadline_ms": 2000, "repeat": "safe"}
+                await h.call("PUT", f"/v1/tenants/{side.name}/classes/new", row)
+                assert await side.caller(h.service.port, "a").ask("new") == End.SERVED
+            await asyncio.to_thread(h.service.until_ready_again, "worker-0", victim)
+            # The other one ends: its tenants go to the one that was away.
+            os.kill(h.service.pid("worker-1"), signal.SIGKILL)
+            for side in sides:
+                caller = side.caller(h.service.port, "b")
+                assert await caller.ask("new") == End.SERVED
+                assert not side.ledger.problems()
+
+            def applied() -> bool:
+                status = h.operator.must("GET", "/v1/status").body
+                return len(status["followers"]) == 3 and {
+                    f["applied"] for f in status["followers"].values()
+                } == {status["seq"]}
+
+            assert await comes(applied)
+
+    asyncio.run(main())
--- a/tests/service/world.py
+++ b/tests/service/world.py
@@ -14,6 +14,13 @@
 from standins.servers import Behaviour, TopupServer
 from standins.service import Operator, ServiceProcess, document
 
+# A machine that is slow must change no verdict: nobody is refused or given up for its sake.
+PATIENT: list[dict[str, Any]] = [
+    {"name": "balance", "aim_ms": 25_000, "deadline_ms": 30_000, "repeat": "safe"},
+    {"name": "credit", "aim_ms": 25_000, "deadline_ms": 30_000, "repeat": "never", "worth": 5.0},
+]
+PATIENCE_MS = 28_000
+
 
 class Side:
     """One tenant's side of the world: servers, callers, a ledger of its own."""
@@ -40,6 +47,7 @@
 
     def caller(self, port: int, name: str, **over: Any) -> Caller:
         over.setdefault("headers", self.headers())
+        over.setdefault("timeout_ms", PATIENCE_MS)
         return Caller(name, port, self.ledger, Random(self.rng.random()), **over)
 
 
@@ -63,7 +71,7 @@
         self.sides[name] = side
         await side.add_servers(servers, behaviour or Behaviour(work_s=0.002))
         # Started long ago, as far as anybody knows: not cold.
-        made = document(name, side.listed, **over)
+        made = document(name, side.listed, **{"classes": PATIENT, **over})
         for row in made["servers"]:
             row["started_ms"] = 1
         await self.call("POST", "/v1/tenants", made)
