--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -1,12 +1,13 @@
 """What a tenant of the hosted service notices of its neighbours, and what hosting costs.
 
-    python -m benchmarks.tenants [--pairs N] [--only neighbours|cost|change|idle] [--quick]
+    python -m benchmarks.tenants [--pairs N] [--only WHAT] [--quick]
 
 neighbours: a third tenant's credits, alone and beside a flooded and a misconfigured tenant, in
 interleaved pairs; once for each layout: one worker for all, three workers, and a worker for
 each tenant. cost: CPU for each request, all parts of the service added up, against the
 platform's node in the same round. change: from the PUT of a setting to the first request under
-it. idle: what a thousand tenants cost of which twenty are asked.
+it. failover: a worker killed, until its tenants are served again. idle: what a thousand
+tenants cost of which twenty are asked.
 
 Machines are shared and noisy: ratios are of each pair by itself, given as a median with a 95 %
 interval (bootstrap over the pairs, fixed seed). Servers, callers and floods are processes of
@@ -19,6 +20,7 @@
 import asyncio
 import json
 import os
+import signal
 import statistics
 import subprocess
 import sys
@@ -39,6 +41,7 @@
 FLOODED_LIMIT = 200.0  # the flooded tenant's rate; it is sent ten times that
 SEGMENT_S = 4.0
 SETTLE_S = 0.7
+SERVICE_CORES = 0  # at most; 0: all that callers and servers leave
 
 
 def cores() -> dict[str, list[int]]:
@@ -47,6 +50,7 @@
     if len(mine) < 4:
         return dict.fromkeys(("service", "servers", "third", "flood"), mine)
     *rest, servers, third, flood = mine
+    rest = rest[: SERVICE_CORES or None]
     return {"service": rest, "servers": [servers], "third": [third], "flood": [flood]}
 
 
@@ -306,7 +310,8 @@
 def neighbours(pairs: int) -> None:
     print(f"\nThe third tenant's credits ({THIRD_RATE:.0f} a second, servers' work "
           f"{WORK_S * 1000:.0f} ms), beside a flood of {10 * FLOODED_LIMIT:.0f} a second and dead "
-          f"servers, to itself alone; {pairs} pairs")  # fmt: skip
+          f"servers, to itself alone; {pairs} pairs, the service on "
+          f"{len(cores()['service'])} cores")  # fmt: skip
     print(f"{'layout':>22} {'p50 alone':>10} {'p99 alone':>10} {'p50 ratio':>24} "
           f"{'p99 ratio':>24} {'not served':>11}")  # fmt: skip
     for workers, text in ((1, "one worker"), (3, "three workers"), (8, "worker each, of 8")):
@@ -442,6 +447,55 @@
     os.sched_setaffinity(0, before)
 
 
+def failover(times: int) -> None:
+    """A worker is killed; how long until each of its tenants is served again."""
+    with tempfile.TemporaryDirectory(prefix="tenants-") as folder:
+        service = Service(Path(folder), 2)
+        servers = Helper("servers", 2)
+        try:
+            service.start()
+            operator, ports = service.operator(), servers.line()
+            tenants = [tenant(operator, f"t-{i}", ports) for i in range(8)]
+            took = asyncio.run(_failover(service, tenants, times))
+        finally:
+            servers.end()
+            service.kill()
+    print(f"\nA worker killed {times} times: until the last of 8 tenants is served again")
+    print(f"{'median':>22} {statistics.median(took) * 1000:>8.1f} ms")
+    print(f"{'longest':>22} {max(took) * 1000:>8.1f} ms")
+
+
+async def _failover(service: Service, tenants: list[tuple[str, str]], times: int) -> list[float]:
+    took = []
+
+    async def until_served(host: str, key: str, mark: str) -> None:
+        tries = 0
+        while True:
+            tries += 1
+            head = {"Host": host, "X_Tenant_Id": "", "X_Tenant_Key": key}
+            data = request("/balance/1", rid=f"{mark}-{tries}", more=head)
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", service.port)
+                status, _ = await ask(reader, writer, data)
+                writer.close()
+                if status == 200:
+                    return
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.002)
+
+    for n in range(times):
+        await asyncio.gather(*(until_served(h, k, f"a{n}-{h}") for h, k in tenants))
+        victim = service.pid(f"worker-{n % 2}")
+        begin = time.monotonic()
+        os.kill(victim, signal.SIGKILL)
+        await asyncio.gather(*(until_served(h, k, f"b{n}-{h}") for h, k in tenants))
+        took.append(time.monotonic() - begin)
+        await asyncio.to_thread(service.until_ready_again, f"worker-{n % 2}", victim)
+        told(f"failover {n + 1} of {times}: {took[-1] * 1000:.1f} ms")
+    return took
+
+
 def change(times: int) -> None:
     """A class put in: its first request that is not 404."""
     with tempfile.TemporaryDirectory(prefix="tenants-") as folder:
@@ -551,7 +605,8 @@
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--pairs", type=int, default=12)
-    parser.add_argument("--only", choices=["neighbours", "cost", "change", "idle"])
+    parser.add_argument("--only", choices=["neighbours", "cost", "change", "failover", "idle"])
+    parser.add_argument("--service-cores", type=int, default=0, help="at most so many")
     parser.add_argument("--quick", action="store_true", help="a look at whether it runs")
     parser.add_argument("--part", choices=list(PARTS), help=argparse.SUPPRESS)
     parser.add_argument("arguments", nargs="?", default="[]", help=argparse.SUPPRESS)
@@ -559,11 +614,14 @@
     if options.part:
         asyncio.run(PARTS[options.part](*json.loads(options.arguments)))
         return 0
+    global SERVICE_CORES
+    SERVICE_CORES = options.service_cores
     quick = options.quick
     work: dict[str, Callable[[], None]] = {
         "neighbours": lambda: neighbours(2 if quick else options.pairs),
         "cost": lambda: cost(1 if quick else 5, 3200 if quick else 20_000),
         "change": lambda: change(5 if quick else 200),
+        "failover": lambda: failover(3 if quick else 20),
         "idle": lambda: idle(50 if quick else 1000, 5 if quick else 20),
     }
     for name, one in work.items():
