Ports: the node knows callers, links and members, and no longer its HTTP sides

Need: ISO 8583 is to pass through the same node, queues and caps. The node imported HTTP's connections on both sides and read a request's head and body itself.

A request no longer keeps the fields of its head.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -18,6 +18,7 @@
 from tansywood.service.report import Report
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
+from windrelay.assemble import HttpNode
 from windrelay.node import RESERVED, Node
 from windrelay.server import EMPTY, BadRequest, ClientConnection, Incoming, Server
 
@@ -249,7 +250,7 @@
         self.version: int = view["version"]
         self.settings: TenantSettings = read(view["document"])
         self.rev = 1
-        self.node = Node(shape.config(self.uid, self.settings), loop)
+        self.node = HttpNode(shape.config(self.uid, self.settings), loop)
         self.node.budget.limit(self.settings.limits.held_bytes)
         self.server = TenantServer(self.node, self.uid, identify)
         limits = self.settings.limits
--- a/tests/inside.py
+++ b/tests/inside.py
@@ -11,8 +11,8 @@
 
 import uvloop
 
+from windrelay.assemble import HttpNode
 from windrelay.config import load
-from windrelay.node import Node
 from windrelay.server import Server
 
 from .harness import LIMIT, config
@@ -27,7 +27,7 @@
         asyncio.set_event_loop(self.loop)
         self.logged: list[str] = []
         self.config = load(environ)
-        self.node = Node(self.config, self.loop)
+        self.node = HttpNode(self.config, self.loop)
         self.node.log = self.logged.append  # type: ignore[method-assign, assignment]
         self.server = Server(self.node)
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -159,7 +159,7 @@
 
         async def drive() -> None:
             one.node.upstream.send(a)
-            assert a.connection is not None
+            assert isinstance(a.connection, BackendConnection)
             a_conn.append(a.connection)
             await one.turns(2)  # connecting, and not told yet
             dial_timeout = one.config.settings.connect_timeout / 1e9
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -185,7 +185,7 @@
 
         now = time.monotonic_ns()
         attempts = [Attempt(None, 0, 1, now) for _ in range(2)]
-        attempts[0].connection = Broken()  # type: ignore[assignment]
+        attempts[0].connection = Broken()
 
         async def drive() -> None:
             for a in attempts:
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -26,9 +26,9 @@
 
 import uvloop  # noqa: E402
 
+from windrelay.assemble import HttpNode  # noqa: E402
 from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
-from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 
 # A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
@@ -48,7 +48,7 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config = config
         self.loop = loop
-        self.node = Node(config, loop)
+        self.node = HttpNode(config, loop)
         self.server = Server(self.node)
         self.ended = loop.create_future()
         self.give_up_at = 0.0
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -16,16 +16,11 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from heapq import heapify, heappop, heappush
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from flinthatch import Balancer, Listing, Outcome, Update
 from windrelay.config import Config
-from windrelay.discovery import Discovery
-from windrelay.upstream import Upstream
-
-if TYPE_CHECKING:
-    from windrelay.server import ClientConnection, Incoming
-    from windrelay.upstream import BackendConnection
+from windrelay.ports import Asked, Caller, Carrier, Link, Members
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -84,19 +79,16 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "live", "name",
+        "arrived", "asked", "attempts", "client", "deadline", "ended", "id", "live", "name",
         "reserved",
     )  # fmt: skip
 
-    def __init__(
-        self, rid: int, client: ClientConnection, incoming: Incoming, now: int, left: int
-    ) -> None:
+    def __init__(self, rid: int, client: Caller, asked: Asked, now: int, left: int) -> None:
         self.id = rid
-        self.client: ClientConnection | None = client
-        self.head = incoming.head
-        self.body = incoming.body
-        self.reserved = incoming.reserved
-        self.name = incoming.rid
+        self.client: Caller | None = client
+        self.asked: Any = asked  # what only its link reads; None once nothing is out any more
+        self.reserved = asked.reserved
+        self.name = asked.rid
         self.arrived = now
         self.deadline = now + left
         self.attempts: list[Attempt] = []
@@ -116,7 +108,7 @@
         self.sent = sent
         self.limit = 0
         self.closed = False
-        self.connection: BackendConnection | None = None
+        self.connection: Carrier | None = None
 
 
 def is_over(item: int | Attempt | Request) -> bool:
@@ -127,7 +119,10 @@
 
 
 class Node:
-    """Implements flinthatch.Actions over real sockets."""
+    """Implements flinthatch.Actions; whoever makes one gives it its link and its members."""
+
+    upstream: Link
+    discovery: Members
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config = config
@@ -141,8 +136,6 @@
         self.recall: Callable[[Balancer, int], None] = lambda _balancer, _now: None
         self.evict: Callable[[], bool] = lambda: False
         self.sockets = config.sockets - RESERVED
-        self.upstream = Upstream(self)
-        self.discovery = Discovery(config, self.members_told, self.log)
         self.requests: dict[int, Request] = {}
         # The clients' ids: of requests open here, and of those that ended lately.
         self.names: set[bytes] = set()
@@ -203,7 +196,7 @@
         if timers and timers[0][0] < self.armed:
             self.arm(timers[0][0])
 
-    def request(self, client: ClientConnection, incoming: Incoming, waited: int) -> Request | None:
+    def request(self, client: Caller, incoming: Asked, waited: int) -> Request | None:
         """Take a client's request; None where as many are open as the settings allow."""
         if self.open >= self.config.max_open:
             return None
@@ -231,7 +224,7 @@
         except Exception:
             self.broken()
             if not r.live:
-                self.finish(r, 502)
+                self.fail_at_once(r)
         finally:
             self.leave()
         return r
@@ -298,7 +291,7 @@
         except Exception:
             self.broken()
             if r is not None and not r.live:
-                self.finish(r, 502)
+                self.fail_at_once(r)
         if r is not None:
             self.forget(r)
 
@@ -317,24 +310,23 @@
             self.ended_names.add(r.name)
             self.dead_timers += 1 + len(r.attempts)
             # Its timers hold it for up to its deadline, and it them in a ring.
-            r.body = []
-            r.head = b""
+            r.asked = None
             r.attempts = []
             self.budget.give(r.reserved)
 
-    def finish(self, r: Request, status: int, retry_after: int = 0) -> None:
-        """Give a request its final answer without service."""
+    def fail_at_once(self, r: Request, late: bool = False) -> None:
+        """Give a request its final answer: failed."""
         if r.ended:
             return
         client = r.client
         self.end(r)
         if client is not None:
-            client.answer_empty(status, retry_after)
+            client.failed(late)
 
     def fail_all(self) -> None:
         """At the very end of a stop: whatever is still held gets its answer."""
         for r in list(self.requests.values()):
-            self.finish(r, 502)
+            self.fail_at_once(r)
 
     # ---- actions ------------------------------------------------------
 
@@ -360,13 +352,17 @@
 
     def refuse(self, request: int, retry_after: int) -> None:
         r = self.requests.get(request)
-        if r is not None:
-            self.finish(r, 503, retry_after)
+        if r is None or r.ended:
+            return
+        client = r.client
+        self.end(r)
+        if client is not None:
+            client.refused(retry_after)
 
     def fail(self, request: int) -> None:
         r = self.requests.get(request)
         if r is not None:
-            self.finish(r, 502)
+            self.fail_at_once(r)
 
     def cancel(self, request: int, attempt: int) -> None:
         r = self.requests.get(request)
@@ -466,7 +462,7 @@
     def overdue(self, r: Request) -> None:
         """The module owed an answer and gave none; the client must not be left waiting."""
         self.log(f"request {r.id} was overdue")
-        self.finish(r, 504)
+        self.fail_at_once(r, late=True)
         self.balancer.on_gone(self.now, r.id)
 
     # ---- faults of our own ---------------------------------------------
--- /dev/null
+++ b/windrelay/ports.py
@@ -0,0 +1,88 @@
+"""What the node asks of whoever asks it, carries for it, and tells it of servers.
+
+The node knows requests by class, key, deadline and time; what a request says is a message that
+only the link for its protocol reads. A second protocol is a second caller and a second link:
+nothing in the node changes for it. HTTP's are in `server` and `upstream`, the list's in
+`discovery`; `assemble` puts them together.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+from flinthatch import Listing
+
+if TYPE_CHECKING:
+    from windrelay.node import Attempt
+
+
+class Caller(Protocol):
+    """Whoever asked. Exactly one of these is called for each request, and once; or none, where
+    the caller has told `Node.client_gone` before."""
+
+    def answer(self, *answer: Any) -> None:
+        """Served: what the link for the request's protocol got of a server."""
+
+    def refused(self, retry_after: int) -> None:
+        """It never ran; it may come again after so many nanoseconds, 0 where nobody says when."""
+
+    def failed(self, late: bool) -> None:
+        """It may have run, or nobody could be asked; `late` where its time is over."""
+
+
+class Asked(Protocol):
+    """A request as its front has read it; the node keeps it until the last attempt has ended."""
+
+    cls: int
+    tenant: int
+    key: int
+    hint: int
+    retried: bool
+    timeout: int  # nanoseconds from its arrival
+    rid: bytes  # unlike that of any other request
+    reserved: int  # bytes of the node's budget that it holds
+
+
+class Carrier(Protocol):
+    """What carries one attempt at present."""
+
+    def abandon(self) -> bool:
+        """Let go: whatever comes late must reach nobody. False where the request's last byte
+        was certainly never written."""
+
+
+class Link(Protocol):
+    """Connections to servers, for one protocol. It concludes each attempt once."""
+
+    count: int  # descriptors, dials included
+
+    def send(self, attempt: Attempt) -> None:
+        """Carry it; `attempt.connection` is what does, unless it was concluded at once."""
+
+    def drop_idle(self, backend: int) -> None:
+        """A server has moved, drains or has left: keep nothing at rest for it."""
+
+    def drop_oldest(self) -> bool:
+        """Give a descriptor back; False where none can be missed."""
+
+    def sweep(self, now: int) -> None:
+        """Now and then: give up what has rested for too long."""
+
+
+class Members(Protocol):
+    """A source of servers; it tells `Node.members_told` of each update."""
+
+    def known(self, raw: Any) -> list[Listing]:
+        """The list that a configuration holds; ValueError where it can't be used."""
+
+    def watch(self) -> None:
+        """Ask for changes, until a call fails."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list."""
+
+    def move(self, address: Any) -> None:
+        """Go on at another address."""
+
+    def close(self) -> None:
+        """Tell nothing any more."""
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -98,6 +98,9 @@
 )  # fmt: skip
 
 
+READ_ALREADY: dict[bytes, bytes] = {}
+
+
 class BadRequest(Exception):
     """The request gets this status and its connection is closed."""
 
@@ -324,6 +327,7 @@
             node.budget.give(incoming.reserved)
             self._reject(400, "the id of another request")
             return
+        incoming.fields = READ_ALREADY  # the rest is kept as long as the request is
         waited = time.monotonic_ns() - incoming.received
         # Set first: the answer may come before the call returns.
         request = node.request(self, incoming, waited)
@@ -352,6 +356,12 @@
             head += b"Retry-After: %.3f\r\n" % (retry_after / 1e9)
         self._write_head(head)
 
+    def refused(self, retry_after: int) -> None:
+        self.answer_empty(503, retry_after)
+
+    def failed(self, late: bool) -> None:
+        self.answer_empty(504 if late else 502, 0)
+
     def _closes(self) -> bool:
         server = self._server
         return (
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -19,7 +19,8 @@
 from windrelay.guard import ends_connection
 
 if TYPE_CHECKING:
-    from windrelay.node import Attempt, Node
+    from windrelay.assemble import HttpNode
+    from windrelay.node import Attempt
 
 MAX_BODY = 64 << 10  # of an answer: the protocol's own bound
 MAX_HEAD = 16 << 10  # of an answer and of what comes ahead of it
@@ -182,8 +183,9 @@
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
         else:
             left = attempt.sent + attempt.limit - time.monotonic_ns()
-            head = b"%s%d\r\n\r\n" % (r.head, max(left // MS, 1))
-            head = b"".join((head, *r.body))
+            asked = r.asked
+            head = b"%s%d\r\n\r\n" % (asked.head, max(left // MS, 1))
+            head = b"".join((head, *asked.body))
         transport = self.transport
         assert transport is not None
         # One write, never more than a head and 64 KiB. Where the write itself fails the
@@ -535,7 +537,7 @@
 
     __slots__ = ("by_age", "count", "idle", "idle_limit", "node")
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: HttpNode) -> None:
         self.node = node
         self.count = 0  # descriptors, dials included
         self.idle: dict[int, list[BackendConnection]] = {}
