--- /dev/null
+++ b/tansywood/iso8583/link.py
@@ -0,0 +1,341 @@
+"""Connections to ISO 8583 servers: one carries many attempts at a time (windrelay's Link port).
+
+The line that the rules hang on is the same as for HTTP: an attempt whose last byte has
+certainly not left this process never ran; of any other it is in doubt. On one connection that
+is counted: an attempt's last byte is the n-th of the stream, and what the transport still
+holds has not left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import cast
+
+from flinthatch import Outcome
+from tansywood.iso8583.codec import Codec, IsoError, Message
+from tansywood.iso8583.framing import Framer, Framing, FramingError, frame
+from tansywood.iso8583.machine import Answer, Broken, Event, Link, Reply, Stans, State
+from tansywood.iso8583.mapping import Mapping, of_many
+from windrelay.config import Address
+from windrelay.discovery import Discovery
+from windrelay.node import Attempt, Node
+
+MS = 1_000_000
+REST_MS = 300_000  # of a trace number: longer than any deadline there may be
+CONNECTIONS = 2  # to one server
+TPDU = bytes(5)
+
+
+def transmission_time() -> str:
+    """Field 7: month, day and time of the day in UTC."""
+    return time.strftime("%m%d%H%M%S", time.gmtime())
+
+
+class Carried:
+    """One attempt on its connection (windrelay's Carrier port)."""
+
+    __slots__ = ("attempt", "conn", "end")
+
+    def __init__(self, conn: ServerConnection, attempt: Attempt) -> None:
+        self.conn = conn
+        self.attempt = attempt
+        self.end = 0  # of its last byte in the stream; 0 while it waits for the connection
+
+    def abandon(self) -> bool:
+        return self.conn.abandon(self)
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection to one server, from its dialling to its end."""
+
+    def __init__(self, link: IsoLink, backend: int, address: Address) -> None:
+        self.link = link
+        self.backend = backend
+        self.address = address
+        self.machine = Link(Stans(REST_MS), link.most, sign_on=link.sign_on)
+        self.framer = Framer(link.framing)
+        self.transport: asyncio.Transport | None = None
+        self.waiting: list[Carried] = []  # for the dial and the sign-on
+        self.carried: dict[Attempt, Carried] = {}
+        self.sent = 0  # bytes given to the transport
+        self.over = False
+        self.drains = False  # nothing new: its server leaves
+        self.timer = link.node.loop.call_later(
+            link.node.config.settings.connect_timeout / 1e9, self.late
+        )
+        self.task = link.node.loop.create_task(self.dial())
+        self.task.add_done_callback(self.dialled)
+
+    async def dial(self) -> None:
+        host, port = self.address
+        loop = self.link.node.loop
+        await loop.create_connection(lambda: self, host, port, family=socket.AF_INET)
+
+    def dialled(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is not None:
+            self.ended("no connection")
+
+    def late(self) -> None:
+        if self.machine.state != State.SIGNED:
+            self.ended("neither connected nor signed on in time")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.over:
+            self.transport.abort()
+            return
+        first = self.machine.start(self.link.now_ms(), transmission_time())
+        if first is not None:
+            self.write(first)
+        else:
+            self.signed()
+
+    def signed(self) -> None:
+        self.timer.cancel()
+        waiting, self.waiting = self.waiting, []
+        for one in waiting:
+            self.send(one)
+
+    # ---- attempts ----
+
+    def takes(self) -> bool:
+        """Whether one more attempt may go this way."""
+        if self.over or self.drains:
+            return False
+        if self.machine.state == State.SIGNED:
+            return self.machine.room()
+        return len(self.waiting) < self.link.most
+
+    def carry(self, attempt: Attempt) -> None:
+        one = Carried(self, attempt)
+        attempt.connection = one
+        self.carried[attempt] = one
+        if self.machine.state == State.SIGNED:
+            self.send(one)
+        else:
+            self.waiting.append(one)
+
+    def send(self, one: Carried) -> None:
+        r = one.attempt.request
+        assert r is not None
+        message = self.machine.send(self.link.now_ms(), one, r.asked.message)
+        if message is None:
+            self.conclude(one, Outcome.MOOT)
+            return
+        try:
+            self.write(message)
+        except IsoError as err:  # it was read by another dialect than this server's
+            self.machine.give_up(self.link.now_ms(), one)
+            self.link.node.log(f"backend {self.backend}: not sent: {err}")
+            self.conclude(one, Outcome.MOOT)
+            return
+        one.end = self.sent
+
+    def write(self, message: Message) -> None:
+        link, transport = self.link, self.transport
+        assert transport is not None
+        tpdu = TPDU if link.framing.tpdu else b""
+        data = frame(link.framing, link.codec.encode(message), tpdu)
+        transport.write(data)
+        self.sent += len(data)
+
+    def left(self, one: Carried) -> bool:
+        """Whether its last byte may have left the process."""
+        if not one.end:
+            return False
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return True  # what the transport held is not known any more
+        return self.sent - transport.get_write_buffer_size() >= one.end
+
+    def abandon(self, one: Carried) -> bool:
+        """Wait for it no longer; the connection and what else is on it stay."""
+        left = self.left(one)
+        self.carried.pop(one.attempt, None)
+        if one in self.waiting:
+            self.waiting.remove(one)
+        elif left:
+            self.machine.give_up(self.link.now_ms(), one)
+        elif one.end:
+            # Half of it lies in the buffer, behind others: the stream can't be cut there.
+            self.machine.give_up(self.link.now_ms(), one)
+            self.ended("an attempt was given up before it had left")
+        return left
+
+    def conclude(self, one: Carried, outcome: Outcome) -> None:
+        self.carried.pop(one.attempt, None)
+        self.link.node.conclude(one.attempt, outcome)
+
+    # ---- what comes ----
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            frames = self.framer.feed(data)
+            for one in frames:
+                if self.over:
+                    return
+                self.event(self.machine.received(self.link.now_ms(), self.decode(one.body)))
+        except (FramingError, IsoError) as err:
+            self.ended(f"what it sent can't be read: {err}")
+
+    def decode(self, body: bytes) -> Message:
+        return self.link.codec.decode(body)
+
+    def event(self, event: Event | None) -> None:
+        if isinstance(event, Answer):
+            one = cast(Carried, event.token)
+            outcome = self.link.mapping.outcome(event.message)
+            r = one.attempt.request
+            if outcome == Outcome.OK and r is not None and r.client is not None and not r.ended:
+                r.client.answer(event.message)
+            self.conclude(one, outcome)
+            self.link.rests(self)
+        elif isinstance(event, Reply):
+            self.write(event.message)
+        elif isinstance(event, Broken):
+            self.ended(event.why, event)
+        elif event is not None:
+            self.link.strays += 1
+        elif self.machine.state == State.SIGNED and self.waiting:
+            self.signed()
+        elif self.machine.state == State.SIGNED:
+            self.timer.cancel()
+
+    def sweep(self) -> None:
+        if self.transport is None or self.over:
+            return
+        event = self.machine.tick(self.link.now_ms(), transmission_time())
+        if isinstance(event, Broken):
+            self.ended(event.why, event)
+        elif event is not None:
+            self.write(event)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended(str(exc or "it ended"))
+
+    def ended(self, why: str, broken: Broken | None = None) -> None:
+        """The connection is of no more use: each attempt on it gets its one outcome."""
+        if self.over:
+            return
+        self.over = True
+        self.timer.cancel()
+        connected = self.transport is not None
+        outstanding = [cast(Carried, t) for t in (broken or self.machine.broke(why)).outstanding]
+        outcomes = of_many([self.left(one) for one in outstanding])
+        waiting, self.waiting = self.waiting, []
+        self.link.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+        else:
+            self.task.cancel()
+        if outstanding or waiting:
+            self.link.node.log(
+                f"backend {self.backend}: {why}, {len(outstanding)} messages outstanding"
+            )
+        for one, outcome in zip(outstanding, outcomes, strict=True):
+            self.conclude(one, outcome)
+        for n, one in enumerate(waiting):
+            # A dial that failed is one piece of news of the server, too.
+            lost = n == 0 and not (connected and outstanding)
+            self.conclude(one, Outcome.CONNECT_FAILED if lost else Outcome.MOOT)
+
+
+class IsoLink:
+    """All connections to a node's ISO 8583 servers (windrelay's Link port)."""
+
+    def __init__(
+        self,
+        node: IsoNode,
+        codec: Codec,
+        framing: Framing,
+        mapping: Mapping,
+        most: int = 64,
+        sign_on: bool = True,
+        now_ms: Callable[[], int] = lambda: time.monotonic_ns() // MS,
+    ) -> None:
+        self.node = node
+        self.codec = codec
+        self.framing = framing
+        self.mapping = mapping
+        self.most = most  # messages outstanding on one connection
+        self.sign_on = sign_on
+        self.now_ms = now_ms
+        self.strays = 0  # answers that served nobody
+        self.conns: dict[int, list[ServerConnection]] = {}
+
+    @property
+    def count(self) -> int:
+        return sum(map(len, self.conns.values()))
+
+    @count.setter
+    def count(self, value: int) -> None:
+        raise AttributeError("it is counted")
+
+    def send(self, attempt: Attempt) -> None:
+        backend = attempt.backend
+        if attempt.request is None:
+            self.node.conclude(attempt, Outcome.MOOT)  # a probe: echoes do that here
+            return
+        address = self.node.discovery.roster.endpoints.get(backend)
+        if address is None:
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            return
+        conns = self.conns.setdefault(backend, [])
+        for conn in conns:
+            if conn.address == address and conn.takes():
+                conn.carry(attempt)
+                return
+        if len(conns) >= CONNECTIONS:
+            self.node.conclude(attempt, Outcome.FULL)
+        elif not self.node.room_for_upstream():
+            self.node.conclude(attempt, Outcome.MOOT)
+        else:
+            conn = ServerConnection(self, backend, address)
+            conns.append(conn)
+            conn.carry(attempt)
+
+    def forget(self, conn: ServerConnection) -> None:
+        conns = self.conns.get(conn.backend, [])
+        if conn in conns:
+            conns.remove(conn)
+        if not conns:
+            self.conns.pop(conn.backend, None)
+        self.node.freed()
+
+    def rests(self, conn: ServerConnection) -> None:
+        if conn.drains and not conn.carried:
+            conn.ended("its server has left")
+
+    def drop_idle(self, backend: int) -> None:
+        """A server that moves, drains or has left keeps its connections for what is on them."""
+        for conn in list(self.conns.get(backend, ())):
+            conn.drains = True
+            self.rests(conn)
+
+    def drop_oldest(self) -> bool:
+        for conns in self.conns.values():
+            for conn in conns:
+                if not conn.carried and conn.machine.state == State.SIGNED:
+                    conn.ended("its descriptor is wanted")
+                    return True
+        return False
+
+    def sweep(self, now: int) -> None:
+        for conns in list(self.conns.values()):
+            for conn in list(conns):
+                conn.sweep()
+
+    def close(self) -> None:
+        for conns in list(self.conns.values()):
+            for conn in list(conns):
+                conn.ended("the node stops")
+
+
+class IsoNode(Node):
+    """A node whose servers speak ISO 8583."""
+
+    upstream: IsoLink
+    discovery: Discovery
