--- a/standins/servers.py
+++ b/standins/servers.py
@@ -113,6 +113,7 @@
                 return
             self.buffer = rest[size:]
             self.server.last_head = head
+            self.server.requests += 1
             self.requested(first.split(" ")[1], headers.get("x-request-id", ""))
 
     def requested(self, path: str, rid: str) -> None:
@@ -176,6 +177,7 @@
         self.connections: set[Connection] = set()
         self.port = 0  # of its first start on, for good
         self.accepted = 0
+        self.requests = 0
         self.last_head = b""
         self.runs = 0
         self.boot_ms = 0
