ISO 8583 messages pass as their own bytes but for the trace number; a late loop's dials

And a loop that was busy for longer than a dial may take gave up connections that the kernel had finished.

Change: the codec says where field 11 stands, and link and front put six digits in there; an answer is kept for repeats and written from the same bytes. A dial's time is looked at some turns after it is up, as HTTP's is. benchmarks/iso8583 measures messages through a node beside HTTP's, and ten thousand at once.

--- a/benchmarks/iso8583.py
+++ b/benchmarks/iso8583.py
@@ -1,26 +1,43 @@
-"""Encoding and decoding a credit's message, beside an independent library in the same run.
+"""The codec beside an independent library, and messages through a node beside HTTP's.
 
-    python -m benchmarks.iso8583 [--rounds N]
+    python -m benchmarks.iso8583 [--rounds N] [--requests N]
 
-Both read and write the same bytes by the same dialect. Each round times both in turn; the
+Both codecs read and write the same bytes by the same dialect. Each round times both in turn; the
 table gives medians with the range of the rounds, and the ratio of each round by itself.
 """
 
 from __future__ import annotations
 
 import argparse
+import asyncio
 import copy
+import gc
+import json
 import statistics
+import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import iso8583
 from iso8583.specs import default
 
+from benchmarks.request_cost import SETTINGS, Server, cpu_s, play
+from standins.platform import config, roster, target
+from standins.service import memory_mb
 from tansywood.iso8583.codec import Codec, Message
-from tansywood.iso8583.dialect import parse
+from tansywood.iso8583.dialect import load, parse
+from tansywood.iso8583.framing import Framer, Framing, frame
+from tansywood.iso8583.front import IsoServer
+from tansywood.iso8583.link import IsoLink, IsoNode
+from tansywood.iso8583.machine import reply_to
+from tansywood.iso8583.mapping import Mapping, Rule
+from windrelay.config import load as load_config
+from windrelay.discovery import Discovery
 
 COUNT = 5000
 FIELDS: dict[int, str | bytes] = {
@@ -79,10 +96,225 @@
     return (time.perf_counter() - begin) * 1e6 / COUNT
 
 
+# ---- through a node: `python -m benchmarks.iso8583 --part NAME` are its processes ----
+
+FRAMING = Framing("binary2")
+DIALECT = Path(__file__).resolve().parent.parent / "tansywood/iso8583/dialects/basic1987.json"
+SERVERS = 4
+CONNECTIONS = 32
+
+
+class Fast(asyncio.Protocol):
+    """A server that answers at once, or after `late` seconds."""
+
+    late = 0.0
+    codec = Codec(load(DIALECT))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.framer = Framer(FRAMING)
+
+    def data_received(self, data: bytes) -> None:
+        made = []
+        for one in self.framer.feed(data):
+            message = self.codec.decode(one.body)
+            made.append(frame(FRAMING, self.codec.encode(reply_to(message, "00"))))
+        if self.late:
+            asyncio.get_running_loop().call_later(self.late, self.transport.write, b"".join(made))
+        else:
+            self.transport.write(b"".join(made))
+
+
+async def part_servers(late: float) -> None:
+    Fast.late = late
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(Fast, "127.0.0.1", 0) for _ in range(SERVERS)]
+    print(json.dumps([s.sockets[0].getsockname()[1] for s in servers]), flush=True)
+    await asyncio.sleep(1800)
+
+
+async def part_node(ports: list[int], most: int) -> None:
+    """A node that speaks ISO 8583 on both sides, under request_cost's settings."""
+    loop = asyncio.get_running_loop()
+    known = roster(*(target(f"s-{i}", port) for i, port in enumerate(ports)))
+    with tempfile.TemporaryDirectory(prefix="iso-") as folder:
+        told = load_config(config(Path(folder), known, 1, settings=SETTINGS))
+    codec = Codec(load(DIALECT))
+    mapping = Mapping((Rule("balance", "02", "31"), Rule("credit", "02", "91")))
+    node = IsoNode(replace(told, max_open=100_000), loop)
+    node.budget.limit(512 << 20)
+    node.discovery = Discovery(node.config, node.members_told, node.log)
+    node.upstream = IsoLink(node, codec, FRAMING, mapping, most)
+    front = IsoServer(node, codec, FRAMING, mapping, b"secret")
+    node.start()
+    port = await front.listen(told.listen)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(5_000, 10, 20)
+    print(json.dumps(port), flush=True)
+
+    def sweep() -> None:
+        loop.call_later(0.25, sweep)
+        node.sweep()
+        front.sweep()
+
+    sweep()
+    await asyncio.sleep(1800)
+
+
+PARTS: dict[str, Callable[..., Any]] = {"servers": part_servers, "node": part_node}
+
+
+class Part:
+    """One of the processes above."""
+
+    def __init__(self, name: str, *arguments: object) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks.iso8583", "--part", name, json.dumps(arguments)],
+            cwd=Path(__file__).resolve().parent.parent,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.told = json.loads(self.process.stdout.readline())
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def a_request(codec: Codec, name: str, number: int) -> bytes:
+    """A third credits, with what HTTP's requests have for a body."""
+    fields: dict[int, str | bytes] = {
+        2: "4111111111111111",
+        3: "310000" if number % 3 else "910000",
+        4: "000000002500",
+        7: f"{number // 999_999:010d}",
+        11: f"{number % 999_999 + 1:06d}",
+        41: f"{name:8.8}",
+        48: "x" * 100,
+    }
+    return frame(FRAMING, codec.encode(Message("0200", fields)))
+
+
+async def asks_iso(codec: Codec, port: int, count: int, name: str, base: int) -> int:
+    """So many in turn on one connection; how many were served."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    served = 0
+    for n in range(count):
+        writer.write(a_request(codec, name, base + n))
+        size = int.from_bytes(await reader.readexactly(2), "big")
+        served += codec.decode(await reader.readexactly(size)).fields[39] == "00"
+    writer.close()
+    return served
+
+
+async def through(rounds: int, requests: int) -> None:
+    """CPU for each message through the node, beside HTTP's in the same round."""
+    codec = Codec(load(DIALECT))
+    each = requests // CONNECTIONS
+    iso: list[float] = []
+    http: list[float] = []
+    loop = asyncio.get_running_loop()
+    fast = [await loop.create_server(Server, "127.0.0.1", 0) for _ in range(SERVERS)]
+    http_ports = [int(s.sockets[0].getsockname()[1]) for s in fast]
+
+    async def play_iso() -> float:
+        servers = Part("servers", 0.0)
+        node = Part("node", servers.told, 64)
+        try:
+            pid = node.process.pid
+            names = [f"T{i:04d}" for i in range(CONNECTIONS)]
+            await asyncio.gather(*(asks_iso(codec, node.told, 20, n, 0) for n in names))
+            before = cpu_s(pid)
+            done = await asyncio.gather(*(asks_iso(codec, node.told, each, n, 100) for n in names))
+            spent = cpu_s(pid) - before
+        finally:
+            node.end()
+            servers.end()
+        if sum(done) < 0.98 * each * CONNECTIONS:
+            raise RuntimeError(f"only {sum(done)} of {each * CONNECTIONS} were served")
+        return spent * 1e6 / (each * CONNECTIONS)
+
+    async def play_http() -> float:
+        with tempfile.TemporaryDirectory(prefix="iso-") as folder:
+            known = roster(*(target(f"s-{i}", port) for i, port in enumerate(http_ports)))
+            environ = config(Path(folder), known, 1, settings=SETTINGS)
+            command = [sys.executable, "-B", "-m", "windrelay"]
+            root = Path(__file__).resolve().parent.parent
+            return await play(command, root, environ, requests, Path(folder) / "log")
+
+    for n in range(rounds):
+        for first in (True, False) if n % 2 else (False, True):
+            (iso if first else http).append(await (play_iso() if first else play_http()))
+        print(f"round {n + 1} of {rounds}: ISO 8583 {iso[-1]:.1f} us, HTTP {http[-1]:.1f}",
+              file=sys.stderr, flush=True)  # fmt: skip
+    print("\nthrough a node: CPU for each message, microseconds")
+    ratios = [a / b for a, b in zip(iso, http, strict=True)]
+    for name, values in (("ISO 8583", iso), ("HTTP", http), ("ratio", ratios)):
+        print(f"{name:>10} {statistics.median(values):>8.2f} "
+              f"({min(values):.2f} to {max(values):.2f})")  # fmt: skip
+    for server in fast:
+        server.close()
+
+
+async def outstanding(count: int, connections: int, late: float) -> None:
+    """So many messages open at once on so many connections: memory, and how late the last are."""
+    codec = Codec(load(DIALECT))
+    servers = Part("servers", late)
+    node = Part("node", servers.told, count)
+    pid = node.process.pid
+    times: list[float] = []
+    try:
+        before = memory_mb(pid)
+        most = before
+
+        async def one(i: int) -> int:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.told)
+            served = 0
+            sent: dict[str, float] = {}
+            for n in range(count // connections):
+                # Balances alone: what is open here is what the module lets out.
+                writer.write(a_request(codec, f"O{i:04d}", 3 * n + 1))
+                sent[f"{(3 * n + 1) % 999_999 + 1:06d}"] = time.monotonic()
+            for _ in range(count // connections):
+                size = int.from_bytes(await reader.readexactly(2), "big")
+                message = codec.decode(await reader.readexactly(size))
+                times.append(time.monotonic() - sent[str(message.fields[11])])
+                served += message.fields[39] == "00"
+            writer.close()
+            return served
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                most = max(most, memory_mb(pid))
+                await asyncio.sleep(0.02)
+
+        watching = asyncio.create_task(watch())
+        served = sum(await asyncio.gather(*(one(i) for i in range(connections))))
+        watching.cancel()
+    finally:
+        node.end()
+        servers.end()
+    times.sort()
+    print(f"\n{count} messages at once on {connections} connections: {served} served, the rest "
+          f"refused; {most - before:.1f} MB more at most ({(most - before) * 1024 / count:.1f} KB "
+          f"each), p99 of all answers {times[int(0.99 * len(times))] * 1000:.0f} ms")  # fmt: skip
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--rounds", type=int, default=9)
-    rounds = parser.parse_args().rounds
+    parser.add_argument("--requests", type=int, default=20_000)
+    parser.add_argument("--part", choices=list(PARTS), help=argparse.SUPPRESS)
+    parser.add_argument("arguments", nargs="?", default="[]", help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.part:
+        asyncio.run(PARTS[options.part](*json.loads(options.arguments)))
+        return 0
+    rounds = options.rounds
     codec, spec = ours(), theirs()
     message = Message("0200", dict(FIELDS))
     doc = {"t": "0200"} | {
@@ -107,6 +339,8 @@
                 f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
             )
         print(f"{name:>8} {cells[0]:>24} {cells[1]:>24} {cells[2]:>28}")
+    asyncio.run(through(rounds, options.requests))
+    asyncio.run(outstanding(10_000, 16, 0.02))
     return 0
 
 
--- a/tansywood/iso8583/codec.py
+++ b/tansywood/iso8583/codec.py
@@ -261,6 +261,14 @@
         for number, spec in dialect.fields.items():
             self._readers[number] = _reader(spec)
             self._writers[number] = _writer(spec)
+        # Bytes of the fields of fixed length.
+        self._fixed = {
+            number: (spec.length + 1) // 2 if spec.encoding == "bcd" else spec.length
+            for number, spec in dialect.fields.items()
+            if not spec.digits
+        }
+        self._stan_fixed = 11 in self._fixed
+        self._mti_size = 2 if dialect.mti == "bcd" else 4
         self._digit = VERSIONS[dialect.version]
         self._mti = FieldSpec(0, "MTI", "n", dialect.mti, 4)
         self._read_mti = _reader(self._mti)
@@ -275,6 +283,33 @@
 
     # ---- reading ----
 
+    def decode_at(self, data: bytes) -> tuple[Message, int]:
+        """The message, and where in its bytes field 11 begins; -1 where that can't be told."""
+        message = self.decode(data)
+        return message, self._stan_at(data) if 11 in message.fields else -1
+
+    def _stan_at(self, data: bytes) -> int:
+        """By the bitmap: what stands before field 11 is mostly of fixed length."""
+        if not self._stan_fixed:
+            return -1
+        at = self._mti_size
+        size = 16 if self._hex else 8
+        plan = self._reads.get(data[at : at + size]) or self._reads.get(data[at : at + 2 * size])
+        if plan is None:
+            return -1
+        at += plan[0]
+        for number, read in plan[1]:
+            if number == 11:
+                return at
+            length = self._fixed.get(number)
+            at = at + length if length is not None else read(data, at)[1]
+        return -1
+
+    def with_stan(self, data: bytes, at: int, stan: str) -> bytes:
+        """The same message under another trace number of six digits."""
+        made = self._writers[11](stan)
+        return data[:at] + made + data[at + len(made) :]
+
     def decode(self, data: bytes) -> Message:
         """The message, whole: nothing may follow its last field. IsoError on anything else."""
         mti, at = self._read_mti(data, 0)
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -27,19 +27,26 @@
     """A request as the node has it (windrelay's Asked port)."""
 
     __slots__ = (
-        "cls", "hint", "key", "message", "reserved", "retried", "rid", "tenant", "timeout",
+        "at", "cls", "codec", "hint", "key", "message", "raw", "reserved", "retried", "rid",
+        "tenant", "timeout",
     )  # fmt: skip
 
-    def __init__(self, message: Message, cls: int, timeout: int, rid: str, size: int) -> None:
+    def __init__(
+        self, codec: Codec, caller: Caller, cls: int, timeout: int, raw: bytes, at: int
+    ) -> None:
+        message = caller.message
+        self.codec = codec
         self.message = message
+        self.raw = raw
+        self.at = at  # of its trace number in these bytes
         self.cls = cls
         self.tenant = 0
         self.key = 0
         self.hint = 0
         self.retried = repeats_first(message)
         self.timeout = timeout
-        self.rid = rid.encode()
-        self.reserved = size
+        self.rid = caller.key.encode()
+        self.reserved = len(raw)
 
 
 def repeats_first(message: Message) -> bool:
@@ -59,17 +66,19 @@
         self.request: NodeRequest | None = None
 
     def answer(self, *answer: Any) -> None:
-        """Served. What the server's answer has goes back; who asked is as he asked."""
-        (message,) = answer
-        self.conn.server.settle(self, cast(Message, message), ran=True)
+        """Served: the bytes of the answer, under the caller's own trace number."""
+        (raw,) = answer
+        self.conn.server.settle(self, cast(bytes, raw), ran=True)
 
     def refused(self, retry_after: int) -> None:
         server = self.conn.server
-        server.settle(self, reply_to(self.message, server.mapping.refused), ran=False)
+        answer = reply_to(self.message, server.mapping.refused)
+        server.settle(self, server.codec.encode(answer), ran=False)
 
     def failed(self, late: bool) -> None:
         server = self.conn.server
-        server.settle(self, reply_to(self.message, server.mapping.failed), ran=True)
+        answer = reply_to(self.message, server.mapping.failed)
+        server.settle(self, server.codec.encode(answer), ran=True)
 
 
 class TerminalConnection(asyncio.Protocol):
@@ -107,20 +116,21 @@
                 self.transport.close()
 
     def received(self, one: Frame) -> None:
-        message = self.server.codec.decode(one.body)
+        message, at = self.server.codec.decode_at(one.body)
         event = self.front.received(message)
         if isinstance(event, Reply):
             self.write(event.message, one.tpdu)
         elif isinstance(event, Request):
-            self.server.request(self, message, one)
+            self.server.request(self, message, one, at)
 
     def write(self, message: Message, tpdu: bytes) -> None:
+        self.put(self.server.codec.encode(message), tpdu)
+
+    def put(self, body: bytes, tpdu: bytes) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        server = self.server
-        body = server.codec.encode(message)
-        transport.write(frame(server.framing, body, answering(tpdu) if tpdu else b""))
+        transport.write(frame(self.server.framing, body, answering(tpdu) if tpdu else b""))
         if transport.get_write_buffer_size() > BEHIND:
             transport.abort()  # it takes nothing: what it missed it may ask again
 
@@ -165,7 +175,7 @@
             if conn.transport is not None:
                 conn.transport.close()
 
-    def request(self, conn: TerminalConnection, message: Message, one: Frame) -> None:
+    def request(self, conn: TerminalConnection, message: Message, one: Frame, at: int) -> None:
         """A message for the node: a new one, or a repeat of one that it knows."""
         cls = self.mapping.class_of(message)
         number = self.numbers.get(cls) if cls is not None else None
@@ -184,33 +194,32 @@
         elif verdict == Verdict.LOST:
             conn.write(reply_to(message, self.mapping.failed), one.tpdu)
         elif verdict == Verdict.AGAIN:
-            conn.write(self.codec.decode(bytes.fromhex(answer)), one.tpdu)
+            conn.put(bytes.fromhex(answer), one.tpdu)
         else:
             conn.open += 1
             if verdict == Verdict.NEW:
-                self.begin(caller, number, len(one.body))
+                self.begin(caller, number, one.body, at)
 
-    def begin(self, caller: Caller, number: int, size: int) -> None:
-        node = self.node
+    def begin(self, caller: Caller, number: int, raw: bytes, at: int) -> None:
+        node, size = self.node, len(raw)
         timeout = node.config.settings.classes[number].deadline
-        asked = Asked(caller.message, number, timeout, caller.key, size)
+        asked = Asked(self.codec, caller, number, timeout, raw, at)
         node.budget.take(size)
         request = node.request(caller, asked, 0)
         if request is None:
             node.budget.give(size)
             caller.refused(0)
 
-    def settle(self, caller: Caller, answer: Message, ran: bool) -> None:
+    def settle(self, caller: Caller, answer: bytes, ran: bool) -> None:
         """The one answer of a request, and the same for each that joined it. What never ran
         is not kept: its repeat is tried anew."""
         if ran:
-            raw = self.codec.encode(answer).hex()
-            joined = self.repeats.answered(caller.key, raw, self.now_ms())
+            joined = self.repeats.answered(caller.key, answer.hex(), self.now_ms())
         else:
             joined = self.repeats.never_ran(caller.key)
         for one in (caller, *joined):
             one.conn.open -= 1
-            one.conn.write(answer, one.tpdu)
+            one.conn.put(answer, one.tpdu)
 
     def sweep(self) -> None:
         self.repeats.expired(self.now_ms())
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -22,6 +22,7 @@
 from windrelay.config import Address
 from windrelay.discovery import Discovery
 from windrelay.node import Attempt, Node
+from windrelay.upstream import LAST_TURNS
 
 MS = 1_000_000
 REST_MS = 300_000  # of a trace number: longer than any deadline there may be
@@ -64,7 +65,7 @@
         self.over = False
         self.drains = False  # nothing new: its server leaves
         self.timer = link.node.loop.call_later(
-            link.node.config.settings.connect_timeout / 1e9, self.late
+            link.node.config.settings.connect_timeout / 1e9, self.late, LAST_TURNS
         )
         self.task = link.node.loop.create_task(self.dial())
         self.task.add_done_callback(self.dialled)
@@ -78,8 +79,13 @@
         if task.cancelled() or task.exception() is not None:
             self.ended("no connection")
 
-    def late(self) -> None:
-        if self.machine.state != State.SIGNED:
+    def late(self, turns: int) -> None:
+        if self.over or self.machine.state == State.SIGNED:
+            return
+        if turns:
+            # What the kernel has by now is told first: see windrelay's dials.
+            self.link.node.loop.call_soon(self.late, turns - 1)
+        else:
             self.ended("neither connected nor signed on in time")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,8 +131,14 @@
         if message is None:
             self.conclude(one, Outcome.MOOT)
             return
+        asked = r.asked
         try:
-            self.write(message)
+            if asked.at >= 0 and asked.codec is self.link.codec:
+                # Its bytes are those of the caller but for the trace number.
+                stan = str(message.fields[11])
+                self.put(self.link.codec.with_stan(asked.raw, asked.at, stan))
+            else:
+                self.write(message)
         except IsoError as err:  # it was read by another dialect than this server's
             self.machine.give_up(self.link.now_ms(), one)
             self.link.node.log(f"backend {self.backend}: not sent: {err}")
@@ -135,10 +147,12 @@
         one.end = self.sent
 
     def write(self, message: Message) -> None:
-        link, transport = self.link, self.transport
+        self.put(self.link.codec.encode(message))
+
+    def put(self, body: bytes) -> None:
+        transport, framing = self.transport, self.link.framing
         assert transport is not None
-        tpdu = TPDU if link.framing.tpdu else b""
-        data = frame(link.framing, link.codec.encode(message), tpdu)
+        data = frame(framing, body, TPDU if framing.tpdu else b"")
         transport.write(data)
         self.sent += len(data)
 
@@ -177,23 +191,31 @@
             for one in frames:
                 if self.over:
                     return
-                self.event(self.machine.received(self.link.now_ms(), self.decode(one.body)))
+                message, at = self.link.codec.decode_at(one.body)
+                event = self.machine.received(self.link.now_ms(), message)
+                if isinstance(event, Answer):
+                    self.answered(event, one.body, at)
+                else:
+                    self.event(event)
         except (FramingError, IsoError) as err:
             self.ended(f"what it sent can't be read: {err}")
 
-    def decode(self, body: bytes) -> Message:
-        return self.link.codec.decode(body)
+    def answered(self, event: Answer, raw: bytes, at: int) -> None:
+        one = cast(Carried, event.token)
+        outcome = self.link.mapping.outcome(event.message)
+        r = one.attempt.request
+        if outcome == Outcome.OK and r is not None and r.client is not None and not r.ended:
+            codec = self.link.codec
+            if at >= 0 and r.asked.codec is codec:
+                back = codec.with_stan(raw, at, str(event.message.fields[11]))
+            else:
+                back = r.asked.codec.encode(event.message)
+            r.client.answer(back)
+        self.conclude(one, outcome)
+        self.link.rests(self)
 
     def event(self, event: Event | None) -> None:
-        if isinstance(event, Answer):
-            one = cast(Carried, event.token)
-            outcome = self.link.mapping.outcome(event.message)
-            r = one.attempt.request
-            if outcome == Outcome.OK and r is not None and r.client is not None and not r.ended:
-                r.client.answer(event.message)
-            self.conclude(one, outcome)
-            self.link.rests(self)
-        elif isinstance(event, Reply):
+        if isinstance(event, Reply):
             self.write(event.message)
         elif isinstance(event, Broken):
             self.ended(event.why, event)
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -26,7 +26,13 @@
     },
     "tansywood/service": {"tansywood", "windrelay", "flinthatch"},
     "standins": {"standins", "tansywood.iso8583"},  # its pure codec
-    "benchmarks": {"benchmarks", "standins", "tansywood.store", "tansywood.iso8583"},
+    "benchmarks": {
+        "benchmarks",
+        "standins",
+        "tansywood.store",
+        "tansywood.iso8583",
+        "windrelay",
+    },
 }
 OURS = ("flinthatch", "windrelay", "tansywood", "standins", "benchmarks", "tests")
 
