ISO 8583's tests run on the product's loop; the benchmark's server, too

Need: both ran on asyncio's own loop, and the product on uvloop.

Change: a runner with uvloop's loop in the tests on sockets and in the benchmark's parts.

--- a/benchmarks/iso8583.py
+++ b/benchmarks/iso8583.py
@@ -21,9 +21,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import iso8583
+import uvloop
 from iso8583.specs import default
 
 from benchmarks.request_cost import SETTINGS, Server, cpu_s, play
@@ -111,8 +112,7 @@
     codec = Codec(load(DIALECT))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        self.transport = cast(asyncio.Transport, transport)
         self.framer = Framer(FRAMING)
 
     def data_received(self, data: bytes) -> None:
@@ -312,7 +312,9 @@
     parser.add_argument("arguments", nargs="?", default="[]", help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.part:
-        asyncio.run(PARTS[options.part](*json.loads(options.arguments)))
+        # The loop of the product, for the servers as well.
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(PARTS[options.part](*json.loads(options.arguments)))
         return 0
     rounds = options.rounds
     codec, spec = ours(), theirs()
--- a/tests/iso8583/test_mixed.py
+++ b/tests/iso8583/test_mixed.py
@@ -20,7 +20,7 @@
 from windrelay.config import load
 from windrelay.server import Server
 
-from .world import settings, world
+from .world import run, settings, world
 
 # The same fault in both words.
 SAME = {
@@ -118,7 +118,7 @@
             assert not http.node.crashes
             await http.close()
 
-    asyncio.run(main())
+    run(main())
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -151,4 +151,4 @@
             assert not w.ledger.problems(breaks=False) and not http.ledger.problems()
             await http.close()
 
-    asyncio.run(main())
+    run(main())
--- a/tests/iso8583/test_sockets.py
+++ b/tests/iso8583/test_sockets.py
@@ -14,7 +14,7 @@
 from tansywood.iso8583.codec import Message
 from tansywood.iso8583.framing import frame
 
-from .world import CODEC, FRAMING, TPDU, world
+from .world import CODEC, FRAMING, TPDU, run, world
 
 EVERY = {
     Way.ANSWER: 8.0,
@@ -44,7 +44,7 @@
             assert not w.ledger.problems(breaks=False)
             assert "4929" not in "".join(w.logged)
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_many_are_open_on_one_connection_and_end_in_any_order() -> None:
@@ -59,7 +59,7 @@
             assert ends == [End.SERVED] * 60 and not w.ledger.problems(breaks=False)
             assert w.servers[0].accepted <= 2
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_a_message_in_one_byte_segments_is_one_message() -> None:
@@ -76,7 +76,7 @@
                 await asyncio.sleep(0)
             assert (await asyncio.wait_for(future, 10)).fields[39] == "00"
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_a_connection_that_ends_after_reading_puts_all_in_doubt_once_and_judges_nobody_dead() -> (
@@ -112,7 +112,7 @@
                 task.cancel()
             await asyncio.gather(*asking, return_exceptions=True)
 
-    asyncio.run(main())
+    run(main())
 
 
 @pytest.mark.parametrize(
@@ -146,7 +146,7 @@
                 assert sum(len(s.seen) for s in w.servers) == 1
             assert not w.ledger.problems(breaks=False)
 
-    asyncio.run(main())
+    run(main())
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -167,7 +167,7 @@
             assert sum(found.values()) == 480 and found[End.SERVED] > 200
             assert w.node.upstream.strays > 0
 
-    asyncio.run(main())
+    run(main())
 
 
 # ---- repeats ----
@@ -197,7 +197,7 @@
             assert (await other.ask(changed)).fields[39] == "94"
             assert len(server.seen) == 1 and len(terminal.answers) == 1
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_a_terminal_that_hangs_up_finds_its_credits_answer_when_it_comes_back() -> None:
@@ -216,7 +216,7 @@
             assert (await back.ask(again(message))).fields[39] == "00"
             assert len(server.seen) == 1
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_what_was_refused_may_be_repeated_and_is_tried_anew() -> None:
@@ -230,7 +230,7 @@
             assert (await terminal.ask(again(message))).fields[39] == "00"
             assert len(w.servers[0].seen) == 1
 
-    asyncio.run(main())
+    run(main())
 
 
 # ---- the door ----
@@ -257,7 +257,7 @@
             assert w.front.unreadable == 1
             assert await w.ask(good, good.message()) == End.SERVED
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_an_unknown_processing_code_is_told_so_and_a_flood_of_sign_ons_is_answered() -> None:
@@ -275,7 +275,7 @@
             assert all(a.fields[39] == "00" for a in answers)
             assert await w.ask(terminal, terminal.message()) == End.SERVED
 
-    asyncio.run(main())
+    run(main())
 
 
 def test_a_server_that_drains_answers_what_it_has_on_its_connection() -> None:
@@ -297,4 +297,4 @@
             assert len(w.servers[0].seen) == before and not w.servers[0].conns
             assert not w.ledger.problems(breaks=False)
 
-    asyncio.run(main())
+    run(main())
--- a/tests/iso8583/world.py
+++ b/tests/iso8583/world.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import uvloop
+
 from flinthatch import Effect, RequestClass, Settings
 from standins.iso8583 import IsoTopup, Way, request_id
 from standins.ledger import End, Ledger
@@ -23,7 +25,6 @@
 from tansywood.iso8583.mapping import Mapping, Rule
 from windrelay.config import Address, Config
 from windrelay.discovery import Discovery
-from windrelay.node import Node
 
 MS = 1_000_000
 CODEC = Codec(load(Path("tansywood/iso8583/dialects/basic1987.json")))
@@ -67,6 +68,12 @@
     )
 
 
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """On the loop that the product runs on."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main)
+
+
 class Terminal:
     """One connection of a terminal's; answers are found by their number."""
 
@@ -201,6 +208,3 @@
         await asyncio.sleep(0.02)
         assert not w.node.crashes, w.logged
     assert len(os.listdir("/proc/self/fd")) <= before + 1
-
-
-__all__ = ["CODEC", "FRAMING", "MAPPING", "Node", "Terminal", "Way", "World", "settings", "world"]
