--- a/tests/service/test_hosted.py
+++ b/tests/service/test_hosted.py
@@ -7,14 +7,16 @@
 import os
 import socket
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
 
 from standins.platform import answer, request
+from tansywood.service import part
 from tansywood.service.tenant import UNKNOWN, Hosted, TenantConnection
-from tansywood.service.worker import keys_of, known_of
+from tansywood.service.worker import Worker, keys_of, known_of
 from tansywood.tenancy.identity import Directory, Key, Shown, digest, token
 from tansywood.tenancy.settings import ACTIVE, DRAINING, SUSPENDED
 
@@ -354,3 +356,39 @@
         one.change(limits={"open": 7, "connections": 3, "held_bytes": 70_000})
         assert node.config.max_open == 7 and node.budget.room == 70_000
         assert node.config.name == "cork"
+
+
+def test_a_change_of_one_tenant_touches_none_of_the_others(tmp_path: Path) -> None:
+    """Among three hundred, three of them at work."""
+
+    async def main() -> None:
+        worker = Worker(asyncio.get_running_loop(), part.Place(str(tmp_path)), "worker-0")
+        views = {}
+        for n in range(300):
+            made = document(f"t-{n}")
+            views[f"u-{n}"] = {
+                "uid": f"u-{n}",
+                "status": ACTIVE,
+                "version": 1,
+                "document": made,
+                "since": {},
+                "keys": [],
+            }
+        worker.follower._take_all(views)
+        work = [worker.host(views[f"u-{n}"]) for n in range(3)]
+        before = [(h.server.epoch, h.server.numbering, h.node.balancer.settings) for h in work]
+        new = views["u-0"] | {"version": 2, "document": document("t-0", title="x")}
+        worker.follower._take("u-0", new)
+        worker.follower._take("u-7", None)
+        after = [(h.server.epoch, h.server.numbering, h.node.balancer.settings) for h in work]
+        assert after[0] != before[0] and after[1:] == before[1:]
+        assert work[0].version == 2 and list(worker.hosted) == ["u-0", "u-1", "u-2"]
+        assert len(worker.follower.views) == 299
+        # One that can't be taken, as of a newer program, leaves what is in force as it is.
+        worker.follower._take("u-1", views["u-1"] | {"version": 2, "document": {"name": "t-1"}})
+        assert work[1].version == 1 and not work[1].node.crashes
+        for hosted in work:
+            hosted.end()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
