--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -50,7 +50,10 @@
             if len(rest) < size:
                 return
             self.buffer = rest[size:]
-            self.transport.write(answer(b"x" * 200))
+            self.done()
+
+    def done(self) -> None:
+        self.transport.write(answer(b"x" * 200))
 
 
 async def asks(port: int, count: int, name: str, head: Mapping[str, str] | None = None) -> int:
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -32,7 +32,7 @@
 from typing import Any
 
 from benchmarks.request_cost import SETTINGS, Server, asks, listening
-from standins.platform import answer, config, parts, request, roster, target
+from standins.platform import config, parts, request, roster, target
 from standins.service import Operator, ServiceProcess, cpu_s, document, memory_mb
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -60,16 +60,8 @@
 class Slow(Server):
     """Answers after the server's work."""
 
-    def data_received(self, data: bytes) -> None:
-        self.buffer += data
-        while b"\r\n\r\n" in self.buffer:
-            head, _, rest = self.buffer.partition(b"\r\n\r\n")
-            size = int(parts(head)[1].get("content-length", "0"))
-            if len(rest) < size:
-                return
-            self.buffer = rest[size:]
-            loop = asyncio.get_running_loop()
-            loop.call_later(WORK_S, self.transport.write, answer(b"x" * 200))
+    def done(self) -> None:
+        asyncio.get_running_loop().call_later(WORK_S, super().done)
 
 
 async def part_servers(count: int) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -21,6 +21,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from typing import Protocol
 
 from standins.callers import Caller
 from standins.ledger import End, Ledger
@@ -158,21 +159,30 @@
         return not problems
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(prog="standins.demo", description=__doc__.split("\n")[0])
-    parser.add_argument("--seconds", type=int, default=SECONDS, help="from 5 to 120")
+class Runs(Protocol):
+    """A demo: a coroutine that says whether every promise was kept."""
+
+    async def run(self) -> bool: ...
+
+
+def run_demo(
+    make: Callable[[Path, int, int, Callable[[str], None]], Runs], text: str, usual: int, least: int
+) -> int:
+    """The command line of a demo over a folder, so many seconds, a seed and a way to print."""
+    parser = argparse.ArgumentParser(description=text.split("\n")[0])
+    parser.add_argument("--seconds", type=int, default=usual, help=f"from {least} to 120")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    if not 5 <= options.seconds <= 120:
-        parser.error("--seconds goes from 5 to 120")
+    if not least <= options.seconds <= 120:
+        parser.error(f"--seconds goes from {least} to 120")
 
     def out(line: str) -> None:
         print(line, flush=True)
 
     with tempfile.TemporaryDirectory(prefix="demo-") as folder:
-        demo = Demo(Path(folder), options.seconds, options.seed, out)
+        demo = make(Path(folder), options.seconds, options.seed, out)
         return 0 if asyncio.run(demo.run()) else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_demo(Demo, __doc__, SECONDS, 5))
--- a/standins/demo_service.py
+++ b/standins/demo_service.py
@@ -12,16 +12,15 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import sys
-import tempfile
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
 from standins.callers import Caller
+from standins.demo import run_demo
 from standins.ledger import End, Ledger
 from standins.servers import Behaviour, TopupServer
 from standins.service import ServiceProcess, document
@@ -203,22 +202,5 @@
         return not problems
 
 
-def main() -> int:
-    text = __doc__.split("\n")[0]
-    parser = argparse.ArgumentParser(prog="standins.demo_service", description=text)
-    parser.add_argument("--seconds", type=int, default=SECONDS, help="from 10 to 120")
-    parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
-    if not 10 <= options.seconds <= 120:
-        parser.error("--seconds goes from 10 to 120")
-
-    def out(line: str) -> None:
-        print(line, flush=True)
-
-    with tempfile.TemporaryDirectory(prefix="demo-") as folder:
-        demo = Demo(Path(folder), options.seconds, options.seed, out)
-        return 0 if asyncio.run(demo.run()) else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_demo(Demo, __doc__, SECONDS, 10))
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -317,13 +317,7 @@
         print(f"door: {text}", file=sys.stderr, flush=True)
 
     async def run(self) -> int:
-        following = self.loop.create_task(self.follower.run())
-        part.watch(self.loop, self.stop)
-        told = self.loop.create_task(self.follower.ready.wait())
-        told.add_done_callback(lambda _task: self.begin())
-        code = await self.ended
-        following.cancel()
-        return code
+        return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
 
     def begin(self) -> None:
         self.dial()
--- a/tansywood/service/part.py
+++ b/tansywood/service/part.py
@@ -14,10 +14,13 @@
 import sys
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
+if TYPE_CHECKING:
+    from tansywood.service.follow import Follower
+
 LIFELINE = "TANSYWOOD_LIFELINE"
 READY = "TANSYWOOD_READY"
 
@@ -73,6 +76,23 @@
         loop.add_reader(descriptor, ended)
 
 
+async def follow(
+    loop: asyncio.AbstractEventLoop,
+    follower: Follower,
+    begin: Callable[[], None],
+    stop: Callable[[], None],
+    ended: asyncio.Future[int],
+) -> int:
+    """A part of the traffic side from its start to its end: `begin` once it knows all tenants."""
+    following = loop.create_task(follower.run())
+    watch(loop, stop)
+    told = loop.create_task(follower.ready.wait())
+    told.add_done_callback(lambda _task: begin())
+    code = await ended
+    following.cancel()
+    return code
+
+
 def run(name: str, main: Callable[[asyncio.AbstractEventLoop], Coroutine[Any, Any, int]]) -> None:
     """Run a part to its end, and end the process with its code."""
     loop = uvloop.new_event_loop()
