A tenant that is stopped closes no connection at rest: a request may be on its way

Need: under stress (three runs on one core) four requests met the close of their connection at a tenant's deletion, and a test failed where chance had given all tenants to one worker.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -218,11 +218,6 @@
                 else:
                     conn.go_on()
 
-    def close_all(self) -> None:
-        for conn in list(self.connections):
-            if conn.resting():
-                conn.close()
-
 
 def with_answer(loop: asyncio.AbstractEventLoop, sock: socket.socket, answer: bytes) -> None:
     """A last word to a connection that nobody takes. It is closed a moment later: closed on
@@ -291,7 +286,11 @@
         server.epoch += 1
 
     def set_status(self, status: str) -> None:
-        """Suspended or deleted: what waits is answered at once. Draining: it is served yet."""
+        """Suspended or deleted: what waits is answered at once. Draining: it is served yet.
+
+        Connections stay: their next request is told. Closed by us, one at rest could cross a
+        request that is on its way.
+        """
         server, node = self.server, self.node
         before, server.status = server.status, status
         if status in (before, ACTIVE):
@@ -303,7 +302,6 @@
                 refuse_waiting(node.balancer, now)
             finally:
                 node.leave()
-        server.close_all()
 
     def delete(self) -> None:
         self.set_status(DELETED)
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -213,7 +213,7 @@
                 hosted.end()
         for hosted in list(self.leaving):
             hosted.sweep()
-            if hosted.finished():
+            if hosted.idle():  # those that say nothing more go by the sweeps
                 self.leaving.remove(hosted)
                 hosted.end()
         waiting, self.awaited = self.awaited, []
