A refusal's reason in a tenant's report is the one it had; a copy of the store put back

Need: a request refused at once for want of room was counted as too many open, and the operators' page said of a copy of the store what no test showed.

Change: "open" where as many are open as may be, else "busy"; tests of both, and of a deleted tenant brought back with its keys from a copy.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -150,7 +150,8 @@
     def answer_empty(self, status: int, retry_after: int) -> None:
         report = self._hosted.report
         if status == 503:
-            report.refused(self._cls, "busy" if retry_after or self._request else "open")
+            node = self._hosted.node
+            report.refused(self._cls, "open" if node.open >= node.config.max_open else "busy")
         else:
             report.failed(self._cls)
         super().answer_empty(status, retry_after)
--- a/tests/service/test_hosted.py
+++ b/tests/service/test_hosted.py
@@ -219,6 +219,8 @@
             one.server.go.set()
             got = [await one.read(sock) for sock in socks[:out]]
             assert all(g.startswith(b"HTTP/1.1 200 ") for g in got)
+            row = one.hosted.server.report.record()["classes"]["credit"]
+            assert row["refused"] == {"busy": waiting} and row["served"] == out
             assert len(one.server.seen) == out
             for sock in socks:
                 sock.close()
@@ -267,6 +269,24 @@
         one.run(main())
 
 
+def test_more_open_than_the_tenant_may_have_is_told_as_that() -> None:
+    with inside() as one:
+
+        async def main() -> None:
+            one.change(limits={"rate_per_s": 1000, "connections": 6, "open": 2})
+            socks = [one.hand(ask("/credit/1", b"x")) for _ in range(3)]
+            assert (await one.read(socks[2])).startswith(b"HTTP/1.1 503 ")
+            one.server.go.set()
+            for sock in socks[:2]:
+                assert (await one.read(sock)).startswith(b"HTTP/1.1 200 ")
+            for sock in socks:
+                sock.close()
+
+        one.run(main())
+        report = one.hosted.server.report.record()["classes"]
+        assert report["credit"]["refused"] == {"open": 1}
+
+
 def test_a_rate_is_refused_at_once_and_says_when_to_come_back() -> None:
     with inside() as one:
 
--- a/tests/service/test_service.py
+++ b/tests/service/test_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import shutil
 import signal
 from pathlib import Path
 from typing import Any
@@ -390,3 +391,26 @@
             assert await comes(applied)
 
     asyncio.run(main())
+
+
+def test_a_copy_of_the_store_brings_a_deleted_tenant_back_with_its_keys(tmp_path: Path) -> None:
+    """As the operators' page says: with the service stopped."""
+
+    async def main() -> None:
+        async with hosting(tmp_path) as h:
+            side = await h.tenant("cork")
+            assert await asyncio.to_thread(h.service.stop) == 0
+            shutil.copytree(tmp_path / "state", tmp_path / "copy")
+            await asyncio.to_thread(h.service.start)
+            await h.call("DELETE", "/v1/tenants/cork")
+            assert await side.caller(h.service.port, "gone").ask("balance") == End.FAILED
+            assert await asyncio.to_thread(h.service.stop) == 0
+            shutil.rmtree(tmp_path / "state")
+            shutil.copytree(tmp_path / "copy", tmp_path / "state")
+            await asyncio.to_thread(h.service.start)
+            await h.crowd(side, 2, 2)
+            assert served(side) == 4
+            trail = await h.call("GET", "/v1/trail")
+            assert [row["what"] for row in trail["items"]][-1] == "issue a key for a caller"
+
+    asyncio.run(main())
