A key takes the same work to look at, whatever it is: tested by counting

Need: the time of a key's check must not tell whether its id is known, and only the code said so.

Change: a test counts digests and comparisons, with their lengths, for six kinds of key.

Measured: one digest and one comparison of the same lengths in each.

--- a/tests/tenancy/test_parts.py
+++ b/tests/tenancy/test_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import hmac
 from random import Random
 from typing import Any
 
 import pytest
 
+from tansywood.tenancy import identity
 from tansywood.tenancy.changes import consequences, differences, merged
 from tansywood.tenancy.door import Lobby, look
 from tansywood.tenancy.fair import BUSY_PART, LONGEST_WINDOWS, waits
@@ -89,6 +91,32 @@
         token("short", SECRETS["a"])
 
 
+@pytest.mark.parametrize(
+    "shown", [TOKENS["a"], TOKENS["a"][:-1] + "x", token("c" * 12, SECRETS["a"]), "x", "", "é" * 9]
+)
+def test_a_key_takes_the_same_work_to_look_at_whatever_it_is(
+    shown: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Known, wrong, of an id that is nobody's, no key at all: one digest, one comparison, of
+    the same lengths."""
+    done: list[tuple[str, int]] = []
+    plain, compare = identity.digest, hmac.compare_digest
+
+    def counted(text: str) -> str:
+        done.append(("digest", 64))
+        return plain(text)
+
+    def compared(one: str, other: str) -> bool:
+        done.append(("compare", len(one) + len(other)))
+        return bool(compare(one, other))
+
+    monkeypatch.setattr(identity, "digest", counted)
+    monkeypatch.setattr(hmac, "compare_digest", compared)
+    key = Key("a" * 12, plain(TOKENS["a"]), "caller", "a")
+    assert verify({key.id: key}, shown, 0) == (key if shown == TOKENS["a"] else None)
+    assert done == [("digest", 64), ("compare", 128)]
+
+
 # ---- rates ----
 
 
