ISO 8583: identities by a keyed BLAKE2b, and a trace number's place found while reading

Need: a message through a node costs more than an HTTP request, spread over many small things.

Change: the place of field 11 falls out of the reading instead of a second look; a repeat's identity and content are one call each; the match key is four look-ups.

--- a/tansywood/iso8583/codec.py
+++ b/tansywood/iso8583/codec.py
@@ -261,14 +261,8 @@
         for number, spec in dialect.fields.items():
             self._readers[number] = _reader(spec)
             self._writers[number] = _writer(spec)
-        # Bytes of the fields of fixed length.
-        self._fixed = {
-            number: (spec.length + 1) // 2 if spec.encoding == "bcd" else spec.length
-            for number, spec in dialect.fields.items()
-            if not spec.digits
-        }
-        self._stan_fixed = 11 in self._fixed
-        self._mti_size = 2 if dialect.mti == "bcd" else 4
+        stan = dialect.fields.get(11)
+        self._stan_fixed = stan is not None and not stan.digits
         self._digit = VERSIONS[dialect.version]
         self._mti = FieldSpec(0, "MTI", "n", dialect.mti, 4)
         self._read_mti = _reader(self._mti)
@@ -277,41 +271,26 @@
         encoding = dialect.bitmap[4:] or "ascii"
         self._hex_read = READ_TABLE.get(encoding)
         self._hex_write = WRITE_TABLE.get(encoding)
-        # Of bitmaps that were met, what to read and what to write: few differ in a day.
-        self._reads: dict[bytes, tuple[int, list[tuple[int, Reader]]]] = {}
+        # Of bitmaps that were met, what to read (before field 11, and from it on) and what to
+        # write: few differ in a day.
+        self._reads: dict[
+            bytes, tuple[int, list[tuple[int, Reader]], list[tuple[int, Reader]]]
+        ] = {}
         self._writes: dict[tuple[int, ...], tuple[bytes, list[tuple[int, Writer]]]] = {}
 
     # ---- reading ----
 
-    def decode_at(self, data: bytes) -> tuple[Message, int]:
-        """The message, and where in its bytes field 11 begins; -1 where that can't be told."""
-        message = self.decode(data)
-        return message, self._stan_at(data) if 11 in message.fields else -1
-
-    def _stan_at(self, data: bytes) -> int:
-        """By the bitmap: what stands before field 11 is mostly of fixed length."""
-        if not self._stan_fixed:
-            return -1
-        at = self._mti_size
-        size = 16 if self._hex else 8
-        plan = self._reads.get(data[at : at + size]) or self._reads.get(data[at : at + 2 * size])
-        if plan is None:
-            return -1
-        at += plan[0]
-        for number, read in plan[1]:
-            if number == 11:
-                return at
-            length = self._fixed.get(number)
-            at = at + length if length is not None else read(data, at)[1]
-        return -1
+    def decode(self, data: bytes) -> Message:
+        """The message, whole: nothing may follow its last field. IsoError on anything else."""
+        return self.decode_at(data)[0]
 
     def with_stan(self, data: bytes, at: int, stan: str) -> bytes:
         """The same message under another trace number of six digits."""
         made = self._writers[11](stan)
         return data[:at] + made + data[at + len(made) :]
 
-    def decode(self, data: bytes) -> Message:
-        """The message, whole: nothing may follow its last field. IsoError on anything else."""
+    def decode_at(self, data: bytes) -> tuple[Message, int]:
+        """The same, and where in its bytes field 11 begins; -1 where that was not kept."""
         mti, at = self._read_mti(data, 0)
         assert isinstance(mti, str)
         if mti[0] != self._digit:
@@ -323,9 +302,12 @@
             found: dict[int, Value] = {}
             for number, read in plan[1]:
                 found[number], at = read(data, at)
+            stan_at = at if plan[2] and self._stan_fixed else -1
+            for number, read in plan[2]:
+                found[number], at = read(data, at)
             if at != len(data):
                 raise IsoError(f"{len(data) - at} bytes follow the last field", None, at)
-            return Message(mti, found)
+            return Message(mti, found), stan_at
         begin = at
         numbers, at = self._bitmap(data, at, 0)
         if numbers and numbers[0] == 1:
@@ -341,7 +323,8 @@
         if tertiary == "none" and len(self._reads) < PLANS:
             known = [(n, r) for n in numbers if (r := readers[n]) is not None]
             if len(known) == len(numbers):
-                self._reads[data[begin:at]] = (at - begin, known)
+                cut = numbers.index(11) if 11 in numbers else len(known)
+                self._reads[data[begin:at]] = (at - begin, known[:cut], known[cut:])
         last: list[int] = []
         for number in numbers:
             if number == 65 and tertiary == "field-65":
@@ -358,7 +341,7 @@
             fields[number], at = reader(data, at)
         if at != len(data):
             raise IsoError(f"{len(data) - at} bytes follow the last field", None, at)
-        return Message(mti, fields)
+        return Message(mti, fields), -1
 
     def _bitmap(self, data: bytes, at: int, base: int) -> tuple[list[int], int]:
         size = 16 if self._hex else 8
--- a/tansywood/iso8583/machine.py
+++ b/tansywood/iso8583/machine.py
@@ -36,8 +36,6 @@
 APPROVED = "00"
 NOT_SIGNED_ON = "91"  # field 39: issuer or switch inoperative
 STANS = 1_000_000  # 000001 to 999999, then again from 1
-# What an answer gives back of its request (ISO 8583:1987 4.3), as far as the request had it.
-MATCHED = (7, 11, 32, 41)
 
 
 class State(Enum):
@@ -95,8 +93,10 @@
 
 
 def match_key(message: Message) -> tuple[Value | None, ...]:
-    """By which an answer is known; without the MTI, whose answers differ by version."""
-    return tuple(message.fields.get(number) for number in MATCHED)
+    """By which an answer is known: what it gives back of its request (ISO 8583:1987 4.3), as
+    far as the request had it; without the MTI, whose answers differ by version."""
+    get = message.fields.get
+    return get(7), get(11), get(32), get(41)
 
 
 def reply_to(message: Message, code: str, **more: Value) -> Message:
--- a/tansywood/iso8583/repeats.py
+++ b/tansywood/iso8583/repeats.py
@@ -14,7 +14,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
-from hashlib import sha256
+from hashlib import blake2b
 from typing import Any
 
 from tansywood.iso8583.codec import Message
@@ -41,7 +41,8 @@
 
 
 def _digest(secret: bytes, parts: list[Any]) -> str:
-    return hmac.new(secret, repr(parts).encode(), sha256).hexdigest()
+    # Keyed BLAKE2b (RFC 7693) is a MAC in one call, a fifth of an HMAC's time here.
+    return blake2b(repr(parts).encode(), key=secret[:64], digest_size=20).hexdigest()
 
 
 @dataclass(slots=True)
