Three defences of the service that no test held: windows, last words, a stop's wait

Need: eight defences were taken out in turn once more. Three made no test fail: holding a tenant that took a busy window, hearing a worker's last words before its connections go to another, and a worker's stop that waits for its door.

Change: a test for each.

--- a/tests/service/test_door.py
+++ b/tests/service/test_door.py
@@ -163,6 +163,25 @@
     asyncio.run(main())
 
 
+def test_a_workers_last_words_are_heard_before_its_connections_go_to_another(
+    tmp_path: Path,
+) -> None:
+    """It said that it takes one, and ended: that one may have run."""
+
+    async def main() -> None:
+        async with world(tmp_path, "worker-0") as w:
+            worker = FakeWorker(w.place, "worker-0")
+            await worker.linked()
+            await w.connect(ask())
+            taken = await worker.take()
+            w.door.lost("worker-0")  # as when the next hand-over meets its end
+            assert not w.door.waiting
+            taken.sock.close()
+            worker.die()
+
+    asyncio.run(main())
+
+
 def test_a_connection_waits_for_a_worker_to_be_there_and_is_told_to_come_back_if_none_is(
     tmp_path: Path,
 ) -> None:
--- a/tests/service/test_hosted.py
+++ b/tests/service/test_hosted.py
@@ -412,3 +412,39 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(main())
+
+
+def test_a_tenant_that_took_a_busy_window_is_held_and_let_go_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        worker = Worker(asyncio.get_running_loop(), part.Place(str(tmp_path)), "worker-0")
+        for name in ("flood", "quiet"):
+            view = {"uid": name, "status": ACTIVE, "version": 1, "document": document(name)}
+            worker.host(view | {"since": {}, "keys": []})
+        flood, quiet = (worker.hosted[name].server for name in ("flood", "quiet"))
+        flood.used, quiet.used = 19_000_000, 500_000
+        worker.window()
+        assert flood.held and not quiet.held and flood.used == 0
+        worker.release("flood")
+        assert not flood.held
+        for hosted in worker.hosted.values():
+            hosted.end()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
+def test_a_worker_that_stops_waits_for_what_its_door_may_have_handed_over(tmp_path: Path) -> None:
+    async def main() -> None:
+        worker = Worker(asyncio.get_running_loop(), part.Place(str(tmp_path)), "worker-0")
+        door, other = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        worker.doors.add(door)
+        worker.stop()
+        for _ in range(8):
+            await asyncio.sleep(0.01)
+        assert not worker.ended.done()
+        worker.leave(door)
+        other.close()
+        assert await asyncio.wait_for(worker.ended, LIMIT) == 0
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
