Calls at a second address, bans, evacuation, and a successor that takes the listener over

- windrelay/management: readyz, exclude, include, evacuate, activate, a line each.
- Balancer.ban and lift: a banned backend counts as draining whatever the list says; dials under way end with the call.
At the call back it is cold.
- windrelay/succession, operate: the listener, bans, list and what was learnt go to the new process over a socket in TMPDIR, calls at either reach both, both together stay within the descriptors.
- flinthatch.recall keeps the rate of sends and rests too: begun at rate 0, cold servers were let so little that a third was refused for 3 s after an upgrade amid a release.
- The platform node may load recall and amend now; the test of its rooms says so.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -227,8 +227,8 @@
 class Backend:
     __slots__ = (
         "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errs", "fulls",
-        "held", "id", "index", "kind", "lat", "local", "offset", "rating", "rest_until", "seen",
-        "since", "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
+        "held", "id", "index", "kind", "lat", "listed", "local", "offset", "rating", "rest_until",
+        "seen", "since", "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
@@ -239,6 +239,7 @@
         self.boot = row.boot
         self.rating = row.rating if row.rating > 0 else 1.0
         self.state = row.state
+        self.listed = row.state  # the list's word; a ban may go before it
         self.local = local
         self.held = 0
         self.cap = 0
@@ -409,6 +410,7 @@
         tenants = len(settings.tenants)
         self.classes = [ClassState(i, c, tenants) for i, c in enumerate(settings.classes)]
         self.backends: dict[int, Backend] = {}
+        self.banned: set[int] = set()  # by an operator's word, whatever the list says
         self.requests: dict[int, Request] = {}
         # Buckets of free backends by requests held: own zone, then the others.
         self.local: list[list[Backend]] = [[]]
@@ -497,6 +499,7 @@
                 return
             backend = Backend(row, row.zone == self.settings.zone)
             self.backends[row.backend] = backend
+            self.enter_state(backend, row.state)
             if row.boot and now - row.boot < self.settings.cold:
                 backend.cold_until = row.boot + self.settings.cold
         else:
@@ -510,8 +513,36 @@
                 backend.rating = row.rating if row.rating > 0 else 1.0
         self.settle(backend)
 
+    def ban(self, now: int, backend: int) -> None:
+        """Send a backend nothing new, whatever the list says, until `lift`; it may be unknown.
+
+        It is treated as one that drains: what it holds goes on to its outcome.
+        """
+        self.banned.add(backend)
+        self.turn(now, backend)
+
+    def lift(self, now: int, backend: int) -> None:
+        """End a ban. Nobody bans a backend but to restart it: it comes back cold."""
+        b = self.backends.get(backend)
+        if b is not None and backend in self.banned:
+            b.cold_until = max(b.cold_until, now + self.settings.cold)
+        self.banned.discard(backend)
+        self.turn(now, backend)
+
+    def turn(self, now: int, backend: int) -> None:
+        self.now = now
+        b = self.backends.get(backend)
+        if b is not None:
+            self.enter_state(b, b.listed)
+            self.settle(b)
+            self.redeal()
+            self.dispatch(now)
+
     def enter_state(self, b: Backend, state: State) -> None:
         """Only ready backends count as left alone, against half of the ready ones."""
+        b.listed = state
+        if state == State.READY and b.id in self.banned:
+            state = State.DRAINING
         b.state = state
         if state != State.READY and b.down_until:
             b.down_until = 0
--- a/flinthatch/recall.py
+++ b/flinthatch/recall.py
@@ -55,6 +55,7 @@
         "format": FORMAT,
         "saved": wall,
         "level": balancer.level,
+        "rate": balancer.send_rate,
         "classes": {
             c.spec.name: {"lat": c.lat, "base": c.base} for c in balancer.classes if c.lat_n
         },
@@ -67,6 +68,7 @@
                 "backoff": b.backoff,
                 "strikes": b.strikes,
                 "cold": max(b.cold_until - now, 0),
+                "rest": max(b.rest_until - now, 0),
             }
             for b in balancer.backends.values()
             if b.state == State.READY
@@ -89,6 +91,9 @@
         why = f"health is {age / SECOND:.0f} s old, {HEALTH_AGE // SECOND} at most"
         return Recalled(0, latencies, why)
     balancer.level = max(MIN_LEVEL, min(number(record.get("level"), balancer.level), MAX_LEVEL))
+    # What a cold server may get hangs on the usual rate. Begun at 0, the few sends that allows
+    # keep it low: after an upgrade amid a release a third was refused for 3 s.
+    balancer.send_rate = max(0.0, number(record.get("rate"), 0.0))
     rows = record.get("backends")
     left = recall_backends(balancer, now, wall, int(age), rows if isinstance(rows, dict) else {})
     balancer.recap()
@@ -136,6 +141,10 @@
         cold = int(number(row.get("cold"), 0.0)) - age
         if cold > 0:
             b.cold_until = max(b.cold_until, now + min(cold, balancer.settings.cold))
+        rest = int(number(row.get("rest"), 0.0)) - age
+        if rest > 0:
+            b.rest_until = now + min(rest, balancer.settings.fall)
+            balancer.remind(b.rest_until, b)
         backoff = min(max(int(number(row.get("backoff"), BACKOFF)), BACKOFF), BACKOFF_MAX)
         strikes = min(max(int(number(row.get("strikes"), 0.0)), 0), 100)
         if down > 0 or row.get("trial") is True:
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -331,6 +331,14 @@
         if conn.drains and not conn.carried:
             conn.ended("its server has left")
 
+    def withdraw(self, backend: int) -> None:
+        """Begin nothing more there: what waits for a dial or a sign-on never ran."""
+        for conn in self.conns.get(backend, ()):
+            waiting, conn.waiting = conn.waiting, []
+            for one in waiting:
+                conn.conclude(one, Outcome.MOOT)
+        self.drop_idle(backend)
+
     def drop_idle(self, backend: int) -> None:
         """A server that moves, drains or has left keeps its connections for what is on them."""
         for conn in list(self.conns.get(backend, ())):
--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -19,7 +19,7 @@
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
 from windrelay.assemble import HttpNode
-from windrelay.node import RESERVED, Node
+from windrelay.node import Node
 from windrelay.server import EMPTY, BadRequest, ClientConnection, Incoming, Server
 
 SECOND = 1_000_000_000
@@ -267,7 +267,7 @@
         old, self.settings = self.settings, new
         config = shape.config(self.uid, new)
         node.config = config
-        node.sockets = config.sockets - RESERVED
+        node.sockets = node.own_sockets()
         node.budget.limit(new.limits.held_bytes)
         server.most = new.limits.connections
         if new.limits != old.limits:
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -58,7 +58,7 @@
         "import windrelay.__main__, flinthatch.drill\n"
         "print([m for m in sys.modules if m.split('.')[0] in"
         " ('tansywood', 'standins', 'google_crc32c') or m in"
-        " ('flinthatch.recall', 'flinthatch.amend', 'jsonschema', 'starlette', 'uvicorn')])"
+        " ('jsonschema', 'starlette', 'uvicorn')])"
     )
     done = subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, cwd=ROOT, check=True
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -26,9 +26,12 @@
 
 import uvloop  # noqa: E402
 
+from windrelay import succession  # noqa: E402
 from windrelay.assemble import HttpNode  # noqa: E402
 from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
+from windrelay.management import Desk  # noqa: E402
+from windrelay.operate import Operated  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 
 # A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
@@ -53,14 +56,29 @@
         self.ended = loop.create_future()
         self.give_up_at = 0.0
         self.rereading: asyncio.TimerHandle | None = None
+        self.operated = Operated(self.node, self.server)
+        self.desk = Desk(loop, self.operated, self.node.crashed)
 
     async def run(self) -> None:
+        path = succession.place(os.environ, self.config)
+        estate = path and succession.claim(path, self.config.listen, self.node.log)
+        if estate:
+            self.operated.inherit(estate.state)
         self.node.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        port = self.server.listen(self.config.listen)
+        if estate:
+            port = self.server.listen_on(estate.listener)
+        else:
+            port = self.server.listen(self.config.listen, shared=path is not None)
         self.node.log(f"listening on {self.config.listen.host}:{port}")
+        if path:
+            await self.operated.succeed(path, estate or None)
+        if self.config.mgmt is not None:
+            port = await self.desk.listen(*self.config.mgmt)
+            self.node.log(f"calls at {self.config.mgmt.host}:{port}")
+        self.operated.serving = True
         # What stands now stands for good: later collections need not look at it.
         gc.collect()
         gc.freeze()
@@ -106,11 +124,13 @@
         self.loop.call_later(SWEEP_S, self.sweep)  # first: the next comes whatever this one does
         self.server.sweep()
         self.node.sweep()
+        self.operated.sweep()
 
     def stop(self) -> None:
         if self.server.stopping:
             return  # a second signal changes nothing
         self.server.stopping = True
+        self.operated.serving = False
         self.node.log("stopping")
         longest = max(c.deadline for c in self.config.settings.classes) / 1e9
         self.give_up_at = self.loop.time() + longest + KILL_S - LAST_CALL_S
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -45,6 +45,7 @@
     max_open: int
     reports: bool
     raw: dict[str, Any]  # the file's words, without the list of backends
+    mgmt: Address | None = None  # where the operators' calls come
 
 
 def parse_address(text: object) -> Address:
@@ -57,7 +58,7 @@
 
 def load(environ: Mapping[str, str]) -> Config:
     """Read the file named by PROXY_CONFIG; the other variables go before what it says."""
-    return _load(environ, ("name", "listen", "discovery"))
+    return _load(environ, ("name", "listen", "discovery", "mgmt"))
 
 
 def reload(environ: Mapping[str, str], old: Config) -> tuple[Config, list[str]]:
@@ -126,4 +127,5 @@
         max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
         reports=settings.get("load_info", {}).get("how", "off") != "off",
         raw={key: raw.get(key) for key in ("name", "listen", "settings")},
+        mgmt=parse_address(raw["mgmt"]) if raw.get("mgmt") else None,
     )
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -29,6 +29,7 @@
 MOVE_S = 0.2  # before the first repeat, then twice as long each time
 MAX_ANSWER = 2 << 20  # some thousands of backends
 OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
+SEEN = 8192  # ids ever listed that are remembered, so that a call can tell one that never was
 FUTURE = 60_000_000_000  # a start further ahead than clocks differ is no start
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -45,7 +46,7 @@
 class Roster:
     """The list in hand: its version, its rows, the endpoints, and who wants nothing new."""
 
-    __slots__ = ("_kinds", "_zones", "clock", "endpoints", "rev", "rows")
+    __slots__ = ("_kinds", "_zones", "clock", "endpoints", "rev", "rows", "seen")
 
     def __init__(self, config: Config) -> None:
         self._zones = {name: i for i, name in enumerate(config.zones)}
@@ -57,6 +58,7 @@
         self.endpoints: dict[int, Address] = {}
         self.rows: dict[int, Listing] = {}
         self.rev = 0
+        self.seen: dict[int, None] = {}  # all that were ever listed, the latest last
 
     def name_zones(self, names: Iterable[str]) -> None:
         """Number further zones behind those that are known; rows read from here on use them."""
@@ -136,6 +138,7 @@
             else:
                 self.endpoints[row.backend] = new
                 self.rows[row.backend] = row
+                self.see(row.backend)
         if update == Update.FULL:
             named = {row.backend for row in rows}
             for backend in [b for b in self.endpoints if b not in named]:
@@ -144,6 +147,39 @@
         self.rev = rev
         return stale
 
+    def see(self, backend: int) -> None:
+        self.seen.pop(backend, None)
+        self.seen[backend] = None
+        if len(self.seen) > SEEN:
+            del self.seen[next(iter(self.seen))]
+
+    def export(self) -> dict[str, Any]:
+        """The list in hand, of JSON's types, for a process on this machine: its clocks hold."""
+        return {
+            "zones": self._zones,
+            "kinds": self._kinds,
+            "clock": self.clock,
+            "rev": self.rev,
+            "rows": [[*row, *self.endpoints[row.backend]] for row in self.rows.values()],
+            "seen": list(self.seen),
+        }
+
+    def adopt(self, record: Any) -> list[Listing]:
+        """Go on with an exported list; returns its rows. ValueError where it does not fit."""
+        try:
+            if record["zones"] != self._zones or record["kinds"] != self._kinds:
+                raise ValueError("its zones or kinds are others")
+            rows = [Listing(b, State(s), *rest) for b, s, *rest, _, _ in record["rows"]]
+            endpoints = {row[0]: Address(str(row[-2]), int(row[-1])) for row in record["rows"]}
+            seen, rev, clock = [int(b) for b in record["seen"]], int(record["rev"]), record["clock"]
+        except (KeyError, TypeError, IndexError) as err:
+            raise ValueError(f"{type(err).__name__}: {err}") from None
+        self.clock = int(clock)
+        for backend in seen:
+            self.see(backend)
+        self.apply(rev, Update.FULL, rows, endpoints)
+        return rows
+
     def _drop(self, backend: int) -> None:
         self.endpoints.pop(backend, None)
         self.rows.pop(backend, None)
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -30,6 +30,8 @@
 NO_TIMER = 1 << 63
 LOG_LINES = 20  # a second
 RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
+RESERVED_MGMT = 10  # besides, for calls and for a successor, where calls are taken
+LEAST_SOCKETS = 16  # for clients and servers, however much another process holds
 OVERLAP = 8  # of them, for connections that replace one just given up
 UPSTREAM_PART = 3  # one in so many descriptors is kept for backends
 BASE_MB = 26  # what the program itself takes, where that can't be measured
@@ -60,8 +62,9 @@
         self.held = 0
         self.resize(memory_mb)
 
-    def resize(self, memory_mb: int) -> None:
-        self.room = max(((memory_mb << 20) - self.base) // 2, LEAST_ROOM)
+    def resize(self, memory_mb: int, processes: int = 1) -> None:
+        """Take this node's part of a limit that so many processes like it share."""
+        self.room = max(((memory_mb << 20) // processes - self.base) // 2, LEAST_ROOM)
 
     def limit(self, room: int) -> None:
         """So many bytes, whatever the process takes: where several nodes share one."""
@@ -135,7 +138,8 @@
         # What an installation with a lasting disk recalls into the module at the start.
         self.recall: Callable[[Balancer, int], None] = lambda _balancer, _now: None
         self.evict: Callable[[], bool] = lambda: False
-        self.sockets = config.sockets - RESERVED
+        self.elsewhere = 0  # descriptors that another process of this node holds
+        self.sockets = self.own_sockets()
         self.requests: dict[int, Request] = {}
         # The clients' ids: of requests open here, and of those that ended lately.
         self.names: set[bytes] = set()
@@ -159,7 +163,7 @@
 
     def start(self) -> None:
         """Begin from the list in the configuration; ListError if it is malformed."""
-        rows = self.discovery.known(self.config.known)
+        rows = self.known()
         self.enter()
         try:
             self.balancer.start(self.now)
@@ -168,11 +172,13 @@
         finally:
             self.leave()
 
+    def known(self) -> list[Listing]:
+        return self.discovery.known(self.config.known)
+
     def reload(self, config: Config) -> None:
         """Go on under new limits and at discovery's new address."""
         self.config = config
-        self.budget.resize(config.memory_mb)
-        self.sockets = config.sockets - RESERVED
+        self.share(self.elsewhere)
         self.discovery.move(config.discovery)
 
     # ---- events: each enters, tells the Balancer, and leaves -----------
@@ -239,6 +245,28 @@
         """
         return name in self.names or name in self.ended_names or name in self.older_names
 
+    # ---- an operator's word on a backend ------------------------------
+
+    def exclude(self, backend: int) -> None:
+        """Begin nothing new there from this moment on, whatever the list says."""
+        self.enter()
+        try:
+            self.balancer.ban(self.now, backend)
+            self.upstream.withdraw(backend)
+        except Exception:
+            self.broken()
+        finally:
+            self.leave()
+
+    def include(self, backend: int) -> None:
+        self.enter()
+        try:
+            self.balancer.lift(self.now, backend)
+        except Exception:
+            self.broken()
+        finally:
+            self.leave()
+
     def client_gone(self, r: Request) -> None:
         """The client left: nothing more is owed, attempts go on to their outcomes."""
         if r.ended:
@@ -504,6 +532,18 @@
 
     # ---- descriptors --------------------------------------------------
 
+    def own_sockets(self) -> int:
+        """Descriptors for clients and servers."""
+        reserved = RESERVED + (RESERVED_MGMT if self.config.mgmt is not None else 0)
+        own = self.config.sockets - reserved
+        return max(own - self.elsewhere, LEAST_SOCKETS) if self.elsewhere else own
+
+    def share(self, elsewhere: int) -> None:
+        """Go on beside another process of this node, which holds so many descriptors; 0: alone."""
+        self.elsewhere = elsewhere
+        self.sockets = self.own_sockets()
+        self.budget.resize(self.config.memory_mb, 2 if elsewhere else 1)
+
     def room_for_client(self) -> bool:
         """Whether one more client fits, leaving backends their part."""
         used = self.clients + self.upstream.count
--- a/windrelay/ports.py
+++ b/windrelay/ports.py
@@ -59,6 +59,9 @@
     def send(self, attempt: Attempt) -> None:
         """Carry it; `attempt.connection` is what does, unless it was concluded at once."""
 
+    def withdraw(self, backend: int) -> None:
+        """Begin nothing more there from now on; what has not begun never ran."""
+
     def drop_idle(self, backend: int) -> None:
         """A server has moved, drains or has left: keep nothing at rest for it."""
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -44,6 +44,7 @@
 # says close. It could do harm where more clients than this ask in turn, each rarely: they
 # connect anew, as they do after IDLE_SWEEPS.
 KEPT_PART = 6  # one in so many
+EVACUATE_SWEEPS = 2  # from the call to the first closes: the front has seen a no by then
 WRITE_SWEEPS = 12  # without a byte taken
 LINGER_SWEEPS = 4
 LINGER_BYTES = 64 << 10  # read and dropped; the rest is left with a client that goes on
@@ -321,7 +322,8 @@
         self._keep_alive = incoming.keep_alive
         node = self._server.node
         if incoming.probe:
-            self._write_head(READY if not self._server.stopping else EMPTY[503])
+            server = self._server
+            self._write_head(EMPTY[503] if server.stopping or server.evacuated else READY)
             return
         if node.repeated(incoming.rid):
             node.budget.give(incoming.reserved)
@@ -369,6 +371,7 @@
             or len(server.idle) * KEPT_PART >= server.node.sockets
             or self._eof
             or server.stopping
+            or server.evacuated
         )
 
     def _write_head(self, head: bytes, chunks: list[bytes] | None = None) -> None:
@@ -534,6 +537,9 @@
         self.lingering: dict[ClientConnection, None] = {}
         self.sweeps = 0
         self.stopping = False
+        self.evacuated = False  # by an operator's word, until another
+        self._evacuated_since = 0
+        self.handed = False  # a successor takes clients from the same socket
         self._paused = False
         self._retry: asyncio.TimerHandle | None = None
         self._turned_away = 0
@@ -553,23 +559,58 @@
         self._deadlines = {i: c.deadline for i, c in rows.items()}
         self._methods = {i: b"GET" if c.effect == Effect.PURE else b"POST" for i, c in rows.items()}
 
-    def listen(self, address: Address) -> int:
-        """Take connections at this address; returns the port."""
+    def listen(self, address: Address, shared: bool = False) -> int:
+        """Take connections at this address; returns the port.
+
+        With `shared` another process of ours may listen there too, see `succession`.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             sock.bind(address)
             sock.listen(BACKLOG)
         except OSError:
             sock.close()
             raise
+        return self.listen_on(sock)
+
+    def listen_on(self, sock: socket.socket) -> int:
+        """Take connections from this socket, which listens already; returns the port."""
         self._sock = sock
         self.node.loop.add_reader(sock, self._accept)
         return int(sock.getsockname()[1])
 
+    @property
+    def listener(self) -> socket.socket | None:
+        return self._sock
+
+    def hand_over(self) -> None:
+        """Take no more clients: a successor does, from the same socket, and none is turned away."""
+        if not self.handed and self._sock is not None:
+            self.handed = True
+            self.node.loop.remove_reader(self._sock)
+
+    def take_back(self) -> None:
+        """The successor has ended before us."""
+        if self.handed and self._sock is not None:
+            self.handed = False
+            self._paused = False
+            self.node.loop.add_reader(self._sock, self._accept)
+
+    def evacuate(self) -> None:
+        """Say no to the front, close what rests, and each connection with its next answer."""
+        if not self.evacuated:
+            self.evacuated = True
+            self._evacuated_since = self.sweeps
+
+    def activate(self) -> None:
+        self.evacuated = False
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
-            if self._sock is None or not self._room():
+            if self._sock is None or self.handed or not self._room():
                 return
             try:
                 sock, _address = self._sock.accept()
@@ -623,7 +664,7 @@
             self.node.upstream.drop_oldest()
 
     def _pause(self) -> None:
-        if self._sock is not None and not self._paused:
+        if self._sock is not None and not self._paused and not self.handed:
             self._paused = True
             self.node.loop.remove_reader(self._sock)
             if self._retry is None:
@@ -634,14 +675,16 @@
         self._retry = None
         try:
             self.freed()
-            if self._paused and self._sock is not None:
+            if self._paused and self._sock is not None and not self.handed:
                 self.make_room()
         finally:
-            if self._paused and self._sock is not None:
+            if self._paused and self._sock is not None and not self.handed:
                 self._retry = self.node.loop.call_later(SILENT_S, self._again)
 
     def freed(self) -> None:
         """A descriptor has come free: accept again."""
+        if self.handed:
+            return
         if self._paused and self._sock is not None and self.node.room_for_client():
             self._paused = False
             self.node.loop.add_reader(self._sock, self._accept)
@@ -688,6 +731,17 @@
         # Clients that asked once and stay cost memory and a descriptor each, for good.
         short = 2 * self.node.clients > self.node.sockets
         self.close_rested(self.idle, SHORT_IDLE_SWEEPS if short else IDLE_SWEEPS)
+        if self.evacuated and self.sweeps - self._evacuated_since >= EVACUATE_SWEEPS:
+            self.close_resting()
+
+    def close_resting(self) -> None:
+        """Close all that nothing is under way on, but for those just made: they are about to ask.
+
+        The front goes on sending connections for a moment after it was told no.
+        """
+        for conn in [*self.idle, *(c for c in self.fresh if c.rested(2))]:
+            if conn.resting():
+                conn.close()
 
     def close_rested(self, among: Iterable[ClientConnection], sweeps: int) -> None:
         for conn in list(among):
@@ -706,11 +760,12 @@
         sock = self._sock
         if sock is None:
             return True
-        for _ in range(BACKLOG // ACCEPTS):
-            self._accept()
-        if self._paused:
-            return False
-        self._pause()
+        if not self.handed:
+            for _ in range(BACKLOG // ACCEPTS):
+                self._accept()
+            if self._paused:
+                return False
+            self._pause()
         self._sock = None
         sock.close()
         return True
@@ -721,9 +776,7 @@
         A connection at rest is closed, and only then: a kept one may carry another
         request until it is, and one just made is about to.
         """
-        for conn in [*self.idle, *(c for c in self.fresh if c.rested(2))]:
-            if conn.resting():
-                conn.close()
+        self.close_resting()
         return not self._tasks and all(conn.finished() for conn in self.connections)
 
     # ---- heads --------------------------------------------------------
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -116,6 +116,7 @@
         node = self.upstream.node
         self.attempt = attempt
         self.upstream.count += 1
+        self.upstream.dials.add(self)
         timeout = node.config.settings.connect_timeout / 1e9
         self._dial_timer = node.loop.call_later(timeout, self._dial_expired, LAST_TURNS)
         self._task = node.loop.create_task(self._connect())
@@ -153,6 +154,7 @@
     @ends_connection
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.upstream.dials.discard(self)
         if self._dial_timer is not None:
             self._dial_timer.cancel()
             self._dial_timer = None
@@ -423,6 +425,10 @@
         self._close()
         return sent
 
+    def withdraw(self) -> None:
+        """End a dial whose backend wants nothing new by now: that says nothing of it."""
+        self._settle(Outcome.MOOT)
+
     def _broken(self) -> None:
         """The connection is of no more use; whoever waits on it learns so."""
         self._settle(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
@@ -442,6 +448,7 @@
         if self._closed:
             return
         self._closed = True
+        self.upstream.dials.discard(self)
         self.upstream.take_out(self)
         self.parser = None
         self._chunks = []
@@ -535,13 +542,14 @@
 class Upstream:
     """Idle connections by backend, newest first, and by age for giving up."""
 
-    __slots__ = ("by_age", "count", "idle", "idle_limit", "node")
+    __slots__ = ("by_age", "count", "dials", "idle", "idle_limit", "node")
 
     def __init__(self, node: HttpNode) -> None:
         self.node = node
         self.count = 0  # descriptors, dials included
         self.idle: dict[int, list[BackendConnection]] = {}
         self.by_age: dict[BackendConnection, None] = {}
+        self.dials: set[BackendConnection] = set()  # not made yet
         # At the backends' own limit a request would cross their close, and count
         # as a reset: may have run.
         limit = node.config.idle_close
@@ -590,7 +598,10 @@
 
     def put(self, conn: BackendConnection) -> None:
         """Keep a connection for the next attempt, unless its backend has moved, drains or left."""
-        if not self.node.discovery.roster.ready(conn.backend, conn.address):
+        node = self.node
+        if conn.backend in node.balancer.banned or not node.discovery.roster.ready(
+            conn.backend, conn.address
+        ):
             conn.abandon()
             return
         conn.idle_since = time.monotonic_ns()
@@ -605,6 +616,12 @@
             if not conns:
                 del self.idle[conn.backend]
 
+    def withdraw(self, backend: int) -> None:
+        """Begin nothing more there: dials under way end, and what they would carry never ran."""
+        self.drop_idle(backend)
+        for conn in [c for c in self.dials if c.backend == backend]:
+            conn.withdraw()
+
     def drop_idle(self, backend: int) -> None:
         for conn in list(self.idle.get(backend, ())):
             conn.abandon()
