Settings change in a running node at SIGHUP, the whole file or nothing of it

Classes that are added, dropped or get other rules, and fewer attempts, waited for a restart: after SIGHUP the new classes were answered 404.

The file is checked first: no key may be gone that the one in force has, and times and attempts are numbers above 0. Then flinthatch.amend changes the module, as in the hosted service; a dropped class is known for 3 s more, because callers hear late. A request whose body was slow across the change has its head held against the new classes; the hosted service's copy of that went into the server.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from flinthatch.amend import amend, refuse_waiting
+from flinthatch.amend import refuse_waiting
 from tansywood.service import shape
 from tansywood.service.report import Report
 from tansywood.tenancy.limits import Bucket
@@ -39,7 +39,6 @@
         "_first",
         "_hosted",
         "_key",
-        "_numbers",
         "_proved",
         "_proved_in",
         "listener",
@@ -53,7 +52,6 @@
         self._key = b""
         self._proved: tuple[bytes, bytes, bytes] | None = None  # what the head before showed
         self._proved_in = 0  # and in which epoch that was this tenant's
-        self._numbers = 0  # the classes' numbering that its request was read under
         self._cls = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -112,21 +110,13 @@
             self._proved = shown
             self._proved_in = hosted.epoch
         super().on_headers_complete()
-        self._numbers = hosted.numbering
 
     def _begin(self, incoming: Incoming) -> None:
         hosted = self._hosted
         self._cls = ""
         if not incoming.probe:
-            if self._numbers != hosted.numbering:
-                # Its body was slow, and the classes have changed since its head was read.
-                try:
-                    hosted.read_head(incoming)
-                except BadRequest as err:
-                    hosted.node.budget.give(incoming.reserved)
-                    self._reject(err.status, err)
-                    return
-                self._numbers = hosted.numbering
+            if not self._up_to_date(incoming):
+                return
             self._cls = hosted.class_names.get(incoming.cls, "")
             hosted.report.asked(self._cls)
             refusal = hosted.refusal()
@@ -172,7 +162,6 @@
         self.report = Report()
         self.status = ACTIVE
         self.epoch = 1  # grows where what its callers have shown must be looked at again
-        self.numbering = 0  # grows with each new numbering of the classes
         self.class_names: dict[int, str] = {}
         self.used = 0  # nanoseconds spent on its callers in this window
         self.held = False  # not read from at present
@@ -182,7 +171,6 @@
 
     def know(self, classes: Any, numbers: Any) -> None:
         super().know(classes, numbers)
-        self.numbering += 1
         self.class_names = {number: name for name, number in numbers.items()}
 
     def mine(self, listener: str, host: bytes, name: bytes, key: bytes) -> bool:
@@ -273,12 +261,7 @@
         if new.limits != old.limits:
             assert server.bucket is not None
             server.bucket.change(time.monotonic_ns(), new.limits.rate_per_s, new.limits.burst)
-        now = node.enter()
-        try:
-            numbers = amend(node.balancer, now, config.settings)
-        finally:
-            node.leave()
-        server.know(config.settings.classes, numbers)
+        server.know(config.settings.classes, node.retune(config.settings))
         if new.servers != old.servers:
             self.rev += 1
             node.discovery.roster.name_zones(shape.zones(new))
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -23,6 +23,7 @@
 import asyncio  # noqa: E402
 import gc  # noqa: E402
 import os  # noqa: E402
+from dataclasses import replace  # noqa: E402
 
 import uvloop  # noqa: E402
 
@@ -43,6 +44,7 @@
 # A reload. The file may be half written when the signal comes.
 REREADS = 10
 REREAD_S = 0.15
+DROP_S = 3.0  # that a class is still known after a reload has dropped it
 
 
 class Run:
@@ -56,6 +58,8 @@
         self.ended = loop.create_future()
         self.give_up_at = 0.0
         self.rereading: asyncio.TimerHandle | None = None
+        self.dropping: asyncio.TimerHandle | None = None
+        self.known_classes = config.settings.classes
         self.operated = Operated(self.node, self.server)
         self.desk = Desk(loop, self.operated, self.node.crashed)
 
@@ -112,11 +116,34 @@
             else:
                 self.node.log(f"reload given up, the old configuration stays: {err}")
             return
+        try:
+            self.take_over(config)
+        except ValueError as err:
+            self.node.log(f"reload turned down, the old configuration stays: {err}")
+            return
         if kept:
             self.node.log(f"reload: {', '.join(kept)} can change only at a start")
-        self.config = config
         self.node.log(f"reloaded, discovery at {config.discovery}")
-        self.node.reload(config)
+
+    def take_over(self, config: Config) -> None:
+        """Go on under it. Classes that it drops are known for a while yet: callers hear late."""
+        if self.dropping is not None:
+            self.dropping.cancel()
+            self.dropping = None
+        new = {c.name for c in config.settings.classes}
+        dropped = tuple(c for c in self.known_classes if c.name not in new)
+        classes = config.settings.classes + dropped
+        interim = replace(config, settings=replace(config.settings, classes=classes))
+        self.server.know(classes, self.node.reload(interim))
+        self.known_classes = classes
+        self.config = config
+        if dropped:
+            self.dropping = self.loop.call_later(DROP_S, self.drop, config)
+
+    def drop(self, config: Config) -> None:
+        self.dropping = None
+        self.server.know(config.settings.classes, self.node.reload(config))
+        self.known_classes = config.settings.classes
 
     # ---- the end ------------------------------------------------------
 
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -44,7 +44,7 @@
     idle_close: int
     max_open: int
     reports: bool
-    raw: dict[str, Any]  # the file's words, without the list of backends
+    raw: dict[str, Any]  # the file's words but for the list of backends; for the next reload
     mgmt: Address | None = None  # where the operators' calls come
 
 
@@ -62,19 +62,55 @@
 
 
 def reload(environ: Mapping[str, str], old: Config) -> tuple[Config, list[str]]:
-    """Read the file anew: what a running node takes over, and what it can't.
+    """Read the file anew: what a running node goes on under, and what waits for a restart.
 
-    It takes discovery's address and the limits. The environment is that of the start,
-    so the file goes before what it says of discovery. Requests under way hang on the
-    settings (classes by number, rules, zones), so these wait for a restart, and
-    `known` is older than the list in hand.
+    It is taken whole or turned down whole, with ConfigError. The environment is that of the
+    start, so the file goes before what it says of discovery. `known` is older than the list in
+    hand, and the addresses in use stay.
     """
-    new = _load(environ, ("name", "listen"))
-    kept = [key for key, value in new.raw.items() if value != old.raw[key]]
-    config = replace(old, discovery=new.discovery, memory_mb=new.memory_mb, sockets=new.sockets)
+    new = _load(environ, ("name", "listen", "mgmt"))
+    _compare(new.raw, old.raw, "")
+    kept = [key for key in ("name", "listen", "mgmt") if getattr(new, key) != getattr(old, key)]
+    config = replace(
+        new, name=old.name, listen=old.listen, mgmt=old.mgmt, seed=old.seed, known=old.known
+    )
     return config, kept
 
 
+MAY_LACK = frozenset(("aim_stretch",))
+
+
+def _compare(new: Any, old: Any, place: str) -> None:
+    """ConfigError where a key is gone that the file in force has: it was cut, or is another's."""
+    if isinstance(old, dict):
+        if not isinstance(new, dict):
+            raise ConfigError(f"{place or 'the file'} is no object any more")
+        for key, value in old.items():
+            at = f"{place}.{key}" if place else key
+            if key not in new:
+                raise ConfigError(f"the configuration lacks {at!r}")
+            _compare(new[key], value, at)
+    elif isinstance(old, list) and old and all(isinstance(row, dict) for row in old):
+        # Rows come and go; what all of them had, each has.
+        common = set.intersection(*(set(row) for row in old)) - MAY_LACK
+        for i, row in enumerate(new if isinstance(new, list) else ()):
+            lacking = sorted(common - set(row)) if isinstance(row, dict) else sorted(common)
+            if lacking:
+                raise ConfigError(f"the configuration lacks {f'{place}[{i}].{lacking[0]}'!r}")
+
+
+def _numbers(settings: dict[str, Any]) -> None:
+    """ConfigError where a time or a count of attempts is no number above 0."""
+    rows = [(f"classes[{i}]", row) for i, row in enumerate(settings["classes"])]
+    wanted = [(f"{at}.{key}", row[key]) for at, row in rows for key in ("target", "deadline")]
+    limits = settings.get("limits", {})
+    if "max_attempts" in limits:
+        wanted.append(("limits.max_attempts", limits["max_attempts"]))
+    for at, value in wanted:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+            raise ConfigError(f"{at} is no number above 0: {value!r}")
+
+
 def _load(environ: Mapping[str, str], told: tuple[str, ...]) -> Config:
     path = environ.get("PROXY_CONFIG")
     if not path:
@@ -88,10 +124,11 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
+    words = raw | {"known": None}
     for key in told:
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
-        return _config(raw)
+        return _config(raw, words)
     except KeyError as err:
         raise ConfigError(f"the configuration lacks {err.args[0]!r}") from None
     except WireError as err:
@@ -100,12 +137,13 @@
         raise ConfigError(f"the configuration holds an unusable value: {err}") from None
 
 
-def _config(raw: dict[str, Any]) -> Config:
+def _config(raw: dict[str, Any], words: dict[str, Any]) -> Config:
     for key in ("name", "listen", "discovery"):
         if not raw.get(key):
             raise KeyError(key)
     limits = raw.get("limits", {})
     settings = raw["settings"]
+    _numbers(settings)
     known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
     if not isinstance(known, dict):
         raise ValueError("known is no list of backends")
@@ -126,6 +164,6 @@
         idle_close=int(settings.get("limits", {}).get("idle_close", 15_000_000_000)),
         max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
         reports=settings.get("load_info", {}).get("how", "off") != "off",
-        raw={key: raw.get(key) for key in ("name", "listen", "settings")},
+        raw=words,
         mgmt=parse_address(raw["mgmt"]) if raw.get("mgmt") else None,
     )
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -18,7 +18,8 @@
 from heapq import heapify, heappop, heappush
 from typing import Any
 
-from flinthatch import Balancer, Listing, Outcome, Update
+from flinthatch import Balancer, Listing, Outcome, Settings, Update
+from flinthatch.amend import amend
 from windrelay.config import Config
 from windrelay.ports import Asked, Caller, Carrier, Link, Members
 
@@ -175,11 +176,24 @@
     def known(self) -> list[Listing]:
         return self.discovery.known(self.config.known)
 
-    def reload(self, config: Config) -> None:
-        """Go on under new limits and at discovery's new address."""
+    def reload(self, config: Config) -> dict[str, int]:
+        """Go on under a new configuration; returns the numbers of its classes by name.
+
+        ValueError, and nothing has changed, where it can't be taken over in a running node.
+        """
+        numbers = self.retune(config.settings)
         self.config = config
         self.share(self.elsewhere)
         self.discovery.move(config.discovery)
+        return numbers
+
+    def retune(self, settings: Settings) -> dict[str, int]:
+        """Other classes, rules and limits for what comes; see `amend` for what is under way."""
+        now = self.enter()
+        try:
+            return amend(self.balancer, now, settings)
+        finally:
+            self.leave()
 
     # ---- events: each enters, tells the Balancer, and leaves -----------
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -115,8 +115,8 @@
 
     __slots__ = (
         "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "length",
-        "lines", "method", "probe", "received", "reserved", "retried", "rid", "size", "tenant",
-        "timeout", "url",
+        "lines", "method", "numbering", "probe", "received", "reserved", "retried", "rid", "size",
+        "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -140,6 +140,7 @@
         self.retried = False
         self.timeout = 0
         self.received = 0
+        self.numbering = 0  # of the classes that its head was held against
 
 
 class ClientConnection(asyncio.Protocol):
@@ -318,7 +319,23 @@
         # Begun once all that came with it has been read: it may not be alone.
         self._whole = incoming
 
+    def _up_to_date(self, incoming: Incoming) -> bool:
+        """Hold the head against the classes again where they have changed since it was read:
+        its body was slow. False where it was turned away for it."""
+        server = self._server
+        if incoming.numbering == server.numbering or incoming.probe:
+            return True
+        try:
+            server.read_head(incoming)
+        except BadRequest as err:
+            server.node.budget.give(incoming.reserved)
+            self._reject(err.status, err)
+            return False
+        return True
+
     def _begin(self, incoming: Incoming) -> None:
+        if not self._up_to_date(incoming):
+            return
         self._keep_alive = incoming.keep_alive
         node = self._server.node
         if incoming.probe:
@@ -536,6 +553,7 @@
         self.idle: dict[ClientConnection, None] = {}
         self.lingering: dict[ClientConnection, None] = {}
         self.sweeps = 0
+        self.numbering = 0  # grows with each new numbering of the classes
         self.stopping = False
         self.evacuated = False  # by an operator's word, until another
         self._evacuated_since = 0
@@ -554,6 +572,7 @@
 
     def know(self, classes: Iterable[RequestClass], numbers: Mapping[str, int]) -> None:
         """What a head is held against: the classes, and the numbers they are told by."""
+        self.numbering += 1
         rows = {numbers[c.name]: c for c in classes}
         self._classes = {c.name.encode(): i for i, c in rows.items()}
         self._deadlines = {i: c.deadline for i, c in rows.items()}
@@ -784,6 +803,7 @@
     def read_head(self, incoming: Incoming) -> None:
         """Check a head and fill in what the module wants to know; BadRequest if it is unfit."""
         fields = incoming.fields
+        incoming.numbering = self.numbering
         path = incoming.url.partition(b"?")[0]
         coding = fields.get(b"transfer-encoding")
         incoming.chunked = coding is not None
