Large answers are passed on as they come; bodies up to 32 MB; patience by progress

- An answer over 64 KiB goes to its client at the slower side's pace.
It is the request's one answer: no time limit ends it, it is never repeated, and where it breaks off it is cut so that the client can tell, by a reset where nothing else would.
- The module frees the slot when an answer begins and learns the time to its beginning.
- Answers that end with their connection are taken where the head says Connection: close.
- A request's body is written in pieces, so that one whose connection breaks before the last piece is known never to have run.
Bodies longer than 64 KiB take memory as they come.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -269,18 +269,19 @@
 
 
 class Attempt:
-    __slots__ = ("backend", "open", "sent")
+    __slots__ = ("backend", "open", "sent", "started")
 
     def __init__(self, backend: Backend, sent: int) -> None:
         self.backend = backend
         self.sent = sent
         self.open = True
+        self.started = False  # its answer has begun
 
 
 class Request:
     __slots__ = (
         "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "hint", "id", "live",
-        "over", "queued", "ran", "streaming", "tenant", "wait_by",
+        "over", "queued", "ran", "tenant", "wait_by",
     )  # fmt: skip
 
     def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
@@ -297,7 +298,6 @@
         self.queued = False
         self.over = False
         self.ended = False
-        self.streaming = False
         self.hint = 0
 
 
@@ -992,16 +992,16 @@
         b = a.backend
         c = r.cls
         r.live -= 1
-        c.running -= 1
-        self.running -= 1
-        b.held -= 1
+        if not a.started:
+            self.free_slot(c, b)
         self.outcomes += 1
         if b.stalled and not b.held:
             # All it held has ended without an answer: nothing else would let it back in.
             b.stalled = False
             b.trial = True
         if outcome == OK:
-            self.answered(now, c, b, taken, load)
+            if not a.started:
+                self.answered(now, c, b, taken, load)
             if not r.ended:
                 c.responses += now - r.arrived
                 c.total += 1
@@ -1150,10 +1150,21 @@
         self.settle(b)
 
     def on_started(self, now: int, request: int, attempt: int, taken: int) -> None:
+        """Its answer has begun: the work is done, and how fast it is read is the client's."""
         self.now = now
         r = self.requests.get(request)
-        if r is not None:
-            r.streaming = True
+        a = r.attempts[attempt] if r is not None and attempt < len(r.attempts) else None
+        if r is not None and a is not None and a.open and not a.started:
+            a.started = True
+            self.free_slot(r.cls, a.backend)
+            self.answered(now, r.cls, a.backend, taken, ())
+            self.settle(a.backend)
+            self.dispatch(now)
+
+    def free_slot(self, c: ClassState, b: Backend) -> None:
+        c.running -= 1
+        self.running -= 1
+        b.held -= 1
 
     def on_gone(self, now: int, request: int) -> None:
         self.now = now
--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -20,6 +20,7 @@
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
 from windrelay.assemble import HttpNode
 from windrelay.node import Node
+from windrelay.ports import Source
 from windrelay.server import EMPTY, BadRequest, ClientConnection, Incoming, Server
 
 SECOND = 1_000_000_000
@@ -137,6 +138,12 @@
             self._hosted.report.served(self._cls, self._hosted.node.now - request.arrived)
         super().answer(content_type, chunks, size)
 
+    def begin(self, content_type: bytes, length: int, source: Source) -> None:
+        request = self._request
+        if request is not None:
+            self._hosted.report.served(self._cls, self._hosted.node.now - request.arrived)
+        super().begin(content_type, length, source)
+
     def answer_empty(self, status: int, retry_after: int) -> None:
         report = self._hosted.report
         if status == 503:
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -101,8 +101,9 @@
 
 def _numbers(settings: dict[str, Any]) -> None:
     """ConfigError where a time or a count of attempts is no number above 0."""
-    rows = [(f"classes[{i}]", row) for i, row in enumerate(settings["classes"])]
-    wanted = [(f"{at}.{key}", row[key]) for at, row in rows for key in ("target", "deadline")]
+    rows = [(f"classes[{i}]", row) for i, row in enumerate(settings.get("classes", ()))]
+    times = ("target", "deadline")
+    wanted = [(f"{at}.{key}", row[key]) for at, row in rows for key in times if key in row]
     limits = settings.get("limits", {})
     if "max_attempts" in limits:
         wanted.append(("limits.max_attempts", limits["max_attempts"]))
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -83,8 +83,8 @@
 
 class Request:
     __slots__ = (
-        "arrived", "asked", "attempts", "client", "deadline", "ended", "id", "live", "name",
-        "reserved",
+        "arrived", "asked", "attempts", "begun", "client", "deadline", "ended", "id", "live",
+        "name", "reserved",
     )  # fmt: skip
 
     def __init__(self, rid: int, client: Caller, asked: Asked, now: int, left: int) -> None:
@@ -97,13 +97,18 @@
         self.deadline = now + left
         self.attempts: list[Attempt] = []
         self.live = 0
+        self.begun = False  # an answer is on its way to the client
         self.ended = False
 
 
 class Attempt:
-    """One send, or a probe where `request` is None. It has exactly one outcome."""
+    """One send, or a probe where `request` is None. It has exactly one outcome.
 
-    __slots__ = ("backend", "closed", "connection", "limit", "number", "request", "sent")
+    From `begun` on its answer is passed on as it comes: it is the request's one answer, no
+    time limit ends it any more, and what it took is the time to its beginning.
+    """
+
+    __slots__ = ("backend", "begun", "closed", "connection", "limit", "number", "request", "sent")
 
     def __init__(self, request: Request | None, number: int, backend: int, sent: int) -> None:
         self.request = request
@@ -112,6 +117,7 @@
         self.sent = sent
         self.limit = 0
         self.closed = False
+        self.begun = 0
         self.connection: Carrier | None = None
 
 
@@ -305,6 +311,22 @@
         finally:
             self.leave()
 
+    def begin_answer(self, a: Attempt) -> None:
+        """An attempt's answer is passed on from here on, see Attempt; `conclude` ends it."""
+        r = a.request
+        assert r is not None
+        inside = self.inside
+        now = self.now if inside else self.enter()
+        a.begun = now
+        r.begun = True
+        try:
+            self.balancer.on_started(now, r.id, a.number, now - a.sent)
+        except Exception:
+            self.broken()
+        finally:
+            if not inside:
+                self.leave()
+
     def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
         """Settle an attempt's one outcome; the Balancer is told after the current event."""
         if a.closed:
@@ -314,9 +336,9 @@
         inside = self.inside
         now = self.now if inside else self.enter()
         r = a.request
-        self.outcomes.append((a, outcome, now - a.sent, load))
+        self.outcomes.append((a, outcome, (a.begun or now) - a.sent, load))
         try:
-            if r is not None and outcome == Outcome.OK and not r.ended:
+            if r is not None and (a.begun or outcome == Outcome.OK) and not r.ended:
                 self.end(r)
         finally:
             if not inside:
@@ -363,7 +385,10 @@
         client = r.client
         self.end(r)
         if client is not None:
-            client.failed(late)
+            if r.begun:
+                client.cut()  # type: ignore[attr-defined]  # only a Streamed one has begun
+            else:
+                client.failed(late)
 
     def fail_all(self) -> None:
         """At the very end of a stop: whatever is still held gets its answer."""
@@ -394,7 +419,7 @@
 
     def refuse(self, request: int, retry_after: int) -> None:
         r = self.requests.get(request)
-        if r is None or r.ended:
+        if r is None or r.ended or r.begun:
             return
         client = r.client
         self.end(r)
@@ -403,12 +428,12 @@
 
     def fail(self, request: int) -> None:
         r = self.requests.get(request)
-        if r is not None:
+        if r is not None and not r.begun:
             self.fail_at_once(r)
 
     def cancel(self, request: int, attempt: int) -> None:
         r = self.requests.get(request)
-        if r is not None and 0 <= attempt < len(r.attempts):
+        if r is not None and 0 <= attempt < len(r.attempts) and not r.attempts[attempt].begun:
             self.give_up(r.attempts[attempt], Outcome.CANCELLED)
 
     def probe(self, backend: int) -> None:
@@ -487,9 +512,9 @@
         if isinstance(item, int):
             self.balancer.on_timer(now, item)
         elif isinstance(item, Attempt):
-            if not item.closed:
+            if not item.closed and not item.begun:
                 self.give_up(item, Outcome.TIMEOUT)
-        elif not item.ended:
+        elif not item.ended and not item.begun:
             self.overdue(item)
 
     def give_up(self, a: Attempt, outcome: Outcome) -> None:
--- a/windrelay/ports.py
+++ b/windrelay/ports.py
@@ -30,6 +30,36 @@
         """It may have run, or nobody could be asked; `late` where its time is over."""
 
 
+class Streamed(Caller, Protocol):
+    """A caller that takes an answer as it comes: `begin`, `more` as often as it likes, and one
+    of `finish` and `cut`. From `begin` on nothing else of Caller is called."""
+
+    def begin(self, content_type: bytes, length: int, source: Source) -> None:
+        """Served, and this is the answer's head; `length` is -1 where nobody knows it yet."""
+
+    def more(self, data: bytes) -> None:
+        """What comes next of its body."""
+
+    def finish(self) -> None:
+        """That was all of it."""
+
+    def cut(self) -> None:
+        """No more of it comes, though it is not whole: the caller must be able to tell."""
+
+
+class Source(Protocol):
+    """Where an answer comes from while it is passed on."""
+
+    def hold(self) -> None:
+        """Read no more for now: the caller is slower."""
+
+    def go_on(self) -> None:
+        """Read again."""
+
+    def caller_left(self) -> None:
+        """Nobody takes the rest any more."""
+
+
 class Asked(Protocol):
     """A request as its front has read it; the node keeps it until the last attempt has ended."""
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import fcntl
 import socket
@@ -22,12 +23,14 @@
 if TYPE_CHECKING:
     from windrelay.config import Address
     from windrelay.node import Node, Request
+    from windrelay.ports import Source
 
 MS = 1_000_000
 MAX_HEAD = 16 << 10
-MAX_BODY = 64 << 10  # the protocol's bound
+MAX_BODY = 32 << 20  # the platform's bound
 MAX_ID = 128
 SMALL_BODY = 4 << 10  # never turned away for want of memory
+AT_ONCE = 64 << 10  # reserved for a body as its head says; for a longer one as it comes
 BACKLOG = 1024
 ACCEPTS = 64  # in one turn of the loop
 # Patience with slow clients, in sweeps: a node that was stopped for a while must
@@ -35,7 +38,10 @@
 # request is owed an error or a close within 3 s of connecting.
 SWEEP_S = 0.25
 SILENT_SWEEPS = 8  # connected and nothing said
-REQUEST_SWEEPS = 9  # from connecting, or a later request's first byte, to its last
+REQUEST_SWEEPS = 9  # for a head, from connecting or a later request's first byte; then a body
+# gets as many again, and one more for each so many bytes beyond the first that have come.
+BODY_A_SWEEP = 8 << 10  # half of the slowest line there is
+BODY_FREE = 32 << 10
 IDLE_SWEEPS = 16  # kept open between requests; where descriptors are short ...
 SHORT_IDLE_SWEEPS = 8  # ... only so long: less than 2 s is not allowed
 # Of the descriptors: connections kept at rest. Clients that ask once and keep theirs fill
@@ -61,6 +67,7 @@
 EVICTED = 4  # connections given up at a time where a descriptor is wanted
 LOOKED_AT = 16  # candidates for it
 
+RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets the connection
 TCP_INFO_SIZE = 56
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
 QUEUED = struct.Struct("i")
@@ -115,8 +122,8 @@
 
     __slots__ = (
         "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "length",
-        "lines", "method", "numbering", "probe", "received", "reserved", "retried", "rid", "size",
-        "tenant", "timeout", "url",
+        "lines", "method", "numbering", "old", "probe", "received", "reserved", "retried", "rid",
+        "size", "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -132,6 +139,7 @@
         self.chunked = False
         self.head = b""
         self.keep_alive = True
+        self.old = False  # of HTTP/1.0: its answer knows no chunks
         self.probe = False
         self.cls = 0
         self.tenant = 0
@@ -147,8 +155,9 @@
     """One client's connection; it carries one request at a time."""
 
     __slots__ = (
-        "_dropped", "_eof", "_head_size", "_headers_done", "_incoming", "_keep_alive", "_lingering",
-        "_parser", "_progress", "_request", "_server", "_since", "_sock", "_transport", "_whole",
+        "_chunked", "_closing", "_dropped", "_eof", "_head_size", "_headers_done", "_incoming",
+        "_keep_alive", "_lingering", "_old", "_parser", "_progress", "_request", "_server",
+        "_since", "_sock", "_source", "_transport", "_unframed", "_whole",
         "_write_since", "counted",
     )  # fmt: skip
 
@@ -170,6 +179,11 @@
         self._since = server.sweeps  # when it connected, began to ask, to rest or to linger
         self._write_since = 0
         self._progress = (0, 0)
+        self._source: Source | None = None  # of the answer that is passed on
+        self._chunked = False  # that answer goes in chunks
+        self._unframed = False  # or till the connection's end
+        self._closing = False  # and the connection ends behind it
+        self._old = False  # the client speaks HTTP/1.0
 
     # ---- reading ------------------------------------------------------
 
@@ -257,6 +271,7 @@
             incoming.url = b"/" + incoming.url[7:].partition(b"/")[2]
         incoming.method = parser.get_method()
         incoming.keep_alive = parser.should_keep_alive()
+        incoming.old = parser.get_http_version() == "1.0"
         if parser.should_upgrade():
             raise BadRequest(400, "upgrade")  # the parser would not read its body
         size = len(incoming.url) + sum(map(len, incoming.lines))
@@ -265,7 +280,12 @@
         self._server.read_head(incoming)
         if incoming.length > MAX_BODY:
             raise BadRequest(413)
-        self._reserve(incoming, incoming.length)
+        if incoming.length > AT_ONCE:
+            self._fits(incoming.length)
+        else:
+            self._reserve(incoming, incoming.length)
+        if incoming.length or incoming.chunked:
+            self._since = self._server.sweeps
         if (incoming.length or incoming.chunked) and (
             incoming.fields.get(b"expect", b"").lower() == b"100-continue"
         ):
@@ -281,12 +301,15 @@
         more = size - incoming.reserved
         if more <= 0:
             return
-        budget = self._server.node.budget
-        if size > SMALL_BODY and not budget.has_room(more):
-            raise BadRequest(503, "no memory for its body")
-        budget.take(more)
+        if size > SMALL_BODY:
+            self._fits(more)
+        self._server.node.budget.take(more)
         incoming.reserved = size
 
+    def _fits(self, more: int) -> None:
+        if not self._server.node.budget.has_room(more):
+            raise BadRequest(503, "no memory for its body")
+
     def on_body(self, body: bytes) -> None:
         incoming = self._incoming
         assert incoming is not None
@@ -337,6 +360,7 @@
         if not self._up_to_date(incoming):
             return
         self._keep_alive = incoming.keep_alive
+        self._old = incoming.old
         node = self._server.node
         if incoming.probe:
             server = self._server
@@ -369,6 +393,62 @@
             head += b"Content-Type: %s\r\n" % content_type
         self._write_head(head, chunks)
 
+    # ---- passing an answer on (ports.Streamed) --------------------------
+
+    def begin(self, content_type: bytes, length: int, source: Source) -> None:
+        transport = self._transport
+        if transport is None or self._lingering or transport.is_closing():
+            return  # gone; connection_lost tells the source
+        self._source = source
+        self._unframed = length < 0 and self._old
+        self._chunked = length < 0 and not self._old
+        self._closing = self._unframed or self._closes()
+        head = b"HTTP/1.1 200 OK\r\n"
+        if length >= 0:
+            head += b"Content-Length: %d\r\n" % length
+        elif self._chunked:
+            head += b"Transfer-Encoding: chunked\r\n"
+        if content_type:
+            head += b"Content-Type: %s\r\n" % content_type
+        transport.write(head + (b"Connection: close\r\n\r\n" if self._closing else b"\r\n"))
+
+    def more(self, data: bytes) -> None:
+        transport = self._transport
+        if self._source is None or transport is None or transport.is_closing():
+            return
+        if self._chunked:
+            transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+        else:
+            transport.write(data)
+
+    def finish(self) -> None:
+        transport = self._transport
+        if self._source is None or transport is None or transport.is_closing():
+            return
+        self._source = None
+        self._request = None
+        if self._chunked:
+            transport.write(b"0\r\n\r\n")
+        self._answered(self._closing)
+
+    def cut(self) -> None:
+        source, self._source = self._source, None
+        self._request = None
+        if self._transport is not None:
+            if source is not None and self._unframed:
+                # Nothing but a reset tells it from an answer that is whole.
+                with contextlib.suppress(OSError):
+                    self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self._transport.abort()
+
+    def pause_writing(self) -> None:
+        if self._source is not None:
+            self._source.hold()
+
+    def resume_writing(self) -> None:
+        if self._source is not None:
+            self._source.go_on()
+
     def answer_empty(self, status: int, retry_after: int) -> None:
         head = EMPTY[status]
         if retry_after:
@@ -400,6 +480,9 @@
         closes = self._closes()
         end = b"Connection: close\r\n\r\n" if closes else b"\r\n"
         transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
+        self._answered(closes)
+
+    def _answered(self, closes: bool) -> None:
         if closes:
             self._end()
         else:
@@ -421,6 +504,11 @@
         self._server.turned_away(status, why)
         self._drop_incoming()
         self._parser = None
+        if self._source is not None:
+            # In the middle of an answer nothing else can be told, and no more of it is taken.
+            assert self._transport is not None
+            self._transport.abort()
+            return
         # A request open before it gets this answer too, and no other.
         request, self._request = self._request, None
         transport = self._transport
@@ -474,8 +562,11 @@
             server.rests_no_more(self)
             self._drop_incoming()
             request, self._request = self._request, None
+            source, self._source = self._source, None
             if request is not None:
                 server.node.client_gone(request)
+            if source is not None:
+                source.caller_left()
         finally:
             server.node.clients -= 1
             server.node.freed()
@@ -526,9 +617,12 @@
         if self._lingering and not waiting and sweep - self._since > LINGER_SWEEPS:
             transport.abort()
             return
-        if self._incoming is not None and sweep - self._since > REQUEST_SWEEPS:
-            self._reject(408, "not whole in time")
-            return
+        incoming = self._incoming
+        if incoming is not None and sweep - self._since > REQUEST_SWEEPS:
+            more = max(incoming.size - BODY_FREE, 0) // BODY_A_SWEEP
+            if sweep - self._since > REQUEST_SWEEPS + more:
+                self._reject(408, "not whole in time")
+                return
         if not waiting:
             self._write_since = sweep
             return
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -17,16 +17,21 @@
 from windrelay.config import Address
 from windrelay.glance import Glance, unread
 from windrelay.guard import ends_connection
+from windrelay.ports import Streamed
 
 if TYPE_CHECKING:
     from windrelay.assemble import HttpNode
     from windrelay.node import Attempt
 
-MAX_BODY = 64 << 10  # of an answer: the protocol's own bound
+HELD_BODY = 64 << 10  # of an answer that is held until it is whole; more is passed on as it comes
+MAX_BODY = 32 << 20  # of an answer: the platform's own bound
 MAX_HEAD = 16 << 10  # of an answer and of what comes ahead of it
-# The rest of an answer follows its first bytes at once, or never: with one that says
-# it is longer than it is, the whole of the attempt's time would pass.
+# An answer that has begun goes on, in small pieces at times: with one that says it is longer
+# than it is, the whole of the attempt's time would pass.
 REST_S = 0.25
+# The same of one that is passed on: it can't be repeated any more, so it gets longer.
+PASSED_REST_S = 3.0
+PIECE = 64 << 10  # of a request, given to the transport at a time
 OWN_WANT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 MAX_INTERIM = 8  # 1xx answers before the real one
 # Turns of the loop between a dial's time being up and its end. What the kernel has
@@ -64,10 +69,11 @@
 
     __slots__ = (
         "_chunked", "_chunks", "_closed", "_complete", "_dial_timer", "_dirty", "_glance", "_got",
-        "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run", "_paused",
-        "_report", "_rest_timer", "_size", "_spoilt", "_status", "_taken", "_task", "_type",
-        "address", "attempt", "backend", "idle_since", "parser", "transport", "upstream",
-        "written",
+        "_headers_done", "_interim", "_keep_alive", "_last_got", "_length", "_let", "_not_run",
+        "_passing", "_paused", "_report", "_rest_timer", "_says_close", "_size", "_slow",
+        "_spoilt", "_status",
+        "_taken", "_task", "_type", "_until_end", "_unsent", "address", "attempt", "backend",
+        "idle_since", "parser", "transport", "upstream", "written",
     )  # fmt: skip
 
     def __init__(self, upstream: Upstream, backend: int, address: Address) -> None:
@@ -90,6 +96,10 @@
     def _reset(self) -> None:
         self.written = False
         self._paused = False
+        self._unsent: deque[bytes] = deque()  # what the transport has not been given yet
+        self._passing: Streamed | None = None  # who takes the answer as it comes
+        self._slow = False  # whoever takes it can't take more at present
+        self._last_got = 0
         self._interim = 0
         self._got = 0  # bytes of the answer, of whatever kind
         self._spoilt = False
@@ -106,6 +116,8 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._complete = False
+        self._says_close = False
+        self._until_end = False  # only the end of the connection ends it
         self._keep_alive = False
         self._dirty = False
 
@@ -187,20 +199,38 @@
             left = attempt.sent + attempt.limit - time.monotonic_ns()
             asked = r.asked
             head = b"%s%d\r\n\r\n" % (asked.head, max(left // MS, 1))
-            head = b"".join((head, *asked.body))
+            if asked.size <= PIECE:
+                head = b"".join((head, *asked.body))
         transport = self.transport
         assert transport is not None
-        # One write, never more than a head and 64 KiB. Where the write itself fails the
-        # kernel took nothing, so the last byte never left: connection_lost tells the
-        # outcome. A rest may wait above the kernel, but how much is in doubt from here on.
+        # Mostly one write, never more than a head and 64 KiB. Where the write itself fails the
+        # kernel took nothing, so the last byte never left: connection_lost tells the outcome.
+        # A rest may wait above the kernel, but how much is in doubt from here on.
+        if r is None or r.asked.size <= PIECE:
+            transport.write(head)
+            self.written = not transport.is_closing()
+            return
+        # What is longer goes in pieces, the next once the one before has left, so that a
+        # request never ran where its connection breaks before the last is begun.
+        self._unsent.extend(asked.body)
         transport.write(head)
-        self.written = not transport.is_closing()
+        self._push()
+
+    def _push(self) -> None:
+        transport = self.transport
+        while self._unsent and not self._paused and transport is not None:
+            if transport.is_closing():
+                return
+            transport.write(self._unsent.popleft())
+            self.written = not self._unsent and not transport.is_closing()
 
     def pause_writing(self) -> None:
         self._paused = True
 
     def resume_writing(self) -> None:
         self._paused = False
+        if self._unsent:
+            self._push()
 
     # ---- the answer ---------------------------------------------------
 
@@ -219,6 +249,7 @@
             self._close()
             return
         self._got += len(data)
+        self._last_got = time.monotonic_ns()
         try:
             parser.feed_data(data)
         except httptools.HttpParserCallbackError as err:
@@ -229,25 +260,33 @@
             self._spoilt = not self._complete
         if self._complete and not self._spoilt:
             self._answered()
-        elif (
-            self._spoilt
-            or self._got > MAX_HEAD + MAX_BODY
-            or (not self._headers_done and self._got > MAX_HEAD)
-        ):
+        elif self._spoilt or (not self._headers_done and self._got > MAX_HEAD):
             self._give_up_answer()
         elif self._rest_timer is None:
             self._rest_timer = self.upstream.node.loop.call_later(REST_S, self._rest_expired)
 
+    def eof_received(self) -> bool:
+        # An answer without a length is whole where its connection ends, and only so.
+        if self.attempt is not None and self._until_end and not self._spoilt:
+            self._complete = True
+            self._answered()
+        return False
+
     @ends_connection
     def _rest_expired(self) -> None:
         self._rest_timer = None
         if self.attempt is None:
             return
-        if self._unread():
-            # It is our loop that was late.
-            self._rest_timer = self.upstream.node.loop.call_later(REST_S, self._rest_expired)
-        else:
-            self._give_up_answer()
+        patience = REST_S if self._passing is None else PASSED_REST_S
+        silent = (time.monotonic_ns() - self._last_got) / 1e9
+        if self._slow:
+            silent = 0.0  # whoever takes it is, and has limits of its own
+        elif silent >= patience:
+            if not self._unread():
+                self._give_up_answer()
+                return
+            silent = 0.0  # it is our loop that was late
+        self._rest_timer = self.upstream.node.loop.call_later(patience - silent, self._rest_expired)
 
     def _give_up_answer(self) -> None:
         """The answer can't be used: a failed attempt that may have run, and no more.
@@ -282,6 +321,8 @@
             self._type = value
         elif name == b"transfer-encoding":
             self._chunked = True
+        elif name == b"connection":
+            self._says_close = value.lower() == b"close"
         elif name == b"x-not-processed":
             self._not_run = value == b"1"
         elif name == b"x-server-load":
@@ -295,7 +336,11 @@
         # Known from the head alone: too long, or of a length that nobody could check.
         # An answer that ends with its connection looks whole wherever it breaks off.
         self._spoilt |= self._length > MAX_BODY or (self._length >= 0 and self._chunked)
-        self._spoilt |= self._status == 200 and self._length < 0 and not self._chunked
+        if self._status == 200 and self._length < 0 and not self._chunked:
+            # The end of its connection ends it, so that it looks whole wherever it breaks off:
+            # only a server that says so beforehand is believed.
+            self._until_end = self._says_close
+            self._spoilt |= not self._says_close
 
     def on_body(self, body: bytes) -> None:
         if self.parser is None:
@@ -306,11 +351,59 @@
         self._size += len(body)
         if self._size > MAX_BODY:
             self._spoilt = True
-        elif self._status == 200 and not self._spoilt:
+        elif self._status != 200 or self._spoilt:
+            return  # the text of an error is of no use to anybody: it is not kept
+        elif self._passing is not None:
+            self._passing.more(body)
+        else:
             self._chunks.append(body)
             self._taken += len(body)
             self.upstream.node.budget.take(len(body))
-        # The text of an error is of no use to anybody: it is not kept.
+            if self._size > HELD_BODY or self._length > HELD_BODY:
+                self._pass_on()
+
+    def _pass_on(self) -> None:
+        """From here on the answer goes to its client as it comes."""
+        attempt = self.attempt
+        r = attempt.request if attempt is not None else None
+        if attempt is None or r is None:
+            self._spoilt = True  # a probe's
+        elif not self.written:
+            self._spoilt = True  # no answer to this request, see _outcome
+        elif r.ended or r.client is None:
+            self._spoilt = True  # nobody takes it
+        else:
+            self._passing = cast(Streamed, r.client)
+            chunks, self._chunks = self._chunks, []
+            self.upstream.node.begin_answer(attempt)
+            self._passing.begin(self._type, self._length, self)
+            for chunk in chunks:
+                self._passing.more(chunk)
+            self._give_back()
+
+    # ---- passing on (ports.Source) --------------------------------------
+
+    def hold(self) -> None:
+        self._slow = True
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self._slow:
+            self._slow = False
+            self._last_got = time.monotonic_ns()
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+
+    def caller_left(self) -> None:
+        self._passing = None
+        self._settle(Outcome.CANCELLED)
+
+    def _cut(self) -> None:
+        """What was passed on is not whole; whoever takes it must see that."""
+        passing, self._passing = self._passing, None
+        if passing is not None:
+            passing.cut()
 
     def on_message_complete(self) -> None:
         if self._complete or self.parser is None:
@@ -386,7 +479,10 @@
                 idle = attempt.sent - self.idle_since
                 self.upstream.idle_limit.held(node.now, idle)
             r = attempt.request
-            if r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
+            passing, self._passing = self._passing, None
+            if passing is not None:
+                passing.finish()
+            elif r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
                 r.client.answer(self._type, chunks, self._size)
             elif r is None and outcome == Outcome.ERROR and self._status == 503:
                 outcome = Outcome.FULL
@@ -422,6 +518,7 @@
         """
         sent = self.written
         self.attempt = None
+        self._cut()
         self._close()
         return sent
 
@@ -435,6 +532,7 @@
 
     def _settle(self, outcome: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
+        self._cut()
         self._close()
         if attempt is not None:
             self.upstream.node.conclude(attempt, outcome)
@@ -452,6 +550,7 @@
         self.upstream.take_out(self)
         self.parser = None
         self._chunks = []
+        self._unsent.clear()
         self._give_back()
         self._stop_rest_timer()
         if self._dial_timer is not None:
