--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -250,6 +250,9 @@
             return
         self._got += len(data)
         self._last_got = time.monotonic_ns()
+        if self._passing is not None and self._length >= 0:
+            self._pass_raw(data)
+            return
         try:
             parser.feed_data(data)
         except httptools.HttpParserCallbackError as err:
@@ -333,6 +336,7 @@
             return
         self._status = self.parser.get_status_code()
         self._headers_done = True
+        self._keep_alive = self.parser.should_keep_alive()
         # Known from the head alone: too long, or of a length that nobody could check.
         # An answer that ends with its connection looks whole wherever it breaks off.
         self._spoilt |= self._length > MAX_BODY or (self._length >= 0 and self._chunked)
@@ -381,6 +385,20 @@
                 self._passing.more(chunk)
             self._give_back()
 
+    def _pass_raw(self, data: bytes) -> None:
+        """Within a body of a known length there is nothing to parse, and nothing to copy."""
+        assert self._passing is not None
+        left = self._length - self._size
+        if len(data) > left:
+            self._dirty = True  # more than belongs to it
+            data = data[:left]
+        self._size += len(data)
+        self._passing.more(data)
+        if self._size == self._length:
+            self._complete = True
+            self.parser = httptools.HttpResponseParser(self)  # the old one stands in the body
+            self._answered()
+
     # ---- passing on (ports.Source) --------------------------------------
 
     def hold(self) -> None:
