ISO 8583 reversals on sockets: what is owed is kept, forwarded, and outlasts a crash

- The front takes reversals.
A booked credit's, or one in doubt, is a debt: kept first, then the terminal is told, then it goes to the original's server alone, with our trace number in field 90, until that server takes it.
Drains and bans bind it; nothing else gets it.
- A credit's identity and server are kept before its first byte leaves, by a port (records.py): after a crash it is in doubt, its repeat is not sent and its reversal is owed.
Balances write nothing.
- What was reversed before it left is given up, also behind a sign-on.
Where nothing can be kept a credit is refused and a reversal not taken.
One of an original that may be forgotten is not taken: "never came" would have been approved while the credit stands.

--- a/standins/iso8583.py
+++ b/standins/iso8583.py
@@ -64,6 +64,8 @@
         self.port = 0
         self.accepted = 0
         self.seen: list[Message] = []
+        self.hangs = False  # leaves sign-ons and echoes without an answer, until `wake`
+        self.holding: list[tuple[IsoConnection, Message]] = []
         self.conns: set[IsoConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -79,6 +81,13 @@
         for conn in list(self.conns):
             conn.reset()
 
+    def wake(self) -> None:
+        """Answer what it has left without an answer."""
+        self.hangs = False
+        holding, self.holding = self.holding, []
+        for conn, message in holding:
+            conn.managed(message)
+
     def way(self) -> Way:
         if self.script:
             return self.script.popleft()
@@ -114,8 +123,10 @@
 
     def received(self, message: Message) -> None:
         if message.mti[1] == "8":
-            fields = {n: v for n, v in message.fields.items() if n in (7, 11, 70)}
-            self.write(self.bytes_of(Message(response_mti(message.mti), fields | {39: "00"})))
+            if self.server.hangs:
+                self.server.holding.append((self, message))
+            else:
+                self.managed(message)
             return
         self.server.seen.append(message)
         way = self.server.way()
@@ -132,6 +143,10 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self.server.work_s, self.done, message, way)
 
+    def managed(self, message: Message) -> None:
+        fields = {n: v for n, v in message.fields.items() if n in (7, 11, 70)}
+        self.write(self.bytes_of(Message(response_mti(message.mti), fields | {39: "00"})))
+
     def done(self, message: Message, way: Way) -> None:
         code = {Way.DECLINE: "51", Way.ERROR: "96"}.get(way, "00")
         data = self.answer(message, code)
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -4,21 +4,37 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, cast
 
+from flinthatch import Effect, Outcome
 from tansywood.iso8583 import repeats
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Frame, Framer, Framing, FramingError, answering, frame
+from tansywood.iso8583.link import Advice, IsoLink, IsoNode
 from tansywood.iso8583.machine import Front, Reply, Request, reply_to
 from tansywood.iso8583.mapping import Mapping
+from tansywood.iso8583.records import KINDS, Forgetful, Records, Row
 from tansywood.iso8583.repeats import Repeats, Verdict
+from tansywood.iso8583.reversals import (
+    Act,
+    Fate,
+    Reversals,
+    forwarded,
+    older,
+    original_of,
+)
 from windrelay.config import Address
-from windrelay.node import Node
+from windrelay.node import Attempt, Node
 from windrelay.node import Request as NodeRequest
 
 MS = 1_000_000
 KEEP_MS = 120_000  # an answer is given again for so long
+# What became of a credit is known for a reversal of it: some 300 bytes each, so 30 MB at 30 credits
+# a second. A later reversal is not taken, for the original may have been booked anywhere.
+ORIGINAL_MS = 3600 * 1000
+STUCK_MS = 300_000  # owed for so long somebody has to look
 BEHIND = 1 << 20  # bytes that a terminal has not taken
 OPEN = 512  # requests of one connection
 
@@ -27,8 +43,8 @@
     """A request as the node has it (windrelay's Asked port)."""
 
     __slots__ = (
-        "at", "cls", "codec", "hint", "key", "message", "raw", "reserved", "retried", "rid",
-        "tenant", "timeout",
+        "at", "cls", "codec", "hint", "key", "lasts", "message", "raw", "reserved", "retried",
+        "rid", "tenant", "timeout",
     )  # fmt: skip
 
     def __init__(
@@ -45,6 +61,7 @@
         self.hint = 0
         self.retried = repeats_first(message)
         self.timeout = timeout
+        self.lasts = caller.lasts
         self.rid = caller.key.encode()
         self.reserved = len(raw)
 
@@ -56,29 +73,32 @@
 class Caller:
     """One message that waits for its answer; a repeat that joined another waits as well."""
 
-    __slots__ = ("conn", "key", "message", "request", "tpdu")
+    __slots__ = ("conn", "key", "lasts", "message", "request", "tpdu")
 
-    def __init__(self, conn: TerminalConnection, message: Message, tpdu: bytes, key: str) -> None:
+    def __init__(
+        self, conn: TerminalConnection, message: Message, tpdu: bytes, key: str, lasts: bool
+    ) -> None:
         self.conn = conn
         self.message = message
         self.tpdu = tpdu
         self.key = key
+        self.lasts = lasts  # its effect outlasts us, and so must what is known of it
         self.request: NodeRequest | None = None
 
     def answer(self, *answer: Any) -> None:
         """Served: the bytes of the answer, under the caller's own trace number."""
-        (raw,) = answer
-        self.conn.server.settle(self, cast(bytes, raw), ran=True)
+        raw = cast(bytes, answer[0])
+        self.conn.server.settle(self, raw, self.conn.server.fate_of(self, raw))
 
     def refused(self, retry_after: int) -> None:
         server = self.conn.server
         answer = reply_to(self.message, server.mapping.refused)
-        server.settle(self, server.codec.encode(answer), ran=False)
+        server.settle(self, server.codec.encode(answer), Fate.NEVER_RAN)
 
     def failed(self, late: bool) -> None:
         server = self.conn.server
         answer = reply_to(self.message, server.mapping.failed)
-        server.settle(self, server.codec.encode(answer), ran=True)
+        server.settle(self, server.codec.encode(answer), Fate.IN_DOUBT)
 
 
 class TerminalConnection(asyncio.Protocol):
@@ -147,7 +167,11 @@
         secret: bytes,
         must_sign_on: bool = False,
         now_ms: Callable[[], int] = lambda: time.time_ns() // MS,
+        records: Records | None = None,
+        rows: Sequence[Row] = (),
     ) -> None:
+        """`rows` are what `records` kept for an earlier process. Without `records` a node
+        remembers nothing over its end: credits that were out are in doubt for good."""
         self.node = node
         self.codec = codec
         self.framing = framing
@@ -155,11 +179,25 @@
         self.secret = secret
         self.must_sign_on = must_sign_on
         self.now_ms = now_ms
+        self.records: Records = records or Forgetful()
         self.repeats = Repeats(KEEP_MS)
+        self.reversals = Reversals(ORIGINAL_MS)
+        kept: dict[str, list[tuple[str, dict[str, Any]]]] = {kind: [] for kind in KINDS}
+        for kind, key, record in rows:
+            if record is not None:
+                kept[kind].append((key, record))
+        self.repeats.load(kept["repeat"])
+        self.reversals.load([record for _, record in kept["debt"]], kept["fate"])
+        self.open: dict[str, Caller] = {}  # what lasts, by its identity
+        self.paying: set[str] = set()  # debts that are out at their server
+        self.told_ms = 0
+        if isinstance(node, IsoNode):
+            node.upstream.before = self.before
         self.connections: set[TerminalConnection] = set()
         self.unreadable = 0
         settings = node.config.settings
         self.numbers = {c.name: i for i, c in enumerate(settings.classes)}
+        self.lasting = {i for i, c in enumerate(settings.classes) if c.effect != Effect.PURE}
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> int:
@@ -177,6 +215,9 @@
 
     def request(self, conn: TerminalConnection, message: Message, one: Frame, at: int) -> None:
         """A message for the node: a new one, or a repeat of one that it knows."""
+        if message.mti[1] == "4":
+            self.reversal(conn, message, one.tpdu)
+            return
         cls = self.mapping.class_of(message)
         number = self.numbers.get(cls) if cls is not None else None
         if number is None:
@@ -184,7 +225,7 @@
             return
         key = repeats.identity(message, self.secret)
         what = repeats.content(message, self.secret)
-        caller = Caller(conn, message, one.tpdu, key)
+        caller = Caller(conn, message, one.tpdu, key, number in self.lasting)
         if conn.open >= OPEN:
             conn.write(reply_to(message, self.mapping.refused), one.tpdu)
             return
@@ -198,28 +239,143 @@
         else:
             conn.open += 1
             if verdict == Verdict.NEW:
-                self.begin(caller, number, one.body, at)
+                if caller.lasts and not self.reversals.came(key, self.now_ms()):
+                    caller.refused(0)  # it was reversed before it came
+                else:
+                    self.begin(caller, number, one.body, at)
 
     def begin(self, caller: Caller, number: int, raw: bytes, at: int) -> None:
         node, size = self.node, len(raw)
         timeout = node.config.settings.classes[number].deadline
         asked = Asked(self.codec, caller, number, timeout, raw, at)
         node.budget.take(size)
+        if caller.lasts:
+            self.open[caller.key] = caller
         request = node.request(caller, asked, 0)
         if request is None:
             node.budget.give(size)
             caller.refused(0)
-
-    def settle(self, caller: Caller, answer: bytes, ran: bool) -> None:
+        else:
+            caller.request = request
+
+    def before(self, attempt: Attempt, stan: str, then: Callable[[bool], None]) -> None:
+        """An attempt is about to leave: what is known of a credit is kept first. A crash behind
+        this leaves it in doubt, and never unknown."""
+        request = attempt.request
+        assert request is not None
+        if not request.asked.lasts:
+            then(True)
+            return
+        key = request.asked.rid.decode()
+        if self.reversals.sent(key, f"{attempt.backend}:{stan}", self.now_ms()):
+            self.records.keep(self.rows_of(key), then)
+        else:
+            then(False)
+
+    def rows_of(self, key: str) -> list[Row]:
+        return [
+            Row("repeat", key, self.repeats.record(key)),
+            Row("fate", key, self.reversals.record(key)),
+        ]
+
+    def fate_of(self, caller: Caller, answer: bytes) -> Fate:
+        """Whether a server's answer says that a credit was booked."""
+        if not caller.lasts:
+            return Fate.APPROVED
+        code = self.codec.decode(answer).fields.get(39)
+        return Fate.APPROVED if code in self.mapping.approved else Fate.DECLINED
+
+    def settle(self, caller: Caller, answer: bytes, fate: Fate) -> None:
         """The one answer of a request, and the same for each that joined it. What never ran
         is not kept: its repeat is tried anew."""
-        if ran:
-            joined = self.repeats.answered(caller.key, answer.hex(), self.now_ms())
+        key, now = caller.key, self.now_ms()
+        if fate == Fate.NEVER_RAN:
+            joined = self.repeats.never_ran(key)
         else:
-            joined = self.repeats.never_ran(caller.key)
+            joined = self.repeats.answered(key, answer.hex(), now)
+        if caller.lasts and self.open.pop(key, None) is not None:
+            self.reversals.ended(key, fate, now)
+            rows = self.rows_of(key)
+            if self.reversals.settled(key):
+                rows.append(Row("debt", key, None))
+            # Nobody waits for it: lost in a crash, it is in doubt again.
+            self.records.keep(rows)
         for one in (caller, *joined):
             one.conn.open -= 1
             one.conn.put(answer, one.tpdu)
 
+    # ---- reversals ------------------------------------------------------
+
+    def reversal(self, conn: TerminalConnection, message: Message, tpdu: bytes) -> None:
+        """Take back a credit: see `reversals` for what that means."""
+        named = original_of(message)
+        if named is None:
+            conn.write(reply_to(message, self.mapping.unknown), tpdu)
+            return
+        mti, stan, at = named
+        acquirer, terminal = message.fields.get(32), message.fields.get(41)
+        key = repeats.identity_of(mti, at, stan, acquirer, terminal, self.secret)
+        if not self.reversals.known(key) and older(at, self.now_ms(), ORIGINAL_MS):
+            conn.write(reply_to(message, self.mapping.failed), tpdu)
+            return
+        act, debt = self.reversals.arrives(key, self.codec.encode(message).hex(), self.now_ms())
+        if act == Act.GIVE_UP:
+            self.give_up(key)
+        row = Row("fate", key, self.reversals.record(key))
+        if debt is not None:
+            row = Row("debt", key, debt.record())
+
+        def kept(done: bool) -> None:
+            if not done and debt is not None and key not in self.paying:
+                self.reversals.answered(key)  # not taken: the terminal will say it again
+            code = self.mapping.reversed if done else self.mapping.failed
+            conn.write(reply_to(message, code), tpdu)
+            if done:
+                self.pay()
+
+        self.records.keep([row], kept)
+
+    def give_up(self, key: str) -> None:
+        """An original that waits and was never sent: it is refused, and stays out."""
+        caller = self.open.pop(key, None)
+        if caller is not None and caller.request is not None:
+            self.node.client_gone(caller.request)
+            caller.refused(0)
+
+    def pay(self) -> None:
+        """Forward what is due to the servers that it is owed to."""
+        link = self.node.upstream
+        assert isinstance(link, IsoLink)
+        for debt in self.reversals.due(self.now_ms()):
+            backend, _, stan = debt.server.partition(":")
+            if debt.key in self.paying or not backend:
+                continue
+            message = forwarded(self.codec.decode(bytes.fromhex(debt.message)), stan)
+            self.paying.add(debt.key)
+            if not link.advise(int(backend), Advice(message, partial(self.paid, debt.key))):
+                self.paying.discard(debt.key)
+
+    def paid(self, key: str, answer: Message | None) -> None:
+        self.paying.discard(key)
+        if answer is None or self.mapping.outcome(answer) != Outcome.OK:
+            return  # it did not take it: due again later
+        if self.reversals.answered(key):
+            self.reversals.ended(key, Fate.REVERSED, self.now_ms())
+            fate = Row("fate", key, self.reversals.record(key))
+            self.records.keep([Row("debt", key, None), fate])
+
     def sweep(self) -> None:
-        self.repeats.expired(self.now_ms())
+        """Every quarter of a second or so."""
+        now = self.now_ms()
+        gone = [Row("repeat", key, None) for key in self.repeats.expired(now)]
+        gone += [Row("fate", key, None) for key in self.reversals.expired(now)]
+        if gone:
+            self.records.keep(gone)
+        self.pay()
+        stuck = self.reversals.stuck(now, STUCK_MS)
+        if stuck and now - self.told_ms >= STUCK_MS:
+            self.told_ms = now
+            self.node.log(
+                f"{len(stuck)} reversals are owed for over {STUCK_MS // 1000} s, the oldest to "
+                f"server {stuck[0].server.partition(':')[0] or 'unknown'}"
+            )
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -12,9 +12,11 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from flinthatch import Outcome
+from flinthatch import State as ListState
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Framer, Framing, FramingError, frame
 from tansywood.iso8583.machine import Answer, Broken, Event, Link, Reply, Stans, State
@@ -49,6 +51,23 @@
         return self.conn.abandon(self)
 
 
+class Advice:
+    """A message that is no attempt: a reversal that is owed. `done` gets the answer, or None
+    where there is none any more; it is told once."""
+
+    __slots__ = ("done", "message", "told")
+
+    def __init__(self, message: Message, done: Callable[[Message | None], None]) -> None:
+        self.message = message
+        self.done = done
+        self.told = False
+
+    def end(self, answer: Message | None) -> None:
+        if not self.told:
+            self.told = True
+            self.done(answer)
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection to one server, from its dialling to its end."""
 
@@ -61,6 +80,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiting: list[Carried] = []  # for the dial and the sign-on
         self.carried: dict[Attempt, Carried] = {}
+        self.advice: list[Advice] = []  # for the dial and the sign-on
         self.sent = 0  # bytes given to the transport
         self.over = False
         self.drains = False  # nothing new: its server leaves
@@ -104,6 +124,20 @@
         waiting, self.waiting = self.waiting, []
         for one in waiting:
             self.send(one)
+        advice, self.advice = self.advice, []
+        for each in advice:
+            self.advise(each)
+
+    def advise(self, one: Advice) -> None:
+        """Send it, or have it told that it can't be."""
+        if self.machine.state != State.SIGNED:
+            self.advice.append(one)
+            return
+        message = self.machine.send(self.link.now_ms(), one, one.message)
+        if message is None:
+            one.end(None)
+        else:
+            self.write(message)
 
     # ---- attempts ----
 
@@ -131,6 +165,17 @@
         if message is None:
             self.conclude(one, Outcome.MOOT)
             return
+        self.link.before(one.attempt, str(message.fields[11]), partial(self.go, one, message))
+
+    def go(self, one: Carried, message: Message, kept: bool) -> None:
+        """What has to outlast us before it leaves is kept, or can't be."""
+        r = one.attempt.request
+        if self.over or one.attempt.closed or r is None or one.attempt not in self.carried:
+            return
+        if not kept:
+            self.machine.give_up(self.link.now_ms(), one)
+            self.conclude(one, Outcome.MOOT)
+            return
         asked = r.asked
         try:
             if asked.at >= 0 and asked.codec is self.link.codec:
@@ -177,6 +222,8 @@
             # Half of it lies in the buffer, behind others: the stream can't be cut there.
             self.machine.give_up(self.link.now_ms(), one)
             self.ended("an attempt was given up before it had left")
+        else:
+            self.machine.give_up(self.link.now_ms(), one)  # it is being kept, and not written
         return left
 
     def conclude(self, one: Carried, outcome: Outcome) -> None:
@@ -201,6 +248,10 @@
             self.ended(f"what it sent can't be read: {err}")
 
     def answered(self, event: Answer, raw: bytes, at: int) -> None:
+        if isinstance(event.token, Advice):
+            event.token.end(event.message)
+            self.link.rests(self)
+            return
         one = cast(Carried, event.token)
         outcome = self.link.mapping.outcome(event.message)
         r = one.attempt.request
@@ -221,7 +272,7 @@
             self.ended(event.why, event)
         elif event is not None:
             self.link.strays += 1
-        elif self.machine.state == State.SIGNED and self.waiting:
+        elif self.machine.state == State.SIGNED and (self.waiting or self.advice):
             self.signed()
         elif self.machine.state == State.SIGNED:
             self.timer.cancel()
@@ -245,7 +296,11 @@
         self.over = True
         self.timer.cancel()
         connected = self.transport is not None
-        outstanding = [cast(Carried, t) for t in (broken or self.machine.broke(why)).outstanding]
+        tokens = (broken or self.machine.broke(why)).outstanding
+        advice, self.advice = self.advice, []
+        for each in (*advice, *(t for t in tokens if isinstance(t, Advice))):
+            each.end(None)
+        outstanding = [t for t in tokens if isinstance(t, Carried)]
         outcomes = of_many([self.left(one) for one in outstanding])
         waiting, self.waiting = self.waiting, []
         self.link.forget(self)
@@ -286,6 +341,11 @@
         self.sign_on = sign_on
         self.now_ms = now_ms
         self.strays = 0  # answers that served nobody
+        # Asked before an attempt is written, with our trace number: calls back with whether
+        # what has to outlast us is kept. The front's, where it keeps anything.
+        self.before: Callable[[Attempt, str, Callable[[bool], None]], None] = (
+            lambda _attempt, _stan, then: then(True)
+        )
         self.conns: dict[int, list[ServerConnection]] = {}
 
     @property
@@ -319,6 +379,27 @@
             conns.append(conn)
             conn.carry(attempt)
 
+    def advise(self, backend: int, one: Advice) -> bool:
+        """Send a server something that is no request; False where it can't be tried now: the
+        server is not there, drains or is banned, or nothing more fits."""
+        known = self.node.balancer.backends.get(backend)
+        address = self.node.discovery.roster.endpoints.get(backend)
+        if known is None or known.state != ListState.READY or address is None:
+            return False
+        conns = self.conns.setdefault(backend, [])
+        for conn in conns:
+            if conn.address == address and conn.takes():
+                conn.advise(one)
+                return True
+        if len(conns) >= CONNECTIONS or not self.node.room_for_upstream():
+            if not conns:
+                del self.conns[backend]
+            return False
+        conn = ServerConnection(self, backend, address)
+        conns.append(conn)
+        conn.advise(one)
+        return True
+
     def forget(self, conn: ServerConnection) -> None:
         conns = self.conns.get(conn.backend, [])
         if conn in conns:
@@ -328,7 +409,7 @@
         self.node.freed()
 
     def rests(self, conn: ServerConnection) -> None:
-        if conn.drains and not conn.carried:
+        if conn.drains and not conn.carried and not conn.machine.out:
             conn.ended("its server has left")
 
     def withdraw(self, backend: int) -> None:
--- a/tansywood/iso8583/mapping.py
+++ b/tansywood/iso8583/mapping.py
@@ -17,6 +17,7 @@
 failed: it may have run        `failed` (68): in doubt; a credit has to be reversed
 another content, same identity `conflict` (94)
 no class                       `unknown` (12)
+a reversal that is taken       `reversed` (00); see `reversals`
 """
 
 from __future__ import annotations
@@ -46,6 +47,8 @@
     failed: str = "68"
     conflict: str = "94"
     unknown: str = "12"
+    reversed: str = "00"
+    approved: frozenset[str] = frozenset({"00", "10", "11"})  # a credit that was booked
 
     def __post_init__(self) -> None:
         if self.turned_away & self.in_doubt:
--- a/tansywood/iso8583/repeats.py
+++ b/tansywood/iso8583/repeats.py
@@ -33,7 +33,13 @@
 
 def identity(message: Message, secret: bytes) -> str:
     """Of a request or its repeat: the MTI without its last digit, and the match key."""
-    return _digest(secret, [message.mti[:3], *(message.fields.get(n) for n in IDENTITY)])
+    time, stan, acquirer, terminal = (message.fields.get(n) for n in IDENTITY)
+    return identity_of(message.mti[:3], time, stan, acquirer, terminal, secret)
+
+
+def identity_of(mti: str, time: Any, stan: Any, acquirer: Any, terminal: Any, secret: bytes) -> str:
+    """The same from its parts, as a reversal names its original by them."""
+    return _digest(secret, [mti, time, stan, acquirer, terminal])
 
 
 def content(message: Message, secret: bytes) -> str:
--- a/tansywood/iso8583/reversals.py
+++ b/tansywood/iso8583/reversals.py
@@ -13,6 +13,7 @@
     out at a server                       owed, once the original's outcome is known
     approved by its server                owed
     in doubt: may have run                owed
+    so long ago that it may be forgotten  not taken: nobody here knows where it belongs
 
 What is owed goes to the original's server until that one answers it, however long that takes
 and over restarts: it is a record in a store before the terminal is told that it is approved.
@@ -25,6 +26,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 from enum import Enum
 from typing import Any
 
@@ -82,6 +84,31 @@
     return None
 
 
+def older(transmission: str, now_ms: int, than_ms: int) -> bool:
+    """Whether a field 7 (MMDDhhmmss, UTC) lies longer ago than this; false where it is no time.
+
+    It tells no year: the latest that is not a day ahead is meant. `now_ms` is Unix time.
+    """
+    now = datetime.fromtimestamp(now_ms / 1000, UTC)
+    for year in (now.year, now.year - 1):
+        try:
+            at = datetime.strptime(f"{year}{transmission}", "%Y%m%d%H%M%S").replace(tzinfo=UTC)
+        except ValueError:
+            continue
+        if at <= now + timedelta(days=1):
+            return now - at > timedelta(milliseconds=than_ms)
+    return False
+
+
+def forwarded(message: Message, stan: str) -> Message:
+    """The reversal as the original's server gets it: that one knows the original under our own
+    trace number, which stands in field 90 in place of the terminal's."""
+    elements = message.fields.get(90)
+    if not isinstance(elements, str) or len(elements) != 42:
+        return message
+    return Message(message.mti, message.fields | {90: elements[:4] + stan + elements[10:]})
+
+
 class Reversals:
     """Originals' fates and what is owed. Keys are identities: see `repeats.identity`.
 
@@ -118,10 +145,18 @@
         self._set(key, Fate.WAITING, "", now_ms)
         return True
 
-    def sent(self, key: str, server: str, now_ms: int) -> None:
-        """An attempt of it goes out, to this server."""
-        if key in self._fates:
+    def sent(self, key: str, server: str, now_ms: int) -> bool:
+        """An attempt of it goes out, to this server. False where it must not: it was reversed
+        while it waited for a connection."""
+        known = self._fates.get(key)
+        if known is not None and known[0] == Fate.REVERSED:
+            return False
+        if known is not None:
             self._set(key, Fate.OUT, server, now_ms)
+        return True
+
+    def known(self, key: str) -> bool:
+        return key in self._fates
 
     def ended(self, key: str, fate: Fate, now_ms: int) -> Fate:
         """Its outcome. Returns it, for whoever has to settle an early reversal by it."""
@@ -195,23 +230,28 @@
         return found
 
     def answered(self, key: str) -> bool:
-        """Its server has answered it, whatever it said: the record may go. False where nothing
-        was owed any more, as for a second answer."""
+        """Its server has taken it, or it could not be kept: the record may go. False where
+        nothing was owed any more, as for a second answer."""
         return self._debts.pop(key, None) is not None
 
     def stuck(self, now_ms: int, after_ms: int) -> list[Debt]:
         """What is owed for so long that somebody has to look."""
         return [debt for debt in self._debts.values() if now_ms - debt.since_ms >= after_ms]
 
-    def expired(self, now_ms: int) -> None:
-        """Forget fates whose time is over; what is out, waits or is owed stays."""
+    def expired(self, now_ms: int) -> list[str]:
+        """Forget fates whose time is over; what is out, waits or is owed stays. The store may
+        drop those that are returned."""
+        gone: list[str] = []
         while self._fates:
             key, (fate, server, until) = next(iter(self._fates.items()))
             if until > now_ms:
                 break
             del self._fates[key]
-            if fate in (Fate.OUT, Fate.WAITING):
+            if fate in (Fate.OUT, Fate.WAITING) or key in self._debts:
                 self._set(key, fate, server, now_ms)
+            else:
+                gone.append(key)
+        return gone
 
     @property
     def owed(self) -> int:
--- a/tests/iso8583/world.py
+++ b/tests/iso8583/world.py
@@ -17,7 +17,7 @@
 from standins.iso8583 import IsoTopup, Way, request_id
 from standins.ledger import End, Ledger
 from standins.platform import roster, target
-from tansywood.iso8583.codec import Codec, Message
+from tansywood.iso8583.codec import Codec, Message, response_mti
 from tansywood.iso8583.dialect import load
 from tansywood.iso8583.framing import Framer, Framing, frame
 from tansywood.iso8583.front import IsoServer
@@ -116,9 +116,17 @@
             },
         )
 
+    def reversal(self, original: Message, mti: str = "0400") -> Message:
+        """Of an original of this terminal's, by field 90 (ISO 8583:1987 4.4.30)."""
+        self.stan += 1
+        elements = f"0200{original.fields[11]!s}{original.fields[7]!s}" + "0" * 22
+        fields = {n: v for n, v in original.fields.items() if n in (2, 3, 4, 41)}
+        fields |= {7: f"{self.stan:010d}", 11: f"{self.stan:06d}", 90: elements}
+        return Message(mti, fields)
+
     def write(self, message: Message) -> asyncio.Future[Message]:
         assert self.writer is not None
-        answered = f"{message.mti[:2]}10" if message.mti[1] != "8" else "0810"
+        answered = response_mti(message.mti)
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self.waiting[answered, str(message.fields[11])] = future
         self.writer.write(frame(FRAMING, CODEC.encode(message), TPDU))
@@ -152,7 +160,8 @@
         self.servers.append(server)
         return server
 
-    def start(self) -> None:
+    def start(self, **over: Any) -> None:
+        """`over` are further arguments of the front's."""
         loop = asyncio.get_running_loop()
         known = roster(*(target(s.name, s.port) for s in self.servers))
         self.node = IsoNode(node_config(known, self.settings), loop)
@@ -160,7 +169,7 @@
         self.node.log = self.logged.append  # type: ignore[method-assign, assignment]
         self.node.discovery = Discovery(self.node.config, self.node.members_told, self.node.log)
         self.node.upstream = IsoLink(self.node, CODEC, FRAMING, MAPPING)
-        self.front = IsoServer(self.node, CODEC, FRAMING, MAPPING, b"secret")
+        self.front = IsoServer(self.node, CODEC, FRAMING, MAPPING, b"secret", **over)
         self.node.start()
 
     async def terminal(self, name: str = "TERM0001") -> Terminal:
@@ -185,13 +194,19 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *ways: dict[Way, float] | None, made: Settings | None = None, seed: int = 1
+    *ways: dict[Way, float] | None,
+    made: Settings | None = None,
+    seed: int = 1,
+    servers: list[IsoTopup] | None = None,
+    **over: Any,
 ) -> AsyncIterator[World]:
+    """With `servers`, those of an earlier world: a node that starts again before them."""
     before = len(os.listdir("/proc/self/fd"))
     w = World(made or settings(), seed)
     for one in ways:
         await w.add(one)
-    w.start()
+    w.servers += servers or []
+    w.start(**over)
     w.port = await w.front.listen(Address("127.0.0.1", 0))
     try:
         yield w
@@ -202,9 +217,11 @@
         w.node.fail_all()
         w.node.upstream.close()
         for server in w.servers:
-            server.kill()
+            if servers is None:
+                server.kill()
         if w.node.timer is not None:
             w.node.timer.cancel()
         await asyncio.sleep(0.02)
         assert not w.node.crashes, w.logged
-    assert len(os.listdir("/proc/self/fd")) <= before + 1
+    if servers is None and not over:
+        assert len(os.listdir("/proc/self/fd")) <= before + 1
