ISO 8583 in the hosted service: dialects, rules, listeners, records over any end

A tenant could not speak ISO 8583: its front and link stood beside the service.

- A tenant's document has an iso8583 section: dialect (built in or whole), framing, sign-on, rules from messages to classes, response codes; every fault with its place.
All but rules and codes is fixed.
Listeners of the service have a protocol; one that speaks ISO 8583 is a tenant's alone.
- The door hands such a connection on by its listener; the worker has the tenant as IsoHosted with the same limits, fair share, report and changes as any other.
- Each such tenant has a store of its own beside the administration's: identities, fates and debts outlast a worker, and whoever takes the tenant over opens it.
Where it can't be opened its terminals are let go of, and the next connection tries again; nobody else notices.

--- a/standins/service.py
+++ b/standins/service.py
@@ -94,11 +94,14 @@
         workers: int = 2,
         listeners: Sequence[str] = LISTENERS,
         rate_per_s: float = 10_000.0,
+        iso: Sequence[str] = (),
     ) -> None:
+        """`iso` are those of the listeners whose callers speak ISO 8583."""
         self.folder = folder
         self.workers = workers
         self.listeners = listeners
         self.rate_per_s = rate_per_s
+        self.iso = iso
         self.ports: dict[str, int] = {}
         self.admin_port = 0
         self.process: subprocess.Popen[bytes] | None = None
@@ -112,6 +115,7 @@
         """Until it serves; RuntimeError with its log where it does not come to that."""
         rows = "".join(
             f'[[listeners]]\nname = "{name}"\naddress = "127.0.0.1:{self.ports.get(name, 0)}"\n'
+            + ('protocol = "iso8583"\n' if name in self.iso else "")
             for name in self.listeners
         )
         (self.folder / "service.toml").write_text(
--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -43,7 +43,13 @@
         if secret is None:
             secret = secrets.token_hex(32).encode()
             await face.durable(Batch().put(SECRET, b'"' + secret + b'"'))
-        admin = Administration(face, place.feed, options.listener, options.rate)
+        admin = Administration(
+            face,
+            place.feed,
+            options.listener,
+            options.rate,
+            iso_listeners=options.iso_listener,
+        )
         token = await admin.first_key()
         if token is not None:
             path = keep_first_key(options.run, token)
@@ -91,6 +97,7 @@
     parser.add_argument("descriptor", help="of the listening socket")
     parser.add_argument("rate", type=float, help="calls a second of one key")
     parser.add_argument("--listener", action="append", default=[])
+    parser.add_argument("--iso-listener", action="append", default=[])
     options = parser.parse_args()
 
     os.nice(NICE)
--- a/tansywood/admin/core.py
+++ b/tansywood/admin/core.py
@@ -50,12 +50,15 @@
         listeners: Iterable[str],
         rate_per_s: float,
         clock_ms: Callable[[], int] = now_ms,
+        iso_listeners: Iterable[str] = (),
     ) -> None:
         self.store = store
         self.clock_ms = clock_ms
         self.stopping = False  # long polls end
         self.description: dict[str, object] = {}
-        self.registry = Registry.load(store.store.scan(), frozenset(listeners))
+        self.registry = Registry.load(
+            store.store.scan(), frozenset(listeners), frozenset(iso_listeners)
+        )
         self.feed = Feed(feed_path, self.views)
         self.feed.seq = self.registry.seq
         self.rate_per_s = rate_per_s
--- a/tansywood/iso8583/dialect.py
+++ b/tansywood/iso8583/dialect.py
@@ -17,6 +17,7 @@
 CONTENTS = ("n", "a", "an", "ans", "z", "x+n", "b")
 FORMS = {"L": 1, "LL": 2, "LLL": 3, "LLLL": 4}
 MAX_FIELD = 9999
+BUILT_IN = ("basic1987",)  # by their files in dialects/
 BITMAPS = ("binary", "hex", "hex-cp037", "hex-cp500")
 TERTIARY = ("none", "contiguous", "field-65")
 
@@ -64,6 +65,11 @@
     return parse(raw)
 
 
+def built_in(name: str) -> Dialect:
+    """One that comes with the program; OSError for any other name."""
+    return load(Path(__file__).parent / "dialects" / f"{name}.json")
+
+
 def parse(raw: Any) -> Dialect:
     """Check a dialect's JSON; DialectError names every fault."""
     faults: list[str] = []
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Any, cast
 
-from flinthatch import Effect, Outcome
+from flinthatch import Effect, Outcome, RequestClass
 from tansywood.iso8583 import repeats
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Frame, Framer, Framing, FramingError, answering, frame
@@ -195,14 +195,22 @@
             node.upstream.before = self.before
         self.connections: set[TerminalConnection] = set()
         self.unreadable = 0
-        settings = node.config.settings
-        self.numbers = {c.name: i for i, c in enumerate(settings.classes)}
-        self.lasting = {i for i, c in enumerate(settings.classes) if c.effect != Effect.PURE}
+        classes = node.config.settings.classes
+        self.know(classes, {c.name: i for i, c in enumerate(classes)})
         self._server: asyncio.Server | None = None
 
+    def know(self, classes: Sequence[RequestClass], numbers: dict[str, int]) -> None:
+        """The node's classes, and the numbers that requests of each come with."""
+        self.numbers = numbers
+        self.deadlines = {numbers[c.name]: c.deadline for c in classes}
+        self.lasting = {numbers[c.name] for c in classes if c.effect != Effect.PURE}
+
+    def connection(self) -> TerminalConnection:
+        return TerminalConnection(self)
+
     async def listen(self, address: Address) -> int:
         self._server = await self.node.loop.create_server(
-            lambda: TerminalConnection(self), address.host, address.port
+            self.connection, address.host, address.port
         )
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -246,8 +254,7 @@
 
     def begin(self, caller: Caller, number: int, raw: bytes, at: int) -> None:
         node, size = self.node, len(raw)
-        timeout = node.config.settings.classes[number].deadline
-        asked = Asked(self.codec, caller, number, timeout, raw, at)
+        asked = Asked(self.codec, caller, number, self.deadlines[number], raw, at)
         node.budget.take(size)
         if caller.lasts:
             self.open[caller.key] = caller
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -78,11 +78,13 @@
         place: part.Place,
         listeners: dict[str, socket.socket],
         workers: list[str],
+        iso: frozenset[str] = frozenset(),
     ) -> None:
         self.loop = loop
         self.place = place
         self.listeners = listeners
         self.names = workers
+        self.iso = iso  # listeners whose callers speak ISO 8583
         self.directory = Directory()
         self.placement = Placement()
         self.links: dict[str, socket.socket] = {}
@@ -135,6 +137,9 @@
                 return
             sock.setblocking(False)
             visitor = Visitor(sock, address[0], name)
+            if name in self.iso:
+                self.enter(visitor)
+                continue
             goes = self.lobby.enter(visitor, address[0], time.monotonic_ns() // MS)
             if isinstance(goes, Visitor):
                 self.last_word(goes, FULL)
@@ -142,6 +147,15 @@
                 self.loop.add_reader(sock, self.readable, visitor)
                 self.readable(visitor)  # mostly its request is there already
 
+    def enter(self, visitor: Visitor) -> None:
+        """One whose listener alone says whose it is: no message tells. It has no last word."""
+        uid = self.directory.identify(Shown(visitor.listener), time.time_ns() // MS)
+        if uid is None or self.status[uid] != ACTIVE or self.rates[uid].take(time.monotonic_ns()):
+            self.turned_away += 1
+            visitor.sock.close()
+        else:
+            self.hand_over(Waiting(uid, visitor, self.loop.time()))
+
     def pause(self, name: str) -> None:
         self.loop.remove_reader(self.listeners[name])
         self.loop.call_later(0.05, self.resume, name)
@@ -237,7 +251,10 @@
             self.waiting.append(one)
 
     def send_away(self, one: Waiting) -> None:
-        with_answer(self.loop, one.sock, FULL)
+        if one.listener in self.iso:
+            one.sock.close()
+        else:
+            with_answer(self.loop, one.sock, FULL)
 
     def dial(self) -> None:
         """Look for workers that are not linked; they come back under their names."""
@@ -360,6 +377,7 @@
     parser.add_argument("run")
     parser.add_argument("--listener", action="append", default=[], help="NAME=DESCRIPTOR")
     parser.add_argument("--worker", action="append", default=[])
+    parser.add_argument("--iso-listener", action="append", default=[])
     options = parser.parse_args()
     listeners = {}
     for text in options.listener:
@@ -368,7 +386,8 @@
         listeners[name].setblocking(False)
 
     async def run(loop: asyncio.AbstractEventLoop) -> int:
-        return await Door(loop, part.Place(options.run), listeners, options.worker).run()
+        iso = frozenset(options.iso_listener)
+        return await Door(loop, part.Place(options.run), listeners, options.worker, iso).run()
 
     part.run("door", run)
 
--- a/tansywood/service/settings.py
+++ b/tansywood/service/settings.py
@@ -39,6 +39,7 @@
                 "properties": {
                     "name": {"type": "string", "pattern": NAME},
                     "address": {"type": "string"},
+                    "protocol": {"enum": ["http", "iso8583"], "description": "http"},
                 },
             },
         },
@@ -74,6 +75,12 @@
     listeners: dict[str, Address]
     admin: Address
     admin_rate_per_s: float
+    iso_listeners: frozenset[str] = frozenset()
+
+    @property
+    def records(self) -> Path:
+        """Where tenants that speak ISO 8583 keep what must outlast a process, a store each."""
+        return self.store.with_name(self.store.name + "-iso8583")
 
 
 def load(path: str) -> ServiceSettings:
@@ -96,6 +103,9 @@
         listeners={row["name"]: parse_address(row["address"]) for row in raw["listeners"]},
         admin=parse_address(raw["admin"]["address"]),
         admin_rate_per_s=float(raw["admin"].get("rate_per_s", 50.0)),
+        iso_listeners=frozenset(
+            row["name"] for row in raw["listeners"] if row.get("protocol") == "iso8583"
+        ),
     )
 
 
--- a/tansywood/service/shape.py
+++ b/tansywood/service/shape.py
@@ -1,4 +1,4 @@
-"""A tenant's settings as those of one node: what windrelay and flinthatch are told. Pure."""
+"""A tenant's settings as those of one node: what windrelay and flinthatch are told."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 from hashlib import blake2b
 from typing import Any
 
-from flinthatch import Effect, RequestClass, Scope, Settings
+from flinthatch import Effect, RequestClass, Scope, Settings, amend
 from tansywood.tenancy.schema import MAX_ZONES
 from tansywood.tenancy.settings import TenantSettings, server_uid
 from windrelay.config import Address, Config
-from windrelay.node import RESERVED
+from windrelay.node import RESERVED, Node
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -53,6 +53,15 @@
     )
 
 
+def refuse_waiting(node: Node) -> None:
+    """Answer at once what waits for a server."""
+    now = node.enter()
+    try:
+        amend.refuse_waiting(node.balancer, now)
+    finally:
+        node.leave()
+
+
 def zones(tenant: TenantSettings) -> tuple[str, ...]:
     """Its zones; the first server's is the one that is preferred."""
     return tuple(dict.fromkeys(s.zone for s in tenant.servers))
--- a/tansywood/service/supervisor.py
+++ b/tansywood/service/supervisor.py
@@ -84,19 +84,22 @@
         admin = bind(s.admin)
         workers = [f"worker-{i}" for i in range(s.workers)]
         run = str(s.run)
+        iso = [f"--iso-listener={name}" for name in sorted(s.iso_listeners)]
         self.add(
             "admin",
             ["tansywood.admin", run, str(s.store), str(admin.fileno()), str(s.admin_rate_per_s)]
-            + [f"--listener={name}" for name in s.listeners],
+            + [f"--listener={name}" for name in s.listeners]
+            + iso,
             [admin.fileno()],
         )
         for name in workers:
-            self.add(name, ["tansywood.service.worker", run, name])
+            self.add(name, ["tansywood.service.worker", run, name, str(s.records), *iso])
         self.add(
             "door",
             ["tansywood.service.door", run]
             + [f"--listener={name}={sock.fileno()}" for name, sock in self.sockets.items()]
-            + [f"--worker={name}" for name in workers],
+            + [f"--worker={name}" for name in workers]
+            + iso,
             [sock.fileno() for sock in self.sockets.values()],
         )
         self.loop.add_signal_handler(signal.SIGCHLD, self.children)
--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from flinthatch.amend import refuse_waiting
 from tansywood.service import shape
 from tansywood.service.report import Report
 from tansywood.tenancy.limits import Bucket
@@ -288,11 +287,7 @@
             return
         server.epoch += 1
         if status != DRAINING:
-            now = node.enter()
-            try:
-                refuse_waiting(node.balancer, now)
-            finally:
-                node.leave()
+            shape.refuse_waiting(node)
 
     def delete(self) -> None:
         self.set_status(DELETED)
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -18,6 +18,7 @@
 
 from tansywood.service import part, wire
 from tansywood.service.follow import Follower
+from tansywood.service.isotenant import IsoHosted
 from tansywood.service.tenant import FULL, Hosted, with_answer
 from tansywood.service.wire import Handed, WireError, take
 from tansywood.tenancy.fair import waits
@@ -49,14 +50,23 @@
 class Worker:
     """Its tenants, its doors and its windows of time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, place: part.Place, name: str) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        place: part.Place,
+        name: str,
+        records: str = "",
+        iso: frozenset[str] = frozenset(),
+    ) -> None:
         self.loop = loop
         self.place = place
         self.name = name
         self.life = f"{name}.{os.getpid()}"  # counters begin anew with each
         self.directory = Directory()
-        self.hosted: dict[str, Hosted] = {}
-        self.leaving: list[Hosted] = []  # deleted tenants that end what they hold
+        self.records = records  # folder of the stores of tenants that speak ISO 8583
+        self.iso = iso  # listeners that do
+        self.hosted: dict[str, Hosted | IsoHosted] = {}
+        self.leaving: list[Hosted | IsoHosted] = []  # deleted tenants that end what they hold
         self.rested: dict[str, float] = {}
         self.awaited: list[tuple[float, Handed]] = []
         self.doors: set[socket.socket] = set()
@@ -164,8 +174,13 @@
             one.sock.close()
             self.log(f"a connection was lost: {err}")
 
-    def host(self, view: dict[str, Any]) -> Hosted:
-        hosted = self.hosted[view["uid"]] = Hosted(view, self.loop, self.identify)
+    def host(self, view: dict[str, Any]) -> Hosted | IsoHosted:
+        hosted: Hosted | IsoHosted
+        if "iso8583" in view["document"]:
+            hosted = IsoHosted(view, self.loop, self.records)
+        else:
+            hosted = Hosted(view, self.loop, self.identify)
+        self.hosted[view["uid"]] = hosted
         self.loop.set_exception_handler(self.loop_failed)  # each node sets its own
         if self.stopping:
             hosted.stop()
@@ -218,7 +233,9 @@
                 hosted.end()
         waiting, self.awaited = self.awaited, []
         for since, one in waiting:
-            if now - since > AWAITED_S:
+            if now - since > AWAITED_S and one.listener in self.iso:
+                one.sock.close()
+            elif now - since > AWAITED_S:
                 with_answer(self.loop, one.sock, FULL)
             else:
                 self.awaited.append((since, one))
@@ -293,10 +310,14 @@
     parser = argparse.ArgumentParser(prog="tansywood.service.worker")
     parser.add_argument("run")
     parser.add_argument("name")
+    parser.add_argument("records")
+    parser.add_argument("--iso-listener", action="append", default=[])
     options = parser.parse_args()
 
     async def run(loop: asyncio.AbstractEventLoop) -> int:
-        return await Worker(loop, part.Place(options.run), options.name).run()
+        iso = frozenset(options.iso_listener)
+        place = part.Place(options.run)
+        return await Worker(loop, place, options.name, options.records, iso).run()
 
     part.run(options.name, run)
 
--- a/tansywood/tenancy/checks.py
+++ b/tansywood/tenancy/checks.py
@@ -14,6 +14,7 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
+from tansywood.iso8583.dialect import BUILT_IN, DialectError, parse
 from tansywood.tenancy.schema import DEFAULT_LIMITS, MAX_ZONES, TENANT
 
 MAX_FAULTS = 100  # told of one document; a list of thousands helps nobody
@@ -108,10 +109,15 @@
 _VALIDATOR = Draft202012Validator(TENANT)
 
 
-def faults(document: object, listeners: frozenset[str] | None = None) -> list[Fault]:
+def faults(
+    document: object,
+    listeners: frozenset[str] | None = None,
+    iso_listeners: frozenset[str] = frozenset(),
+) -> list[Fault]:
     """What is wrong with a tenant's document, by its places; empty where nothing is.
 
-    `listeners` are the service's own, where it is known what they are.
+    `listeners` are the service's own, where it is known what they are, `iso_listeners` those
+    of them that speak ISO 8583.
     """
     if depth(document) > MAX_DEPTH:
         return [Fault("", "is nested too deep", f"at most {MAX_DEPTH} levels")]
@@ -121,6 +127,7 @@
             found += check(document)
         if listeners is not None:
             found += _listeners(document, listeners)
+            found += _protocol(document, iso_listeners)
     return sorted(set(found), key=lambda fault: (fault.path, fault.what))[:MAX_FAULTS]
 
 
@@ -251,10 +258,75 @@
             )
 
 
+def _protocol(document: dict[str, Any], iso: frozenset[str]) -> Iterator[Fault]:
+    callers = document.get("callers", {})
+    rows = callers.get("listeners") if isinstance(callers, dict) else None
+    speaks = "iso8583" in document
+    for i, listener in enumerate(rows if isinstance(rows, list) else ()):
+        if isinstance(listener, str) and (listener in iso) != speaks:
+            yield Fault(
+                pointer("callers", "listeners", i),
+                f"{shown(listener)} speaks {'ISO 8583' if listener in iso else 'HTTP'}",
+                "another listener, or " + ("no /iso8583" if speaks else "/iso8583"),
+            )
+
+
+def _iso8583(document: dict[str, Any]) -> Iterator[Fault]:
+    given = document.get("iso8583")
+    if not isinstance(given, dict):
+        return
+    dialect = given.get("dialect")
+    if isinstance(dialect, str) and dialect not in BUILT_IN:
+        known = ", ".join(BUILT_IN)
+        yield Fault(
+            "/iso8583/dialect", f"{shown(dialect)} is not known", f"{known}, or a whole one"
+        )
+    elif isinstance(dialect, dict):
+        try:
+            parse(dialect)
+        except DialectError as err:
+            for fault in err.faults:
+                place, _, what = fault.partition(": ")
+                yield Fault(f"/iso8583/dialect{place if what else ''}", what or fault)
+    classes = {row.get("name") for _, row in _rows(document, "classes")}
+    for i, row in _rows(given, "rules"):
+        if isinstance(row.get("class"), str) and row["class"] not in classes:
+            yield Fault(
+                pointer("iso8583", "rules", i, "class"),
+                f"{shown(row['class'])} is none of its classes",
+                "one of " + ", ".join(sorted(str(c) for c in classes)),
+            )
+    for i, row in _rows(document, "classes"):
+        if row.get("repeat") == "keyed":
+            yield Fault(
+                pointer("classes", i, "repeat"), "no message carries a key", "safe or never"
+            )
+    codes = given.get("codes", {})
+    if isinstance(codes, dict):
+        lists = {key: rows for key, rows in codes.items() if isinstance(rows, list)}
+        away = {code for code in lists.get("turned_away", ["91"]) if isinstance(code, str)}
+        doubt = {code for code in lists.get("in_doubt", ["68", "96"]) if isinstance(code, str)}
+        if away & doubt:
+            yield Fault(
+                "/iso8583/codes", f"{min(away & doubt)} is in turned_away and in in_doubt", "in one"
+            )
+    callers = document.get("callers", {})
+    if isinstance(callers, dict):
+        if not callers.get("listeners"):
+            yield Fault(
+                "/callers/listeners", "is missing: a message tells no name or key", "one at least"
+            )
+        if callers.get("key_required", True) is not False:
+            yield Fault("/callers/key_required", "no message carries a key", "false")
+        if callers.get("hosts"):
+            yield Fault("/callers/hosts", "no message carries a host", "leave it out")
+
+
 CHECKS: tuple[Callable[[dict[str, Any]], Iterator[Fault]], ...] = (
     _names,
     _classes,
     _servers,
     _limits,
     _callers,
+    _iso8583,
 )
--- a/tansywood/tenancy/registry.py
+++ b/tansywood/tenancy/registry.py
@@ -109,8 +109,13 @@
 class Registry:
     """All tenants, keys and trails."""
 
-    def __init__(self, listeners: frozenset[str] = frozenset()) -> None:
+    def __init__(
+        self,
+        listeners: frozenset[str] = frozenset(),
+        iso_listeners: frozenset[str] = frozenset(),
+    ) -> None:
         self.listeners = listeners
+        self.iso_listeners = iso_listeners
         self.seq = 0
         self.tenants: dict[str, Tenant] = {}  # by uid
         self.names: dict[str, str] = {}
@@ -127,10 +132,13 @@
 
     @classmethod
     def load(
-        cls, rows: Iterable[tuple[bytes, bytes]], listeners: frozenset[str] = frozenset()
+        cls,
+        rows: Iterable[tuple[bytes, bytes]],
+        listeners: frozenset[str] = frozenset(),
+        iso_listeners: frozenset[str] = frozenset(),
     ) -> Registry:
         """From all records in key order, as a store holds them."""
-        registry = cls(listeners)
+        registry = cls(listeners, iso_listeners)
         for key, value in rows:
             kind, _, rest = key.decode().partition("/")
             record = json.loads(value)
@@ -332,6 +340,19 @@
                 "The document does not fit.",
                 [Fault("/name", "can't be changed", "delete the tenant and create another")],
             )
+        fixed = [_spoken(doc.get("iso8583")) for doc in (tenant.document, document)]
+        if fixed[0] != fixed[1]:
+            raise Refused(
+                "invalid",
+                "The document does not fit.",
+                [
+                    Fault(
+                        "/iso8583",
+                        "can't be changed but for rules and codes",
+                        "create another tenant, and delete this one",
+                    )
+                ],
+            )
         if actor.role != "operator":
             own = [
                 Fault(f"/{part}", "only an operator changes this", "leave it as it is")
@@ -506,7 +527,7 @@
             raise Refused("stale", "Somebody has changed it since: read it again.")
 
     def _check(self, document: Any) -> None:
-        found = faults(document, self.listeners or None)
+        found = faults(document, self.listeners or None, self.iso_listeners)
         if found:
             raise Refused("invalid", "The document does not fit.", found)
 
@@ -582,3 +603,10 @@
 
 def _audit(seq: int) -> bytes:
     return f"audit/{seq:012d}".encode()
+
+
+def _spoken(given: Any) -> Any:
+    """Of an iso8583 section what connections that are open hang on; None where there is none."""
+    if not isinstance(given, dict):
+        return given
+    return {key: value for key, value in given.items() if key not in ("rules", "codes")}
--- a/tansywood/tenancy/schema.py
+++ b/tansywood/tenancy/schema.py
@@ -8,6 +8,9 @@
 
 from typing import Any
 
+from tansywood.iso8583.dialect import BUILT_IN
+from tansywood.iso8583.framing import SIZES
+
 NAME = r"^[a-z][a-z0-9-]{0,62}$"
 # RFC 1123 host names, in lower case; a caller's Host header is compared without its port.
 HOST = r"^(?=.{1,253}$)[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?(\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?)*$"
@@ -107,6 +110,57 @@
     },
 }
 
+CODES: dict[str, Any] = {
+    "type": "array",
+    "maxItems": 50,
+    "uniqueItems": True,
+    "items": {"type": "string", "pattern": r"^[0-9A-Z]{2,3}$"},
+}
+
+ISO8583: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["dialect", "rules"],
+    "description": "its callers and servers speak ISO 8583 instead of HTTP. What stands here, but "
+    "for rules and codes, can't be changed later",
+    "properties": {
+        "dialect": {
+            "type": ["string", "object"],
+            "description": f"of the program's own ({', '.join(BUILT_IN)}), or a whole one",
+        },
+        "length": {"enum": list(SIZES), "description": "before each message; binary2"},
+        "own_length": {"type": "boolean", "description": "it counts its own bytes; false"},
+        "tpdu": {"type": "boolean", "description": "five bytes before each message; false"},
+        "terminals_sign_on": {"type": "boolean", "description": "before anything else; false"},
+        "servers_sign_on": {"type": "boolean", "description": "we do, to servers; true"},
+        "rules": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": 50,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["class", "mti"],
+                "properties": {
+                    "class": name("of the tenant's classes"),
+                    "mti": {"type": "string", "pattern": r"^\d{1,4}$"},
+                    "processing": {"type": "string", "pattern": r"^\d{0,6}$"},
+                },
+                "description": "beginnings of the MTI and of field 3; the first rule that fits",
+            },
+        },
+        "codes": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": {
+                "turned_away": CODES | {"description": "field 39: it never ran; 91"},
+                "in_doubt": CODES | {"description": "field 39: it may have run; 68, 96"},
+                "approved": CODES | {"description": "field 39: it was booked; 00, 10, 11"},
+            },
+        },
+    },
+}
+
 TENANT: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
@@ -118,6 +172,7 @@
         "classes": {"type": "array", "minItems": 1, "maxItems": MAX_CLASSES, "items": CLASS},
         "servers": {"type": "array", "minItems": 1, "maxItems": MAX_SERVERS, "items": SERVER},
         "limits": LIMITS,
+        "iso8583": ISO8583,
         "cpu_share": number(0.01, 100.0, "of a worker's time, against its other tenants; 1"),
         "max_attempts": whole(1, 4, "of one request; 3"),
     },
--- a/tansywood/tenancy/settings.py
+++ b/tansywood/tenancy/settings.py
@@ -41,6 +41,22 @@
     connections_per_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class IsoSettings:
+    """How its callers and servers speak ISO 8583; the words of the document with defaults."""
+
+    dialect: str | Mapping[str, Any]
+    length: str
+    own_length: bool
+    tpdu: bool
+    terminals_sign_on: bool
+    servers_sign_on: bool
+    rules: tuple[tuple[str, str, str], ...]  # class, MTI, processing code
+    turned_away: frozenset[str]
+    in_doubt: frozenset[str]
+    approved: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class TenantSettings:
     name: str
@@ -52,6 +68,7 @@
     limits: Limits
     cpu_share: float
     max_attempts: int
+    iso8583: IsoSettings | None = None
 
 
 def read(document: Mapping[str, Any]) -> TenantSettings:
@@ -99,6 +116,23 @@
         ),
         cpu_share=float(document.get("cpu_share", 1.0)),
         max_attempts=document.get("max_attempts", 3),
+        iso8583=_iso8583(document["iso8583"]) if "iso8583" in document else None,
+    )
+
+
+def _iso8583(given: Mapping[str, Any]) -> IsoSettings:
+    codes = given.get("codes", {})
+    return IsoSettings(
+        dialect=given["dialect"],
+        length=given.get("length", "binary2"),
+        own_length=given.get("own_length", False),
+        tpdu=given.get("tpdu", False),
+        terminals_sign_on=given.get("terminals_sign_on", False),
+        servers_sign_on=given.get("servers_sign_on", True),
+        rules=tuple((r["class"], r["mti"], r.get("processing", "")) for r in given["rules"]),
+        turned_away=frozenset(codes.get("turned_away", ("91",))),
+        in_doubt=frozenset(codes.get("in_doubt", ("68", "96"))),
+        approved=frozenset(codes.get("approved", ("00", "10", "11"))),
     )
 
 
--- a/tests/service/test_hosted.py
+++ b/tests/service/test_hosted.py
@@ -395,7 +395,9 @@
                 "keys": [],
             }
         worker.follower._take_all(views)
-        work = [worker.host(views[f"u-{n}"]) for n in range(3)]
+        hosts = [worker.host(views[f"u-{n}"]) for n in range(3)]
+        work = [h for h in hosts if isinstance(h, Hosted)]
+        assert len(work) == 3
         before = [(h.server.epoch, h.server.numbering, h.node.balancer.settings) for h in work]
         new = views["u-0"] | {"version": 2, "document": document("t-0", title="x")}
         worker.follower._take("u-0", new)
--- a/tests/service/world.py
+++ b/tests/service/world.py
@@ -56,9 +56,11 @@
 class Hosting:
     """The service and its tenants' sides."""
 
-    def __init__(self, folder: Path, workers: int, seed: int, listeners: Sequence[str]) -> None:
+    def __init__(
+        self, folder: Path, workers: int, seed: int, listeners: Sequence[str], iso: Sequence[str]
+    ) -> None:
         self.rng = Random(seed)
-        self.service = ServiceProcess(folder, workers, listeners)
+        self.service = ServiceProcess(folder, workers, listeners, iso=iso)
         self.sides: dict[str, Side] = {}
         self.operator: Operator
 
@@ -96,9 +98,13 @@
 
 @contextlib.asynccontextmanager
 async def hosting(
-    folder: Path, workers: int = 2, seed: int = 1, listeners: Sequence[str] = LISTENERS
+    folder: Path,
+    workers: int = 2,
+    seed: int = 1,
+    listeners: Sequence[str] = LISTENERS,
+    iso: Sequence[str] = (),
 ) -> AsyncIterator[Hosting]:
-    h = Hosting(folder, workers, seed, listeners)
+    h = Hosting(folder, workers, seed, (*listeners, *iso), iso)
     try:
         await asyncio.to_thread(h.service.start)
         h.operator = h.service.operator()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -13,7 +13,12 @@
     "flinthatch": {"flinthatch"},
     "windrelay": {"windrelay", "flinthatch"},
     "tansywood/store": {"tansywood.store"},
-    "tansywood/tenancy": {"tansywood.tenancy"},
+    # A tenant's dialect is in its settings: the pure modules that check it.
+    "tansywood/tenancy": {
+        "tansywood.tenancy",
+        "tansywood.iso8583.dialect",
+        "tansywood.iso8583.framing",
+    },
     "tansywood/iso8583": {"tansywood.iso8583", "windrelay", "flinthatch"},
     "tansywood/admin": {
         "tansywood.admin",
