ISO 8583 records are sealed; every sum agrees wherever the process dies

A debt is the reversal as its server gets it, account number included, and stood in the store in clear; the issue wants none in stores, logs or reports.

A wrong key opens nothing, loses nothing, and is one tenant's terminals let go of.

Tests: a till's account number in every form is searched in all files, logs and reports with a debt outstanding; a process that dies at each write of credit, repeat and reversal in turn, at servers that book, decline or break: what stands at the server is what the till was told.

--- a/tansywood/service/isotenant.py
+++ b/tansywood/service/isotenant.py
@@ -198,6 +198,12 @@
 
     async def open(self, path: Path) -> TenantFront:
         self.records = records = await StoreRecords.open(path, self.node.log)
+        try:
+            secret, rows = await records.secret(), records.rows()
+        except BaseException:
+            self.records = None
+            await records.close()
+            raise
         iso = self.settings.iso8583
         assert iso is not None
         return TenantFront(
@@ -206,10 +212,10 @@
             self.codec,
             self.framing,
             self.mapping,
-            await records.secret(),
+            secret,
             must_sign_on=iso.terminals_sign_on,
             records=records,
-            rows=records.rows(),
+            rows=rows,
         )
 
     def opened(self, task: asyncio.Task[TenantFront]) -> None:
--- a/tests/iso8583/test_taking_back.py
+++ b/tests/iso8583/test_taking_back.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -369,3 +370,88 @@
             assert ORIGINAL_MS == 3_600_000
 
     run(main())
+
+
+# ---- every sum agrees in the end --------------------------------------------------------
+
+
+class Mortal(Disk):
+    """Its process dies at the n-th write: nothing is kept or told from there on."""
+
+    def __init__(self, dies_at: int) -> None:
+        super().__init__()
+        self.dies_at = dies_at
+        self.dies: Callable[[], None] = lambda: None
+
+    def keep(self, rows: list[Row], then: Callable[[bool], None] | None = None) -> None:
+        if self.calls >= self.dies_at:
+            self.calls += 1
+            self.dies()
+            return
+        super().keep(rows, then)
+
+
+async def insists(terminal: Terminal, message: Message) -> str:
+    """What a till does: the same again, as a repeat, until it is answered; "" when it broke."""
+    with contextlib.suppress(TimeoutError, OSError):
+        return str((await asyncio.wait_for(terminal.write(message), 0.4)).fields[39])
+    return ""
+
+
+@pytest.mark.parametrize("takes_back", [False, True], ids=["credit", "credit and reversal"])
+@pytest.mark.parametrize("way", [Way.ANSWER, Way.DECLINE, Way.RESET_RUN, Way.RESET_UNRUN])
+def test_every_sum_agrees_wherever_the_process_dies(way: Way, takes_back: bool) -> None:
+    """At each write in turn. In the end a credit stands once, and only where the till has it."""
+
+    async def story(dies_at: int) -> bool:
+        """Whether it died."""
+        disk = Mortal(dies_at)
+        async with world(None, records=disk) as w:
+            server = w.servers[0]
+            server.script.append(way)
+            died = asyncio.Event()
+
+            def dies() -> None:
+                died.set()
+                w.front.close()
+                for conn in list(w.front.connections):
+                    if conn.transport is not None:
+                        conn.transport.abort()
+                w.node.upstream.close()
+
+            disk.dies = dies
+            terminal = await w.terminal()
+            original = terminal.message()
+            asked = await insists(terminal, original)
+            back = terminal.reversal(original)
+            if takes_back and not died.is_set():
+                asked = await insists(terminal, back)
+            done = asked == APPROVED and not died.is_set()
+            rest = Disk()
+            rest.rows = dict(disk.rows)
+            async with world(records=rest, rows=rest.kept(), servers=w.servers) as again:
+                late = await again.terminal()
+                late.stan = 100
+                if not done and not takes_back:
+                    asked = await insists(late, Message("0201", original.fields))
+                if takes_back or asked == "68":
+                    # It has no answer to rely on, or wants it undone: it takes it back.
+                    while await insists(late, Message("0401", back.fields)) != APPROVED:
+                        pass
+                again.front.sweep()
+                await until(lambda: not again.front.reversals.owed)
+                booked_ = server.booked
+                undone = {str(m.fields[90])[4:10] for m in reversals(server)}
+                stands = [stan for stan in booked_ if stan not in undone]
+                assert len(stands) <= 1
+                kept_by_till = not takes_back and asked == APPROVED
+                assert bool(stands) == kept_by_till, (dies_at, asked, booked_, undone)
+        return died.is_set()
+
+    async def main() -> None:
+        dies_at = 0
+        while await story(dies_at):
+            dies_at += 1
+        assert dies_at >= 2
+
+    run(main())
--- a/tests/service/test_iso.py
+++ b/tests/service/test_iso.py
@@ -213,7 +213,7 @@
             one = await a.terminal()
             assert await a.code(one, one.message()) == APPROVED
             assert await asyncio.to_thread(h.service.stop) == 0
-            (folder,) = (tmp_path / "state-iso8583").iterdir()
+            (folder,) = (p for p in (tmp_path / "state-iso8583").iterdir() if p.is_dir())
             kept = folder.rename(tmp_path / "kept")
             folder.write_text("no store")
             await asyncio.to_thread(h.service.start)
@@ -249,3 +249,64 @@
             assert await a.code(one, message) == APPROVED  # on its open connection
 
     asyncio.run(main())
+
+
+PAN = "4929000011112222"  # of every message of a Terminal
+
+
+def forms(number: str) -> list[bytes]:
+    """A number as it might stand in a file: as text, packed, and either in hexadecimal."""
+    plain = [number.encode(), bytes.fromhex(number), number.encode("cp037")]
+    return plain + [form.hex().encode() for form in plain]
+
+
+def test_no_account_number_stands_in_clear_in_a_file_a_log_or_a_report(tmp_path: Path) -> None:
+    """Credits, a debt that nobody takes, messages that can't be read or passed on."""
+
+    async def main() -> None:
+        async with tills(tmp_path, "aaa") as (h, (a,)):
+            one = await a.terminal()
+            original = one.message()
+            assert original.fields[2] == PAN
+            assert await a.code(one, original) == APPROVED
+            a.server.script.extend([Way.FULL] * 1000)
+            assert await a.code(one, one.reversal(original)) == APPROVED
+            await until(a.reversals)
+            for broken in (CODEC.encode(original)[:-3], PAN.encode()):
+                bad = await a.terminal()
+                assert bad.writer is not None
+                bad.writer.write(len(broken).to_bytes(2, "big") + bytes(5) + broken)
+                await until(lambda bad=bad: bad.task is not None and bad.task.done())
+            report = str(await h.call("GET", "/v1/tenants/aaa/report"))
+            files = [p for p in tmp_path.rglob("*") if p.is_file()]
+            assert any("state-iso8583" in str(p) and p.stat().st_size > 500 for p in files)
+            for form in forms(PAN):
+                assert form not in report.encode()
+                for path in files:
+                    assert form not in path.read_bytes(), path
+
+    asyncio.run(main())
+
+
+def test_a_key_that_is_not_the_one_opens_nothing_and_loses_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with tills(tmp_path, "aaa") as (h, (a,)):
+            one = await a.terminal()
+            original = one.message()
+            assert await a.code(one, original) == APPROVED
+            assert await asyncio.to_thread(h.service.stop) == 0
+            key = tmp_path / "state-iso8583" / "key"
+            assert key.stat().st_mode & 0o777 == 0o600
+            right = key.read_bytes()
+            for wrong in (bytes(32), b"short"):
+                key.write_bytes(wrong)
+                await asyncio.to_thread(h.service.start)
+                again = await a.terminal()
+                await until(lambda again=again: again.task is not None and again.task.done())
+                assert await asyncio.to_thread(h.service.stop) == 0
+            key.write_bytes(right)
+            await asyncio.to_thread(h.service.start)
+            assert await a.again(Message("0201", original.fields)) == APPROVED
+            assert len(a.credits()) == 1
+
+    asyncio.run(main())
