--- a/tansywood/iso8583/dialect.py
+++ b/tansywood/iso8583/dialect.py
@@ -137,7 +137,7 @@
     if type(length) is not int or not 0 < length <= MAX_FIELD:
         faults.append(f"{where}/{key}: is no whole number from 1 to {MAX_FIELD}")
         return None
-    if form is not None and form not in FORMS:
+    if form is not None and (not isinstance(form, str) or form not in FORMS):
         faults.append(f"{where}/form: is none of {', '.join(FORMS)}")
         return None
     digits = FORMS[form] if form is not None else 0
--- a/tansywood/tenancy/checks.py
+++ b/tansywood/tenancy/checks.py
@@ -282,19 +282,27 @@
             "/iso8583/dialect", f"{shown(dialect)} is not known", f"{known}, or a whole one"
         )
     elif isinstance(dialect, dict):
+        needed = {3, 7, 11, 39, 41} | ({70} if given.get("servers_sign_on", True) else set())
         try:
-            parse(dialect)
+            lacking = sorted(needed - set(parse(dialect).fields))
+            if lacking:
+                yield Fault(
+                    "/iso8583/dialect/fields",
+                    f"{', '.join(map(str, lacking))} is missing",
+                    "3, 7, 11, 39, 41, and 70 where we sign on to servers",
+                )
         except DialectError as err:
             for fault in err.faults:
                 place, _, what = fault.partition(": ")
                 yield Fault(f"/iso8583/dialect{place if what else ''}", what or fault)
-    classes = {row.get("name") for _, row in _rows(document, "classes")}
+    names = (row.get("name") for _, row in _rows(document, "classes"))
+    classes = {name for name in names if isinstance(name, str)}
     for i, row in _rows(given, "rules"):
         if isinstance(row.get("class"), str) and row["class"] not in classes:
             yield Fault(
                 pointer("iso8583", "rules", i, "class"),
                 f"{shown(row['class'])} is none of its classes",
-                "one of " + ", ".join(sorted(str(c) for c in classes)),
+                "one of " + ", ".join(sorted(classes)),
             )
     for i, row in _rows(document, "classes"):
         if row.get("repeat") == "keyed":
