ISO 8583: an answer's code comes with it, and nothing is put together that nobody keeps

The front decoded each credit's answer a third time to learn whether it was booked, and a node without records built its rows all the same. The link hands the code on with the bytes; without records there is none to call. A connection to an HTTP server makes no queue for what most requests never leave behind.

--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -15,7 +15,7 @@
 from tansywood.iso8583.link import Advice, IsoLink, IsoNode
 from tansywood.iso8583.machine import Front, Reply, Request, reply_to
 from tansywood.iso8583.mapping import Mapping
-from tansywood.iso8583.records import KINDS, Forgetful, Records, Row
+from tansywood.iso8583.records import KINDS, Records, Row
 from tansywood.iso8583.repeats import Repeats, Verdict
 from tansywood.iso8583.reversals import (
     Act,
@@ -86,9 +86,11 @@
         self.request: NodeRequest | None = None
 
     def answer(self, *answer: Any) -> None:
-        """Served: the bytes of the answer, under the caller's own trace number."""
-        raw = cast(bytes, answer[0])
-        self.conn.server.settle(self, raw, self.conn.server.fate_of(self, raw))
+        """Served: the bytes of the answer, under the caller's own trace number, and its code."""
+        raw, code = answer
+        server = self.conn.server
+        booked = not self.lasts or code in server.mapping.approved
+        server.settle(self, raw, Fate.APPROVED if booked else Fate.DECLINED)
 
     def refused(self, retry_after: int) -> None:
         server = self.conn.server
@@ -179,7 +181,7 @@
         self.secret = secret
         self.must_sign_on = must_sign_on
         self.now_ms = now_ms
-        self.records: Records = records or Forgetful()
+        self.records = records
         self.repeats = Repeats(KEEP_MS)
         self.reversals = Reversals(ORIGINAL_MS)
         kept: dict[str, list[tuple[str, dict[str, Any]]]] = {kind: [] for kind in KINDS}
@@ -274,10 +276,12 @@
             then(True)
             return
         key = request.asked.rid.decode()
-        if self.reversals.sent(key, f"{attempt.backend}:{stan}", self.now_ms()):
-            self.records.keep(self.rows_of(key), then)
-        else:
+        if not self.reversals.sent(key, f"{attempt.backend}:{stan}", self.now_ms()):
             then(False)
+        elif self.records is None:
+            then(True)
+        else:
+            self.records.keep(self.rows_of(key), then)
 
     def rows_of(self, key: str) -> list[Row]:
         return [
@@ -285,13 +289,6 @@
             Row("fate", key, self.reversals.record(key)),
         ]
 
-    def fate_of(self, caller: Caller, answer: bytes) -> Fate:
-        """Whether a server's answer says that a credit was booked."""
-        if not caller.lasts:
-            return Fate.APPROVED
-        code = self.codec.decode(answer).fields.get(39)
-        return Fate.APPROVED if code in self.mapping.approved else Fate.DECLINED
-
     def settle(self, caller: Caller, answer: bytes, fate: Fate) -> None:
         """The one answer of a request, and the same for each that joined it. What never ran
         is not kept: its repeat is tried anew."""
@@ -302,11 +299,10 @@
             joined = self.repeats.answered(key, answer.hex(), now)
         if caller.lasts and self.open.pop(key, None) is not None:
             self.reversals.ended(key, fate, now)
-            rows = self.rows_of(key)
-            if self.reversals.settled(key):
-                rows.append(Row("debt", key, None))
-            # Nobody waits for it: lost in a crash, it is in doubt again.
-            self.records.keep(rows)
+            owed = [Row("debt", key, None)] if self.reversals.settled(key) else []
+            if self.records is not None:
+                # Nobody waits for it: lost in a crash, it is in doubt again.
+                self.records.keep(self.rows_of(key) + owed)
         for one in (caller, *joined):
             one.conn.open -= 1
             one.conn.put(answer, one.tpdu)
@@ -340,7 +336,10 @@
             if done:
                 self.pay()
 
-        self.records.keep([row], kept)
+        if self.records is None:
+            kept(True)
+        else:
+            self.records.keep([row], kept)
 
     def give_up(self, key: str) -> None:
         """An original that waits and was never sent: it is refused, and stays out."""
@@ -369,15 +368,19 @@
         if self.reversals.answered(key):
             self.reversals.ended(key, Fate.REVERSED, self.now_ms())
             fate = Row("fate", key, self.reversals.record(key))
-            self.records.keep([Row("debt", key, None), fate])
+            self.forget([Row("debt", key, None), fate])
+
+    def forget(self, rows: list[Row]) -> None:
+        """Nobody waits for it: what stays for a crash's sake is only kept longer."""
+        if rows and self.records is not None:
+            self.records.keep(rows)
 
     def sweep(self) -> None:
         """Every quarter of a second or so."""
         now = self.now_ms()
         gone = [Row("repeat", key, None) for key in self.repeats.expired(now)]
         gone += [Row("fate", key, None) for key in self.reversals.expired(now)]
-        if gone:
-            self.records.keep(gone)
+        self.forget(gone)
         self.pay()
         stuck = self.reversals.stuck(now, STUCK_MS)
         if stuck and now - self.told_ms >= STUCK_MS:
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -261,7 +261,7 @@
                 back = codec.with_stan(raw, at, str(event.message.fields[11]))
             else:
                 back = r.asked.codec.encode(event.message)
-            r.client.answer(back)
+            r.client.answer(back, event.message.fields.get(39))
         self.conclude(one, outcome)
         self.link.rests(self)
 
--- a/tansywood/iso8583/records.py
+++ b/tansywood/iso8583/records.py
@@ -1,4 +1,4 @@
-"""What the front keeps beyond its process: a port, and one that keeps nothing.
+"""What the front keeps beyond its process: a port.
 
 Three kinds of records, each under an identity (a digest, see `repeats`): what a repeat gets
 (`repeat`), what became of an original (`fate`), and what is owed to a server (`debt`). A credit's
@@ -23,11 +23,3 @@
     def keep(self, rows: list[Row], then: Callable[[bool], None] | None = None) -> None:
         """All of these or none. `then` is told once: True when they will outlast any crash,
         False where they can't be kept. Without `then` nobody waits for it."""
-
-
-class Forgetful:
-    """For a node that may forget all at its end: told at once."""
-
-    def keep(self, rows: list[Row], then: Callable[[bool], None] | None = None) -> None:
-        if then is not None:
-            then(True)
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -96,7 +96,7 @@
     def _reset(self) -> None:
         self.written = False
         self._paused = False
-        self._unsent: deque[bytes] = deque()  # what the transport has not been given yet
+        self._unsent: deque[bytes] | None = None  # what the transport has not been given yet
         self._passing: Streamed | None = None  # who takes the answer as it comes
         self._slow = False  # whoever takes it can't take more at present
         self._last_got = 0
@@ -212,7 +212,7 @@
             return
         # What is longer goes in pieces, the next once the one before has left, so that a
         # request never ran where its connection breaks before the last is begun.
-        self._unsent.extend(asked.body)
+        self._unsent = deque(asked.body)
         transport.write(head)
         self._push()
 
@@ -568,7 +568,7 @@
         self.upstream.take_out(self)
         self.parser = None
         self._chunks = []
-        self._unsent.clear()
+        self._unsent = None
         self._give_back()
         self._stop_rest_timer()
         if self._dial_timer is not None:
