--- a/benchmarks/iso8583.py
+++ b/benchmarks/iso8583.py
@@ -27,9 +27,9 @@
 import uvloop
 from iso8583.specs import default
 
-from benchmarks.request_cost import SETTINGS, Server, cpu_s, play
+from benchmarks.request_cost import SETTINGS, Server, asks, cpu_s, play
 from standins.platform import config, roster, target
-from standins.service import memory_mb
+from standins.service import ServiceProcess, document, memory_mb
 from tansywood.iso8583.codec import Codec, Message
 from tansywood.iso8583.dialect import load, parse
 from tansywood.iso8583.framing import Framer, Framing, frame
@@ -250,13 +250,85 @@
             (iso if first else http).append(await (play_iso() if first else play_http()))
         print(f"round {n + 1} of {rounds}: ISO 8583 {iso[-1]:.1f} us, HTTP {http[-1]:.1f}",
               file=sys.stderr, flush=True)  # fmt: skip
-    print("\nthrough a node: CPU for each message, microseconds")
-    ratios = [a / b for a, b in zip(iso, http, strict=True)]
-    for name, values in (("ISO 8583", iso), ("HTTP", http), ("ratio", ratios)):
-        print(f"{name:>10} {statistics.median(values):>8.2f} "
-              f"({min(values):.2f} to {max(values):.2f})")  # fmt: skip
+    table("through a node: CPU for each message, microseconds", {"iso": iso, "http": http})
+    for server in fast:
+        server.close()
+
+
+async def through_service(rounds: int, requests: int) -> None:
+    """The same beside the same requests by HTTP through the hosted service: one worker, a tenant
+    for each protocol, credits kept on the disk before they leave."""
+    codec = Codec(load(DIALECT))
+    each = requests // CONNECTIONS
+    loop = asyncio.get_running_loop()
+    fast = [await loop.create_server(Server, "127.0.0.1", 0) for _ in range(SERVERS)]
+    ports = [int(s.sockets[0].getsockname()[1]) for s in fast]
+    servers = Part("servers", 0.0)
+    limits = {
+        "rate_per_s": 1_000_000,
+        "burst": 1_000_000,
+        "connections_per_s": 10_000,
+        "open": 5000,
+    }
+    cpus: dict[str, list[float]] = {"iso": [], "http": []}
+    with tempfile.TemporaryDirectory(prefix="iso-", ignore_cleanup_errors=True) as name:
+        service = ServiceProcess(Path(name), 1, ("public", "tills"), iso=("tills",))
+        await asyncio.to_thread(service.start)
+        try:
+            operator = service.operator()
+            rows = {"http": list(enumerate(ports)), "iso": list(enumerate(servers.told))}
+            for kind, more in (
+                ("http", {}),
+                ("iso", {"callers": {"listeners": ["tills"], "key_required": False},
+                         "iso8583": {"dialect": "basic1987", "rules": [
+                             {"class": "balance", "mti": "02", "processing": "31"},
+                             {"class": "credit", "mti": "02", "processing": "91"}]}}),
+            ):  # fmt: skip
+                made = document(kind, [(f"s-{i}", port) for i, port in rows[kind]], limits=limits)
+                for row in made["servers"]:
+                    row["started_ms"] = 1
+                operator.must("POST", "/v1/tenants", made | more)
+            key = operator.must("POST", "/v1/tenants/http/keys", {"role": "caller"}).body["token"]
+            head = {"Host": "http.example.org", "X-Tenant-Id": "", "X-Tenant-Key": key}
+            pids = [service.pid("worker-0"), service.pid("door")]
+
+            async def play_one(kind: str, count: int, base: int) -> int:
+                if kind == "http":
+                    port = service.ports["public"]
+                    mine = (asks(port, count, f"h{base}.{i}", head) for i in range(CONNECTIONS))
+                else:
+                    port = service.ports["tills"]
+                    mine = (asks_iso(codec, port, count, f"S{i:04d}", base)
+                            for i in range(CONNECTIONS))  # fmt: skip
+                return sum(await asyncio.gather(*mine))
+
+            for kind in cpus:
+                await play_one(kind, 20, 0)
+            for n in range(rounds):
+                for kind in ("iso", "http") if n % 2 else ("http", "iso"):
+                    before = sum(map(cpu_s, pids))
+                    done = await play_one(kind, each, 1000 + n * each)
+                    spent = (sum(map(cpu_s, pids)) - before) * 1e6 / (each * CONNECTIONS)
+                    if done < 0.98 * each * CONNECTIONS:
+                        raise RuntimeError(f"{kind}: only {done} of {each * CONNECTIONS} served")
+                    cpus[kind].append(spent)
+                print(f"round {n + 1} of {rounds}: ISO 8583 {cpus['iso'][-1]:.1f} us, "
+                      f"HTTP {cpus['http'][-1]:.1f}", file=sys.stderr, flush=True)  # fmt: skip
+        finally:
+            await asyncio.to_thread(service.kill)
+            servers.end()
     for server in fast:
         server.close()
+    table("through the service, credits kept: CPU for each message, microseconds", cpus)
+
+
+def table(title: str, cpus: dict[str, list[float]]) -> None:
+    """Medians with their range, and the ratio of each round by itself."""
+    print(f"\n{title}")
+    ratios = [a / b for a, b in zip(cpus["iso"], cpus["http"], strict=True)]
+    for name, values in (("ISO 8583", cpus["iso"]), ("HTTP", cpus["http"]), ("ratio", ratios)):
+        print(f"{name:>10} {statistics.median(values):>8.2f} "
+              f"({min(values):.2f} to {max(values):.2f})")  # fmt: skip
 
 
 async def outstanding(count: int, connections: int, late: float) -> None:
@@ -342,6 +414,7 @@
             )
         print(f"{name:>8} {cells[0]:>24} {cells[1]:>24} {cells[2]:>28}")
     asyncio.run(through(rounds, options.requests))
+    asyncio.run(through_service(rounds, options.requests))
     asyncio.run(outstanding(10_000, 16, 0.02))
     return 0
 
--- a/tansywood/iso8583/dialect.py
+++ b/tansywood/iso8583/dialect.py
@@ -9,6 +9,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -65,6 +66,7 @@
     return parse(raw)
 
 
+@cache
 def built_in(name: str) -> Dialect:
     """One that comes with the program; OSError for any other name."""
     return load(Path(__file__).parent / "dialects" / f"{name}.json")
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -94,7 +94,7 @@
 
     def refused(self, retry_after: int) -> None:
         server = self.conn.server
-        answer = reply_to(self.message, server.mapping.refused)
+        answer = server.refusal(self.message, retry_after)
         server.settle(self, server.codec.encode(answer), Fate.NEVER_RAN)
 
     def failed(self, late: bool) -> None:
@@ -237,7 +237,7 @@
         what = repeats.content(message, self.secret)
         caller = Caller(conn, message, one.tpdu, key, number in self.lasting)
         if conn.open >= OPEN:
-            conn.write(reply_to(message, self.mapping.refused), one.tpdu)
+            conn.write(self.refusal(message, 0), one.tpdu)
             return
         verdict, answer = self.repeats.arrives(key, what, caller, self.now_ms())
         if verdict == Verdict.CONFLICT:
@@ -254,9 +254,25 @@
                 else:
                     self.begin(caller, number, one.body, at)
 
+    def refusal(self, message: Message, retry_after: int) -> Message:
+        """It never ran; `retry_after` in nanoseconds, 0 where nobody says when."""
+        number = self.mapping.retry_field
+        answer = reply_to(message, self.mapping.refused)
+        if not number or not retry_after:
+            return answer
+        spec = self.codec.dialect.fields[number]
+        seconds = str(min(-(-retry_after // 1_000_000_000), 10 ** min(spec.length, 9) - 1))
+        text = seconds if spec.digits else seconds.zfill(spec.length)
+        return Message(answer.mti, answer.fields | {number: text})
+
     def begin(self, caller: Caller, number: int, raw: bytes, at: int) -> None:
         node, size = self.node, len(raw)
-        asked = Asked(self.codec, caller, number, self.deadlines[number], raw, at)
+        deadline = self.deadlines[number] // MS
+        left = self.mapping.left_ms(caller.message, deadline, self.now_ms())
+        if left <= 0:
+            caller.refused(0)  # nobody waits for it any more
+            return
+        asked = Asked(self.codec, caller, number, left * MS, raw, at)
         node.budget.take(size)
         if caller.lasts:
             self.open[caller.key] = caller
--- a/tansywood/iso8583/mapping.py
+++ b/tansywood/iso8583/mapping.py
@@ -10,10 +10,17 @@
 one of `in_doubt`              ERROR: it may have run
 any other                      OK: an answer, a declined one too; it goes to the caller
 
+the time that is left          is the class's deadline
+-----------------------------  --------------------------------------------------------
+`by_field_7` is not set        from the message's arrival on
+`by_field_7` is set            from field 7 on (UTC, whole seconds: counted as the second's
+                               end); over by then, it is refused: nobody waits any more
+
 the node's end of a request    is field 39 for the caller, who does with it
 -----------------------------  --------------------------------------------------------
 served                         what the server answered
-refused: it never ran          `refused` (91): may ask again later, under a new number
+refused: it never ran          `refused` (91): may ask again later, under a new number; in
+                               `retry_field`, where the dialect has one, after how many seconds
 failed: it may have run        `failed` (68): in doubt; a credit has to be reversed
 another content, same identity `conflict` (94)
 no class                       `unknown` (12)
@@ -24,6 +31,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 
 from flinthatch import Outcome
 from tansywood.iso8583.codec import Message
@@ -48,6 +56,8 @@
     conflict: str = "94"
     unknown: str = "12"
     reversed: str = "00"
+    by_field_7: bool = False
+    retry_field: int = 0
     approved: frozenset[str] = frozenset({"00", "10", "11"})  # a credit that was booked
 
     def __post_init__(self) -> None:
@@ -62,6 +72,17 @@
                 return rule.cls
         return None
 
+    def left_ms(self, message: Message, deadline_ms: int, now_ms: int) -> int:
+        """What its caller has left, in milliseconds; `now_ms` is Unix time. 0 or less: nothing.
+
+        A field 7 ahead of our clock, or that is no time, counts as now.
+        """
+        sent = message.fields.get(7)
+        at = when(sent, now_ms) if self.by_field_7 and isinstance(sent, str) else None
+        if at is None:
+            return deadline_ms
+        return deadline_ms - max(now_ms - (at + 999), 0)
+
     def outcome(self, message: Message) -> Outcome:
         code = message.fields.get(39)
         if not isinstance(code, str) or code in self.in_doubt:
@@ -69,6 +90,22 @@
         return Outcome.FULL if code in self.turned_away else Outcome.OK
 
 
+def when(transmission: str, now_ms: int) -> int | None:
+    """A field 7 (MMDDhhmmss, UTC) as Unix time in milliseconds; None where it is no time.
+
+    It tells no year: the latest that is not a day ahead is meant.
+    """
+    now = datetime.fromtimestamp(now_ms / 1000, UTC)
+    for year in (now.year + 1, now.year, now.year - 1):
+        try:
+            at = datetime.strptime(f"{year}{transmission}", "%Y%m%d%H%M%S").replace(tzinfo=UTC)
+        except ValueError:
+            continue
+        if at <= now + timedelta(days=1):
+            return int(at.timestamp()) * 1000
+    return None
+
+
 def of_many(written: Sequence[bool]) -> list[Outcome]:
     """What a break does to the messages that were outstanding on one connection, in the order
     they were sent; `written` tells of each whether its last byte may have left.
--- a/tansywood/iso8583/reversals.py
+++ b/tansywood/iso8583/reversals.py
@@ -26,11 +26,11 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
 from enum import Enum
 from typing import Any
 
 from tansywood.iso8583.codec import Message
+from tansywood.iso8583.mapping import when
 
 FIRST_MS = 1_000  # before the second try ...
 LONGEST_MS = 60_000  # ... and at most before a later one
@@ -85,19 +85,9 @@
 
 
 def older(transmission: str, now_ms: int, than_ms: int) -> bool:
-    """Whether a field 7 (MMDDhhmmss, UTC) lies longer ago than this; false where it is no time.
-
-    It tells no year: the latest that is not a day ahead is meant. `now_ms` is Unix time.
-    """
-    now = datetime.fromtimestamp(now_ms / 1000, UTC)
-    for year in (now.year, now.year - 1):
-        try:
-            at = datetime.strptime(f"{year}{transmission}", "%Y%m%d%H%M%S").replace(tzinfo=UTC)
-        except ValueError:
-            continue
-        if at <= now + timedelta(days=1):
-            return now - at > timedelta(milliseconds=than_ms)
-    return False
+    """Whether a field 7 lies longer ago than this; false where it is no time."""
+    at = when(transmission, now_ms)
+    return at is not None and now_ms - at > than_ms
 
 
 def forwarded(message: Message, stan: str) -> Message:
--- a/tansywood/service/isotenant.py
+++ b/tansywood/service/isotenant.py
@@ -18,12 +18,12 @@
 from tansywood.iso8583.framing import Frame, Framing
 from tansywood.iso8583.front import Caller, IsoServer, TerminalConnection
 from tansywood.iso8583.link import IsoLink, IsoNode
-from tansywood.iso8583.machine import reply_to
 from tansywood.iso8583.mapping import Mapping, Rule
 from tansywood.iso8583.reversals import Fate
 from tansywood.service import shape
 from tansywood.service.records import StoreRecords
 from tansywood.service.report import Report
+from tansywood.service.tenant import AWAY
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, IsoSettings, TenantSettings, read
 from windrelay.discovery import Discovery
@@ -39,6 +39,8 @@
         turned_away=iso.turned_away,
         in_doubt=iso.in_doubt,
         approved=iso.approved,
+        by_field_7=iso.by_field_7,
+        retry_field=iso.retry_field,
     )
 
 
@@ -134,17 +136,17 @@
         if cls is None or message.mti[1] == "4":
             super().request(conn, message, one, at)
             return
-        why = ""
+        why, wait = "", AWAY
         if seat.stopping:
             why = "busy"
         elif seat.status != ACTIVE:
             why = seat.status
-        elif seat.bucket is not None and seat.bucket.take(time.monotonic_ns()):
-            why = "rate"
+        elif seat.bucket is not None and (limit := seat.bucket.take(time.monotonic_ns())):
+            why, wait = "rate", limit
         seat.report.asked(cls)
         if why:
             seat.report.refused(cls, why)
-            conn.write(reply_to(message, self.mapping.refused), one.tpdu)
+            conn.write(self.refusal(message, wait), one.tpdu)
         else:
             super().request(conn, message, one, at)
 
@@ -180,7 +182,12 @@
         node.budget.limit(limits.held_bytes)
         node.discovery = Discovery(node.config, node.members_told, node.log)
         node.upstream = IsoLink(
-            node, self.codec, self.framing, self.mapping, sign_on=iso.servers_sign_on
+            node,
+            self.codec,
+            self.framing,
+            self.mapping,
+            most=iso.servers_outstanding,
+            sign_on=iso.servers_sign_on,
         )
         self.server = seat = Seat()
         seat.bucket = Bucket(time.monotonic_ns(), limits.rate_per_s, limits.burst)
--- a/tansywood/tenancy/checks.py
+++ b/tansywood/tenancy/checks.py
@@ -14,7 +14,7 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
-from tansywood.iso8583.dialect import BUILT_IN, DialectError, parse
+from tansywood.iso8583.dialect import BUILT_IN, DialectError, FieldSpec, built_in, parse
 from tansywood.tenancy.schema import DEFAULT_LIMITS, MAX_ZONES, TENANT
 
 MAX_FAULTS = 100  # told of one document; a list of thousands helps nobody
@@ -281,10 +281,19 @@
         yield Fault(
             "/iso8583/dialect", f"{shown(dialect)} is not known", f"{known}, or a whole one"
         )
-    elif isinstance(dialect, dict):
+    elif isinstance(dialect, str | dict):
         needed = {3, 7, 11, 39, 41} | ({70} if given.get("servers_sign_on", True) else set())
         try:
-            lacking = sorted(needed - set(parse(dialect).fields))
+            # One that comes with the program is a part of it, read once.
+            made = built_in(dialect) if isinstance(dialect, str) else parse(dialect)
+            retry = given.get("retry_field")
+            if type(retry) is int and not _takes_seconds(made.fields.get(retry)):
+                yield Fault(
+                    "/iso8583/retry_field",
+                    f"{retry} takes no seconds in this dialect",
+                    "a field of n, an or ans, of two characters at least",
+                )
+            lacking = sorted(needed - set(made.fields))
             if lacking:
                 yield Fault(
                     "/iso8583/dialect/fields",
@@ -330,6 +339,10 @@
             yield Fault("/callers/hosts", "no message carries a host", "leave it out")
 
 
+def _takes_seconds(spec: FieldSpec | None) -> bool:
+    return spec is not None and spec.content in ("n", "an", "ans") and spec.length >= 2
+
+
 CHECKS: tuple[Callable[[dict[str, Any]], Iterator[Fault]], ...] = (
     _names,
     _classes,
--- a/tansywood/tenancy/schema.py
+++ b/tansywood/tenancy/schema.py
@@ -133,6 +133,18 @@
         "tpdu": {"type": "boolean", "description": "five bytes before each message; false"},
         "terminals_sign_on": {"type": "boolean", "description": "before anything else; false"},
         "servers_sign_on": {"type": "boolean", "description": "we do, to servers; true"},
+        "servers_outstanding": whole(1, 10_000, "messages open on one connection to one; 64"),
+        "deadline_from": {
+            "enum": ["arrival", "field-7"],
+            "description": "where a class's deadline begins. field-7 needs clocks that agree "
+            "within a second; arrival",
+        },
+        "retry_field": whole(
+            2,
+            128,
+            "where a refusal says after how many seconds to come again, in a field of its "
+            "dialect that takes them; none",
+        ),
         "rules": {
             "type": "array",
             "minItems": 1,
--- a/tansywood/tenancy/settings.py
+++ b/tansywood/tenancy/settings.py
@@ -51,6 +51,9 @@
     tpdu: bool
     terminals_sign_on: bool
     servers_sign_on: bool
+    servers_outstanding: int
+    by_field_7: bool
+    retry_field: int  # 0: none
     rules: tuple[tuple[str, str, str], ...]  # class, MTI, processing code
     turned_away: frozenset[str]
     in_doubt: frozenset[str]
@@ -129,6 +132,9 @@
         tpdu=given.get("tpdu", False),
         terminals_sign_on=given.get("terminals_sign_on", False),
         servers_sign_on=given.get("servers_sign_on", True),
+        servers_outstanding=given.get("servers_outstanding", 64),
+        by_field_7=given.get("deadline_from") == "field-7",
+        retry_field=given.get("retry_field", 0),
         rules=tuple((r["class"], r["mti"], r.get("processing", "")) for r in given["rules"]),
         turned_away=frozenset(codes.get("turned_away", ("91",))),
         in_doubt=frozenset(codes.get("in_doubt", ("68", "96"))),
--- a/tests/iso8583/world.py
+++ b/tests/iso8583/world.py
@@ -161,15 +161,17 @@
         return server
 
     def start(self, **over: Any) -> None:
-        """`over` are further arguments of the front's."""
+        """`over` are further arguments of the front's, `link` of the link's."""
         loop = asyncio.get_running_loop()
         known = roster(*(target(s.name, s.port) for s in self.servers))
         self.node = IsoNode(node_config(known, self.settings), loop)
         self.node.budget.limit(64 << 20)
         self.node.log = self.logged.append  # type: ignore[method-assign, assignment]
         self.node.discovery = Discovery(self.node.config, self.node.members_told, self.node.log)
-        self.node.upstream = IsoLink(self.node, CODEC, FRAMING, MAPPING)
-        self.front = IsoServer(self.node, CODEC, FRAMING, MAPPING, b"secret", **over)
+        mapping = over.pop("mapping", MAPPING)
+        link = over.pop("link", {})
+        self.node.upstream = IsoLink(self.node, CODEC, FRAMING, mapping, **link)
+        self.front = IsoServer(self.node, CODEC, FRAMING, mapping, b"secret", **over)
         self.node.start()
 
     async def terminal(self, name: str = "TERM0001") -> Terminal:
--- a/tests/tenancy/test_iso8583.py
+++ b/tests/tenancy/test_iso8583.py
@@ -68,6 +68,8 @@
         ({"iso8583": SECTION | {"dialect": WHOLE | {"bitmap": "x"}}}, "/iso8583/dialect/bitmap"),
         (without("39"), "/iso8583/dialect/fields"),
         (without("70"), "/iso8583/dialect/fields"),
+        ({"iso8583": SECTION | {"retry_field": 52}}, "/iso8583/retry_field"),
+        ({"iso8583": SECTION | {"retry_field": 100}}, "/iso8583/retry_field"),
         ({"iso8583": SECTION | {"length": "ascii5"}}, "/iso8583/length"),
         ({"iso8583": SECTION | {"rules": []}}, "/iso8583/rules"),
         (rules(["x", "02"]), "/iso8583/rules/0/class"),
