--- a/tansywood/service/records.py
+++ b/tansywood/service/records.py
@@ -14,6 +14,7 @@
 import secrets
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
@@ -27,6 +28,7 @@
 KEY_BYTES = 32
 NONCE = 12  # random: SP 800-38D allows 2^32 of them under one key
 TRIES = 60
+LAZY_S = 0.02  # that what nobody waits for may wait
 AGAIN_S = 0.05  # between two tries: the one that had it may be ending
 
 
@@ -77,6 +79,9 @@
         self.face = face
         self.seal = seal
         self.log = log
+        self._rows: dict[str, dict[str, Any] | None] = {}  # the last word on each
+        self._told: list[Callable[[bool], None]] = []  # who waits for them
+        self._lazy: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @classmethod
@@ -116,33 +121,53 @@
         return found
 
     def keep(self, rows: list[Row], then: Callable[[bool], None] | None = None) -> None:
-        batch = Batch()
+        """What is asked for in one turn of the loop is one batch; what nobody waits for joins
+        the next, or goes by itself a moment later."""
+        loop = asyncio.get_running_loop()
         for kind, key, record in rows:
-            name = f"{kind}/{key}".encode()
+            self._rows[f"{kind}/{key}"] = record
+        if then is not None:
+            self._told.append(then)
+            if len(self._told) == 1:
+                loop.call_soon(self.flush)
+        elif self._lazy is None:
+            self._lazy = loop.call_later(LAZY_S, self.flush)
+
+    def flush(self) -> None:
+        rows, self._rows = self._rows, {}
+        told, self._told = self._told, []
+        if self._lazy is not None:
+            self._lazy.cancel()
+            self._lazy = None
+        if not rows and not told:
+            return
+        batch = Batch()
+        for text, record in rows.items():
+            name = text.encode()
             if record is None:
                 batch.delete(name)
             else:
-                text = json.dumps(record, separators=(",", ":")).encode()
-                batch.put(name, self.seal.close(name, text))
-        task = asyncio.get_running_loop().create_task(self._write(batch, then))
+                value = json.dumps(record, separators=(",", ":")).encode()
+                batch.put(name, self.seal.close(name, value))
+        task = asyncio.get_running_loop().create_task(self._write(batch, told))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _write(self, batch: Batch, then: Callable[[bool], None] | None) -> None:
+    async def _write(self, batch: Batch, told: list[Callable[[bool], None]]) -> None:
+        kept = True
         try:
-            if then is None:
-                await self.face.write(batch)
-            else:
+            if told:
                 await self.face.durable(batch)
+            else:
+                await self.face.write(batch)
         except (StoreError, OSError) as err:
             self.log(f"records not kept: {err}")
-            if then is not None:
-                then(False)
-            return
-        if then is not None:
-            then(True)
+            kept = False
+        for then in told:
+            then(kept)
 
     async def close(self) -> None:
         """What waits is written first."""
+        self.flush()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.face.close()
