ISO 8583: one record a credit; a late repeat of what may have run is no new credit

A credit had two records, each written twice. And a repeat that came later than an answer is kept, two minutes, was taken for a new credit though its fate was known for an hour: it ran a second time.

One row holds both parts; a repeat's goes with its fate. What may have run under an identity is not sent again within the hour: its late repeat gets 68, which a till answers with a reversal.

A test sends the repeat after two minutes: a second credit before, one now.

--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -188,8 +188,12 @@
         for kind, key, record in rows:
             if record is not None:
                 kept[kind].append((key, record))
-        self.repeats.load(kept["repeat"])
-        self.reversals.load([record for _, record in kept["debt"]], kept["fate"])
+        parts = {
+            part: [(key, record[part]) for key, record in kept["credit"] if record[part]]
+            for part in ("repeat", "fate")
+        }
+        self.repeats.load(parts["repeat"])
+        self.reversals.load([record for _, record in kept["debt"]], parts["fate"])
         self.open: dict[str, Caller] = {}  # what lasts, by its identity
         self.paying: set[str] = set()  # debts that are out at their server
         self.told_ms = 0
@@ -250,7 +254,10 @@
             conn.open += 1
             if verdict == Verdict.NEW:
                 if caller.lasts and not self.reversals.came(key, self.now_ms()):
-                    caller.refused(0)  # it was reversed before it came
+                    if self.reversals.fate(key) == Fate.REVERSED:
+                        caller.refused(0)
+                    else:
+                        caller.failed(late=True)  # it may have run, long ago for a repeat
                 else:
                     self.begin(caller, number, one.body, at)
 
@@ -267,6 +274,8 @@
 
     def begin(self, caller: Caller, number: int, raw: bytes, at: int) -> None:
         node, size = self.node, len(raw)
+        if caller.lasts:
+            self.open[caller.key] = caller
         deadline = self.deadlines[number] // MS
         left = self.mapping.left_ms(caller.message, deadline, self.now_ms())
         if left <= 0:
@@ -274,8 +283,6 @@
             return
         asked = Asked(self.codec, caller, number, left * MS, raw, at)
         node.budget.take(size)
-        if caller.lasts:
-            self.open[caller.key] = caller
         request = node.request(caller, asked, 0)
         if request is None:
             node.budget.give(size)
@@ -300,10 +307,10 @@
             self.records.keep(self.rows_of(key), then)
 
     def rows_of(self, key: str) -> list[Row]:
-        return [
-            Row("repeat", key, self.repeats.record(key)),
-            Row("fate", key, self.reversals.record(key)),
-        ]
+        """One row for all that is known of a credit. Its repeat's part stays in it past its own
+        time, which it tells: to take it out would be a write more for each credit."""
+        record = {"repeat": self.repeats.record(key), "fate": self.reversals.record(key)}
+        return [Row("credit", key, record)]
 
     def settle(self, caller: Caller, answer: bytes, fate: Fate) -> None:
         """The one answer of a request, and the same for each that joined it. What never ran
@@ -334,15 +341,13 @@
         mti, stan, at = named
         acquirer, terminal = message.fields.get(32), message.fields.get(41)
         key = repeats.identity_of(mti, at, stan, acquirer, terminal, self.secret)
-        if not self.reversals.known(key) and older(at, self.now_ms(), ORIGINAL_MS):
+        if self.reversals.fate(key) is None and older(at, self.now_ms(), ORIGINAL_MS):
             conn.write(reply_to(message, self.mapping.failed), tpdu)
             return
         act, debt = self.reversals.arrives(key, self.codec.encode(message).hex(), self.now_ms())
         if act == Act.GIVE_UP:
             self.give_up(key)
-        row = Row("fate", key, self.reversals.record(key))
-        if debt is not None:
-            row = Row("debt", key, debt.record())
+        rows = [Row("debt", key, debt.record())] if debt is not None else self.rows_of(key)
 
         def kept(done: bool) -> None:
             if not done and debt is not None and key not in self.paying:
@@ -355,7 +360,7 @@
         if self.records is None:
             kept(True)
         else:
-            self.records.keep([row], kept)
+            self.records.keep(rows, kept)
 
     def give_up(self, key: str) -> None:
         """An original that waits and was never sent: it is refused, and stays out."""
@@ -383,8 +388,7 @@
             return  # it did not take it: due again later
         if self.reversals.answered(key):
             self.reversals.ended(key, Fate.REVERSED, self.now_ms())
-            fate = Row("fate", key, self.reversals.record(key))
-            self.forget([Row("debt", key, None), fate])
+            self.forget([Row("debt", key, None), *self.rows_of(key)])
 
     def forget(self, rows: list[Row]) -> None:
         """Nobody waits for it: what stays for a crash's sake is only kept longer."""
@@ -394,9 +398,8 @@
     def sweep(self) -> None:
         """Every quarter of a second or so."""
         now = self.now_ms()
-        gone = [Row("repeat", key, None) for key in self.repeats.expired(now)]
-        gone += [Row("fate", key, None) for key in self.reversals.expired(now)]
-        self.forget(gone)
+        self.repeats.expired(now)
+        self.forget([Row("credit", key, None) for key in self.reversals.expired(now)])
         self.pay()
         stuck = self.reversals.stuck(now, STUCK_MS)
         if stuck and now - self.told_ms >= STUCK_MS:
--- a/tansywood/iso8583/records.py
+++ b/tansywood/iso8583/records.py
@@ -1,8 +1,8 @@
 """What the front keeps beyond its process: a port.
 
-Three kinds of records, each under an identity (a digest, see `repeats`): what a repeat gets
-(`repeat`), what became of an original (`fate`), and what is owed to a server (`debt`). A credit's
-first two are on the disk before its first byte leaves; a debt is before its terminal is told.
+Two kinds of records, each under an identity (a digest, see `repeats`): of a credit, what its
+repeat gets and what became of it (`credit`), and what is owed to a server (`debt`). The first is
+on the disk before a credit's first byte leaves, the second before its terminal is told.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-KINDS = ("repeat", "fate", "debt")
+KINDS = ("credit", "debt")
 
 
 class Row(NamedTuple):
--- a/tansywood/iso8583/reversals.py
+++ b/tansywood/iso8583/reversals.py
@@ -128,9 +128,9 @@
     # ---- originals -------------------------------------------------------------------------
 
     def came(self, key: str, now_ms: int) -> bool:
-        """An original. False where it was reversed before it came: it must not be sent."""
-        known = self._fates.get(key)
-        if known is not None and known[0] == Fate.REVERSED:
+        """An original. False where it must not be sent: it was reversed, or it may have run and
+        its repeat comes later than an answer is kept. `fate` tells which."""
+        if self.fate(key) not in (None, Fate.NEVER_RAN, Fate.DECLINED):
             return False
         self._set(key, Fate.WAITING, "", now_ms)
         return True
@@ -145,8 +145,9 @@
             self._set(key, Fate.OUT, server, now_ms)
         return True
 
-    def known(self, key: str) -> bool:
-        return key in self._fates
+    def fate(self, key: str) -> Fate | None:
+        known = self._fates.get(key)
+        return known[0] if known is not None else None
 
     def ended(self, key: str, fate: Fate, now_ms: int) -> Fate:
         """Its outcome. Returns it, for whoever has to settle an early reversal by it."""
--- a/tests/iso8583/test_taking_back.py
+++ b/tests/iso8583/test_taking_back.py
@@ -11,7 +11,7 @@
 
 from standins.iso8583 import IsoTopup, Way
 from tansywood.iso8583.codec import Message
-from tansywood.iso8583.front import ORIGINAL_MS, STUCK_MS
+from tansywood.iso8583.front import KEEP_MS, ORIGINAL_MS, STUCK_MS
 from tansywood.iso8583.machine import APPROVED
 from tansywood.iso8583.records import Row
 
@@ -358,6 +358,25 @@
     run(main())
 
 
+def test_a_repeat_that_comes_later_than_its_answer_is_kept_is_no_second_credit() -> None:
+    async def main() -> None:
+        clock = Clock()
+        async with world(None, records=Disk(), now_ms=clock) as w:
+            terminal = await w.terminal()
+            original = await booked(w, terminal)
+            repeat = Message("0201", original.fields)
+            assert await code(terminal, repeat) == APPROVED
+            clock.ms += KEEP_MS + 1
+            w.front.sweep()
+            assert await code(terminal, repeat) == "68"
+            assert len(credits(w.servers[0])) == 1
+            # What it means to take it back has not changed.
+            assert await code(terminal, terminal.reversal(original)) == APPROVED
+            await until(lambda: len(reversals(w.servers[0])) == 1)
+
+    run(main())
+
+
 def test_a_reversal_of_what_may_be_forgotten_by_now_is_not_taken() -> None:
     async def main() -> None:
         clock = Clock()
