--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Two commands for a newcomer, on a fresh machine with Python 3.11 and a C compiler:
-#   make test    all checks and tests, some two minutes
+#   make test    all checks and tests, some five minutes
 #   make demo    a node, then the hosted service, over stand-ins: a minute, with live tables
 .PHONY: test demo lint setup
 
