A connection held for the last piece of a large answer is read from again

The full tests failed once in some five runs: a request behind a large answer got 502. Where the client's buffer filled with the very last piece, its server's connection was held, and whoever would have let it go on had taken its leave with the answer's end: the connection went to rest and its next answer was never read. A test of descriptors failed behind it, which counted what the first one's traceback still held.

The connection goes on when its answer is whole. Measured: a test that holds it at the very end fails without this and passes with it.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,6 +14,7 @@
 import pytest
 
 from flinthatch import Settings
+from windrelay.server import ClientConnection
 from windrelay.upstream import HELD_BODY
 
 from .fakes import MS, PURE, SECOND, UNSAFE, build
@@ -136,6 +137,42 @@
         assert client.message()[2] == b"next"
 
 
+def test_a_connection_that_was_held_for_the_last_piece_is_read_from_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The client's buffer fills with the very end: whoever would have let it go on has gone."""
+    finish = ClientConnection.finish
+
+    def held(conn: ClientConnection) -> None:
+        assert conn._source is not None
+        conn._source.hold()
+        finish(conn)
+
+    monkeypatch.setattr(ClientConnection, "finish", held)
+    with listen() as backend, inside(tmp_path, roster(target("s-1", port_of(backend)))) as i:
+
+        async def story() -> None:
+            port = i.server.listen(i.config.listen)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            peer: Peer | None = None
+            for data in (body(HELD_BODY + 1), b"next"):
+                writer.write(request("/credit/1", b"x"))
+                peer = peer or await asyncio.to_thread(accept, backend)
+                await asyncio.to_thread(peer.message)
+                await asyncio.to_thread(peer.send, answer(data))
+                assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(len(data)) == data
+            writer.close()
+            assert peer is not None
+            peer.close()
+
+        i.run(story())
+
+
+def port_of(sock: socket.socket) -> int:
+    return int(sock.getsockname()[1])
+
+
 def test_a_client_of_http_1_0_gets_no_chunks(tmp_path: Path) -> None:
     data = body(300_000)
     with pair(tmp_path) as (n, backend):
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -500,6 +500,9 @@
             passing, self._passing = self._passing, None
             if passing is not None:
                 passing.finish()
+                # Held for its last piece, nobody would let it go on any more: the next answer
+                # on this connection was never read.
+                self.go_on()
             elif r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
                 r.client.answer(self._type, chunks, self._size)
             elif r is None and outcome == Outcome.ERROR and self._status == 503:
