--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -157,7 +157,8 @@
             peer: Peer | None = None
             for data in (body(HELD_BODY + 1), b"next"):
                 writer.write(request("/credit/1", b"x"))
-                peer = peer or await asyncio.to_thread(accept, backend)
+                if peer is None:
+                    peer = await asyncio.to_thread(accept, backend)
                 await asyncio.to_thread(peer.message)
                 await asyncio.to_thread(peer.send, answer(data))
                 assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
