A reversal that can't be kept drops no earlier debt and costs its original no answer

Read over once more: where the disk was full, the repeat of a reversal that had been taken dropped the debt from memory, so that what was approved was not forwarded until a restart; and a reversal not kept while its original was out left a mark behind, on which the original's outcome raised: no answer.

Only the reversal that made a debt takes it back, and its mark with it.

--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -344,13 +344,14 @@
         if self.reversals.fate(key) is None and older(at, self.now_ms(), ORIGINAL_MS):
             conn.write(reply_to(message, self.mapping.failed), tpdu)
             return
+        told_before = self.reversals.owes(key)
         act, debt = self.reversals.arrives(key, self.codec.encode(message).hex(), self.now_ms())
         if act == Act.GIVE_UP:
             self.give_up(key)
         rows = [Row("debt", key, debt.record())] if debt is not None else self.rows_of(key)
 
         def kept(done: bool) -> None:
-            if not done and debt is not None and key not in self.paying:
+            if not done and debt is not None and not told_before and key not in self.paying:
                 self.reversals.answered(key)  # not taken: the terminal will say it again
             code = self.mapping.reversed if done else self.mapping.failed
             conn.write(reply_to(message, code), tpdu)
--- a/tansywood/iso8583/reversals.py
+++ b/tansywood/iso8583/reversals.py
@@ -223,8 +223,12 @@
     def answered(self, key: str) -> bool:
         """Its server has taken it, or it could not be kept: the record may go. False where
         nothing was owed any more, as for a second answer."""
+        self._early.discard(key)
         return self._debts.pop(key, None) is not None
 
+    def owes(self, key: str) -> bool:
+        return key in self._debts
+
     def stuck(self, now_ms: int, after_ms: int) -> list[Debt]:
         """What is owed for so long that somebody has to look."""
         return [debt for debt in self._debts.values() if now_ms - debt.since_ms >= after_ms]
--- a/tests/iso8583/test_taking_back.py
+++ b/tests/iso8583/test_taking_back.py
@@ -357,6 +357,50 @@
     run(main())
 
 
+def test_a_debt_that_was_taken_outlasts_a_repeat_that_can_not_be_kept() -> None:
+    """The disk fills between a reversal and its repeat: what was approved is still owed."""
+
+    async def main() -> None:
+        disk, clock = Disk(), Clock()
+        async with world(None, records=disk, now_ms=clock) as w:
+            server = w.servers[0]
+            terminal = await w.terminal()
+            original = await booked(w, terminal)
+            server.script.append(Way.FULL)
+            reversal = terminal.reversal(original)
+            assert await code(terminal, reversal) == APPROVED
+            await until(lambda: reversals(server) and not w.front.paying)
+            disk.full = True
+            assert await code(terminal, Message("0401", reversal.fields)) == "68"
+            assert w.front.reversals.owed == 1
+            clock.ms += 60_000
+            w.front.sweep()
+            await until(lambda: len(reversals(server)) == 2)
+
+    run(main())
+
+
+def test_a_reversal_that_could_not_be_kept_costs_its_original_no_answer() -> None:
+    """It came while the original was out; that one is declined then."""
+
+    async def main() -> None:
+        disk = Disk()
+        async with world(None, records=disk) as w:
+            server = w.servers[0]
+            server.work_s = 0.3
+            server.script.append(Way.DECLINE)
+            terminal = await w.terminal()
+            original = terminal.message()
+            answer = terminal.write(original)
+            await until(lambda: credits(server))
+            disk.full = True
+            assert await code(terminal, terminal.reversal(original)) == "68"
+            assert not answer.done()
+            assert (await asyncio.wait_for(answer, 15)).fields[39] == "51"
+
+    run(main())
+
+
 def test_a_repeat_that_comes_later_than_its_answer_is_kept_is_no_second_credit() -> None:
     async def main() -> None:
         clock = Clock()
