--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -50,7 +50,7 @@
 LOST_SLOW = 0.35  # ... where attempts take this part of their aim, time-outs counted in
 SPILL = 0.34  # part of the level that is dealt to nodes of other zones
 ROUND_STEP = 0.618034  # golden section: any run of ranks rounds up in proportion
-MIN_SLOTS = 3  # a node holds at least this many slots, however thin its deal
+MIN_SLOTS = 4  # a node holds at least this many slots, however thin its deal
 SLOW_FACTOR = 1.5  # latency against the fleet's at which a backend's own cap shrinks
 # Ties: candidates looked at among the backends holding equally few.
 CANDIDATES = 3
@@ -59,6 +59,7 @@
 # that what is served is served well inside its aim, and that a client who comes
 # again at once can still be: with half the slack a fifth of answers were late.
 WAIT_PART = 0.25
+STRAIN = SECOND  # after an attempt was turned away or timed out servers are taken to be short
 LEFTS = 64  # steps in which the time a client has left is told apart
 LEFTS_KEPT = 4000  # requests remembered for it, about
 USUAL_PART = 0.25  # of requests, for a time left to be taken for that of first tries
@@ -338,6 +339,7 @@
         self.list_tries = 0
         self.asking = False
         self.quiet_until = 0
+        self.strained_until = 0
         columns = settings.load_columns
         self.queue_column = columns.index("q") if "q" in columns else -1
         own = settings.node % settings.zones == settings.zone % settings.zones
@@ -577,6 +579,12 @@
                 # must not hold the slots that those in time need.
                 r.aim_at = now + c.aim
                 r.over = True
+                if now < self.strained_until and c.spec.late_worth <= 0:
+                    # Here nobody may wait behind it, and at the servers others do: 200 nodes
+                    # that each had a slot free for it served one in eight late, and the
+                    # next first tries were refused, came again and were late in their turn.
+                    self.finish(r)
+                    return
         slack = min(r.aim_at, r.give_up) - now - int(c.lat)
         r.wait_by = now + max(int(slack * WAIT_PART), 0)
         if self.quota:
@@ -892,6 +900,8 @@
         if not a.started:
             self.free_slot(c, b)
         self.outcomes += 1
+        if outcome in (FULL, TIMEOUT):
+            self.strained_until = now + STRAIN
         if b.stalled and not b.held:
             # All it held has ended without an answer: nothing else would let it back in.
             b.stalled = False
--- /dev/null
+++ b/tests/mass/test_late.py
@@ -0,0 +1,45 @@
+"""What is late by its client's first try takes no place that others need.
+
+One node sees no harm in serving it; many that do serve their neighbours' requests late.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from flinthatch import Balancer, Outcome
+from flinthatch.balancer import STRAIN
+from tests.fakes import MS, SECOND, Host, build
+
+FIRST = 1000 * MS  # what first tries of this class have left
+
+
+def settled() -> tuple[Balancer, Host]:
+    """A node that has seen what first tries have left, its servers quick."""
+    node, host = build()
+    for i in range(40):
+        node.on_request(i * MS, i, 0, FIRST)
+        node.on_outcome(i * MS, i, 0, Outcome.OK, 10 * MS, True)
+    host.calls.clear()
+    return node, host
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.TIMEOUT])
+def test_while_servers_are_short_a_late_try_is_refused_at_once(outcome: Outcome) -> None:
+    node, host = settled()
+    node.on_request(SECOND, 100, 0, FIRST)
+    node.on_outcome(SECOND, 100, 0, outcome, 10 * MS, True)
+    host.calls.clear()
+    node.on_request(SECOND + MS, 101, 0, FIRST - 300 * MS)  # its aim of 200 ms has passed
+    assert host.calls == [("refuse", 101)] and 101 not in node.requests
+    node.on_request(SECOND + MS, 102, 0, FIRST)
+    assert [c[1] for c in host.named("send")] == [102], "first tries go on"
+
+
+def test_where_servers_have_room_a_late_try_is_still_served() -> None:
+    node, host = settled()
+    node.on_request(SECOND, 100, 0, FIRST)
+    node.on_outcome(SECOND, 100, 0, Outcome.FULL, 10 * MS, True)
+    host.calls.clear()
+    node.on_request(SECOND + STRAIN, 101, 0, FIRST - 300 * MS)
+    assert [c[1] for c in host.named("send")] == [101]
