--- a/standins/mass/policies.py
+++ b/standins/mass/policies.py
@@ -128,7 +128,8 @@
         self, now: int, request: int, cls: int, left: int, tenant: int = 0, key: int = 0,
         hint: int = 0, client_retry: bool = False, waited: int = 0,
     ) -> None:  # fmt: skip
-        wish = Wish(request, cls, now + self.settings.classes[cls].aim, now + left)
+        aim_at = now + min(self.settings.classes[cls].aim, left)
+        wish = Wish(request, cls, aim_at, now + left)
         self.out[request] = wish
         self.waiting.append(wish)
         self.go(now)
@@ -147,6 +148,10 @@
             if server is None:
                 break
             self.waiting.popleft()
+            ahead = server.left() + self.fleet.day.traffic[wish.cls].work
+            if now + ahead / max(server.rate(now), 0.01) > wish.aim_at:
+                self.finish(wish)  # the best there is would be late: its work would be lost
+                continue
             wish.tries += 1
             self.actions.send(wish.id, server.number, min(wish.aim_at, wish.give_up) - now)
         if self.waiting and not self.looking:
