Pure rules for many instances: members, parts by grants with an end, turns, signals

Need: two instances of the service that serve the same tenants each take every limit for their own. Change: tansywood/fleet. SWIM with Lifeguard for who is there; fixed slices of every limit at the homes, dealt by grants that end, for how much is ours; evidence of servers with age and source; rendezvous turns and subsets; sealed, typed datagrams. A simulated world plays the shipped rules. A limit of places at a server joins the tenant's document.

Needs asked whole of each home gave even parts whatever the traffic; they are split over the homes.

--- /dev/null
+++ b/tansywood/fleet/messages.py
@@ -0,0 +1,146 @@
+"""What instances say to one another: typed, checked as it is read (MessagePack by msgspec).
+
+Each is a tagged array; a field may be added at the end with a default, which an older version of
+the program does not read and a newer one fills in. Anything else is a MessageError.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(min_length=1, max_length=63)]
+Place = Annotated[str, Meta(max_length=21)]  # IPv4:port
+Key = Annotated[str, Meta(min_length=1, max_length=200)]
+Count = Annotated[int, Meta(ge=0, le=1 << 62)]
+LIFE = 16  # bytes
+Life = Annotated[bytes, Meta(min_length=LIFE, max_length=LIFE)]
+
+
+class MessageError(ValueError):
+    """Bytes that are no message of this protocol."""
+
+
+class Rumour(Struct, array_like=True, frozen=True):
+    """One member as its teller believes it to be."""
+
+    name: Name
+    address: Place
+    life: Life
+    born: Count
+    incarnation: Count
+    state: Annotated[int, Meta(ge=0, le=3)]
+    drains: bool = False
+    version: Annotated[str, Meta(max_length=40)] = ""
+    zone: Annotated[str, Meta(max_length=63)] = ""
+
+
+Rumours = Annotated[list[Rumour], Meta(max_length=64)]
+
+
+class Hello(Struct, array_like=True, frozen=True, tag="h"):
+    """Who are you? Changes nothing at whoever gets it."""
+
+
+class Welcome(Struct, array_like=True, frozen=True, tag="w"):
+    """The answer: the sender's life is in the envelope."""
+
+
+class Ping(Struct, array_like=True, frozen=True, tag="p"):
+    seq: Count
+    target: Name
+    news: Rumours = []
+
+
+class PingFor(Struct, array_like=True, frozen=True, tag="q"):
+    """Ask another in my place."""
+
+    seq: Count
+    target: Name
+    news: Rumours = []
+
+
+class Ack(Struct, array_like=True, frozen=True, tag="a"):
+    seq: Count
+    news: Rumours = []
+
+
+class Nack(Struct, array_like=True, frozen=True, tag="n"):
+    """I asked in your place and have heard nothing: at least I am there."""
+
+    seq: Count
+
+
+class Sync(Struct, array_like=True, frozen=True, tag="s"):
+    """Members as I believe them to be, some of many; `answer` asks for yours."""
+
+    members: Rumours
+    answer: bool = False
+
+
+class Want(Struct, array_like=True, frozen=True):
+    """One pot's row of a claim. `applied` is the claim whose grant the holder goes by."""
+
+    pot: Key
+    need: Count
+    applied: Count
+
+
+class Seen(Struct, array_like=True, frozen=True):
+    """What the sender itself saw of a server, so long ago."""
+
+    server: Key
+    kind: Annotated[int, Meta(ge=0, le=4)]
+    age: Count
+
+
+class Claim(Struct, array_like=True, frozen=True, tag="c"):
+    seq: Count
+    wants: Annotated[list[Want], Meta(max_length=64)]
+    seen: Annotated[list[Seen], Meta(max_length=64)] = []
+
+
+class Given(Struct, array_like=True, frozen=True):
+    pot: Key
+    amount: Count
+
+
+class Grant(Struct, array_like=True, frozen=True, tag="g"):
+    seq: Count  # of the claim
+    given: Annotated[list[Given], Meta(max_length=64)]
+    doubted: Annotated[list[Key], Meta(max_length=64)] = []
+    back: Annotated[list[Key], Meta(max_length=64)] = []  # that the claim called out, and answer
+
+
+class Return(Struct, array_like=True, frozen=True, tag="r"):
+    """I hold nothing of you any more: what drains says this at its end."""
+
+    seq: Count
+
+
+Body = Hello | Welcome | Ping | PingFor | Ack | Nack | Sync | Claim | Grant | Return
+
+
+class Envelope(Struct, array_like=True, frozen=True):
+    sender: Name
+    address: Place  # where the sender is asked
+    to: Annotated[bytes, Meta(max_length=LIFE)]  # the life this is for; empty in a hello alone
+    body: Body
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def pack(envelope: Envelope) -> bytes:
+    return _encode(envelope)
+
+
+def unpack(data: bytes) -> Envelope:
+    """MessageError on anything that `pack` of this protocol would not have made."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as err:
+        raise MessageError(str(err)) from None
--- /dev/null
+++ b/tansywood/fleet/settings.py
@@ -0,0 +1,83 @@
+"""The `[fleet]` section of the operator's file: shape, checks, values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tansywood.tenancy.checks import Fault
+from tansywood.tenancy.schema import ADDRESS, NAME
+
+MOST_HOMES = 9  # every instance claims from each: more homes, more datagrams
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["name", "instance", "address", "first", "key_file"],
+    "properties": {
+        "name": {"type": "string", "pattern": NAME, "description": "of the fleet"},
+        "instance": {"type": "string", "pattern": NAME, "description": "of this one, unique in it"},
+        "address": {
+            "type": "string",
+            "pattern": ADDRESS,
+            "description": "IPv4:port, for datagrams",
+        },
+        "first": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": MOST_HOMES,
+            "uniqueItems": True,
+            "items": {"type": "string", "pattern": ADDRESS},
+            "description": "the homes' addresses: the same, in this order, at every instance",
+        },
+        "key_file": {"type": "string", "description": "64 hexadecimal digits a line, mode 0600"},
+        "zone": {"type": "string", "pattern": NAME},
+    },
+}
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    name: str
+    instance: str
+    address: str
+    first: tuple[str, ...]
+    key_file: Path
+    zone: str = ""
+
+    @property
+    def index(self) -> int:
+        """Which home this one is; -1 where it is none."""
+        return self.first.index(self.address) if self.address in self.first else -1
+
+
+def read(raw: Mapping[str, Any], folder: Path) -> FleetSettings:
+    """Of a section that its schema and `faults` found nothing wrong with."""
+    return FleetSettings(
+        raw["name"],
+        raw["instance"],
+        raw["address"],
+        tuple(raw["first"]),
+        (folder / raw["key_file"]).absolute(),
+        raw.get("zone", ""),
+    )
+
+
+def faults(raw: Mapping[str, Any]) -> list[Fault]:
+    """What a schema can't say."""
+    found = []
+    rows = [("/fleet/address", raw.get("address"))]
+    first = raw.get("first")
+    if isinstance(first, list):
+        rows += [(f"/fleet/first/{i}", a) for i, a in enumerate(first)]
+    for place, address in rows:
+        if not isinstance(address, str) or ":" not in address:
+            continue
+        host, _, port = address.rpartition(":")
+        if any(int(p) > 255 for p in host.split(".") if p.isdigit()):
+            found.append(Fault(place, f"{host} is no IPv4 address", "four numbers up to 255"))
+        if port.isdigit() and not 0 < int(port) < 65536:
+            found.append(Fault(place, f"{port} is no port that others can reach", "1 to 65535"))
+    return found
--- /dev/null
+++ b/tansywood/fleet/subsets.py
@@ -0,0 +1,78 @@
+"""Which instance uses which servers: rendezvous and deterministic subsets. Pure.
+
+Both are here because they are held against one another by balance, by moves for each join and
+leave and by connections opened (`benchmarks/fleet`); the service uses `rendezvous`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from hashlib import blake2b
+from random import Random
+
+
+def score(instance: str, server: str, weight: float = 1.0) -> float:
+    """A pair's rank: -w / ln(h), with h uniform in (0, 1) (Schindelhauer, Schomaker 2005). Of
+    servers scored for one instance each is highest in proportion to its weight."""
+    raw = int.from_bytes(blake2b(f"{instance}\0{server}".encode(), digest_size=8).digest(), "big")
+    return -weight / math.log((raw + 1) / (2**64 + 1))
+
+
+def rendezvous(
+    instance: str,
+    servers: Mapping[str, float],
+    size: int,
+    zones: Mapping[str, str] | None = None,
+    zone: str = "",
+) -> list[str]:
+    """The `size` servers that score highest for this instance, those of its zone first.
+
+    It depends on nothing but the instance's name and the list: members that join or leave move
+    nobody else's subset. `servers` are weights by name. ValueError where the size is below 1.
+    """
+    if size < 1:
+        raise ValueError("a subset has at least one server")
+    near = zones or {}
+    return sorted(
+        servers,
+        key=lambda s: (near.get(s, zone) != zone, -score(instance, s, servers[s]), s),
+    )[:size]
+
+
+def deterministic(
+    instance: str, members: Sequence[str], servers: Sequence[str], size: int
+) -> list[str]:
+    """Rounds of a shuffled list, each cut into subsets dealt in turn ("Site Reliability
+    Engineering", chapter 20): even to within one, but a member that joins shifts all behind it."""
+    if size < 1:
+        raise ValueError("a subset has at least one server")
+    if not servers:
+        return []
+    size = min(size, len(servers))
+    count = len(servers) // size
+    index = sorted(members).index(instance)
+    row = sorted(servers)
+    Random(index // count).shuffle(row)
+    at = index % count
+    return row[at * size : (at + 1) * size]
+
+
+def size_for(instances: int, servers: int, places: int) -> int:
+    """How many servers each instance should use so that no server is asked by more instances
+    than it has places, and every server by somebody; `places` 0: no limit is known."""
+    if servers < 1:
+        return 1
+    if places <= 0 or instances <= places:
+        return servers
+    return max(1, -(-servers * places // instances))
+
+
+def overlapped(
+    old: Sequence[str], new: Sequence[str], since: int, now: int, span: int
+) -> list[str]:
+    """While a change goes through, for `span`, both the old subset and the new are in use: the
+    new ones' connections are opened before the old ones' are let go of."""
+    if now - since >= span:
+        return list(new)
+    return [*new, *(s for s in old if s not in new)]
--- /dev/null
+++ b/tansywood/fleet/turns.py
@@ -0,0 +1,39 @@
+"""What one instance does for all: who has the turn, and when the next one takes over. Pure.
+
+A turn is soft: both sides of a split have one each. It is for what may be done twice (a try of a
+server that rests, a look), never for what must not: that takes a lease.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tansywood.fleet.subsets import score
+from tansywood.fleet.terms import SECOND
+
+STEP = SECOND  # each next one waits so much longer before it takes over
+
+
+def order(task: str, members: Iterable[str]) -> list[str]:
+    """The members by their rank for a task. A member that comes or goes moves only its own
+    tasks, and tasks spread evenly over members."""
+    return sorted(members, key=lambda m: (-score(m, task), m))
+
+
+def place(task: str, members: Iterable[str], name: str) -> int:
+    """0 where it is this one's turn; the number of those before it. All that are not members
+    come behind all that are."""
+    row = order(task, members)
+    return row.index(name) if name in row else len(row)
+
+
+def due(task: str, members: Iterable[str], name: str, at: int, step: int = STEP) -> int:
+    """When this one does a task that has been due since `at`, unless another's word came: at once
+    where it is its turn, later by `step` for each before it, of whom none can have done it. At
+    most three steps: more than three in a row are lost with most of the fleet."""
+    return at + min(place(task, members, name), 3) * step
+
+
+def phase(name: str, period: int) -> int:
+    """Where in a period this one does what everybody does once in it: the sum stays flat."""
+    return int(score(name, "phase") * 2**32) % period
--- a/tansywood/tenancy/schema.py
+++ b/tansywood/tenancy/schema.py
@@ -107,6 +107,9 @@
         "held_bytes": whole(65_536, 1 << 30, "of bodies and answers held; 8 MiB"),
         "connections": whole(1, 50_000, "of callers at a time; 200"),
         "connections_per_s": number(0.1, 100_000, "new ones of callers a second; 200"),
+        "places": whole(
+            0, 10_000, "requests at a time at each server, over all instances; 0, not limited"
+        ),
     },
 }
 
@@ -197,4 +200,5 @@
     "held_bytes": 8 << 20,
     "connections": 200,
     "connections_per_s": 200.0,
+    "places": 0,
 }
--- a/tansywood/tenancy/settings.py
+++ b/tansywood/tenancy/settings.py
@@ -39,6 +39,7 @@
     held_bytes: int
     connections: int
     connections_per_s: float
+    places: int = 0  # at each server; 0: not limited
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +117,7 @@
             held_bytes=limits["held_bytes"],
             connections=limits["connections"],
             connections_per_s=float(limits["connections_per_s"]),
+            places=limits["places"],
         ),
         cpu_share=float(document.get("cpu_share", 1.0)),
         max_attempts=document.get("max_attempts", 3),
--- /dev/null
+++ b/tests/fleet/test_conserved.py
@@ -0,0 +1,191 @@
+"""No limit is exceeded by all instances together; each defence taken out breaks it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from standins.fleet.simulated import World
+from tansywood.fleet.messages import Grant
+from tansywood.fleet.parts import Holder, Home, _Pot, open_pot, place_pot, rate_pot
+from tansywood.fleet.terms import SECOND, Terms
+from tests.fleet.worlds import LIMITS, TENANT, WHOLES, Broken, history, settle, want, world
+
+CLOCKS = {"a": 0.955, "b": 1.045, "c": 1.0, "d": 0.96, "e": 1.04}
+SEEDS = range(40)
+
+
+def play(seed: int, terms: Terms | None = None, clocks: dict[str, float] | None = None) -> World:
+    made = world(list("abcde"), 3, seed, clocks or CLOCKS, terms)
+    for name in made.seats:
+        want(made, name, 60, 4)
+    made.run(1.0)
+    history(made, seed)
+    return made
+
+
+def breaks(seeds: range = SEEDS, **over: Any) -> bool:
+    for seed in seeds:
+        try:
+            play(seed, **over)
+        except Broken:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nothing_is_exceeded_over_random_histories(seed: int) -> None:
+    made = play(seed)
+    settle(made)
+    # All of it is dealt again, and everybody has some.
+    for pot, whole in WHOLES.items():
+        amounts = made.amounts(pot)
+        assert sum(amounts.values()) <= whole
+        if pot == rate_pot(TENANT):
+            assert sum(amounts.values()) >= 0.97 * whole
+            assert min(amounts.values()) > 0
+
+
+def test_without_the_margin_between_two_clocks_it_breaks() -> None:
+    clocks = {"a": 0.7, "b": 1.4, "c": 1.4, "d": 0.7, "e": 0.7}  # beyond what is allowed for
+    assert breaks(clocks=clocks)
+
+
+def test_without_the_wait_of_a_home_that_starts_it_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Home, "ready", lambda self, pot, now: True)
+    assert breaks()
+
+
+def test_without_the_workers_word_that_less_is_in_use_it_breaks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def confirm(self: Holder, now: int, pot: str, used: int, version: int) -> bool:
+        for held in self._held.get(pot, ()):
+            held.applied = held.seq
+        return True
+
+    monkeypatch.setattr(Holder, "confirm", confirm)
+    assert breaks()
+
+
+def test_without_the_tail_of_requests_under_way_it_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Terms, "after", lambda self, tail: 0)
+    assert breaks()
+
+
+def test_without_the_end_at_the_workers_it_breaks() -> None:
+    made = world(["a", "b", "c", "d"], 3, 3)
+    for name in made.seats:
+        want(made, name, 400, 9)
+    made.run(5.0)
+    made.seats["d"].bound = False
+    made.pause("d")
+    made.run(6.0)
+    with pytest.raises(Broken):
+        made.go_on("d")
+
+
+def test_without_the_order_of_answers_it_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
+    granted = Holder.granted
+
+    def anyhow(self: Holder, now: int, home: int, grant: Grant) -> bool:
+        for rows in self._held.values():
+            rows[home].seq = min(rows[home].seq, grant.seq - 1)
+        return granted(self, now, home, grant)
+
+    monkeypatch.setattr(Holder, "granted", anyhow)
+    assert breaks()
+
+
+def test_without_the_count_of_what_may_still_be_out_it_breaks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    recount: Callable[..., None] = _Pot.recount
+
+    def forgetful(self: _Pot, who: bytes, c: Any, now: int) -> None:
+        c.out = c.out[-1:]  # the last grant alone, heard of or not
+        recount(self, who, c, now)
+
+    monkeypatch.setattr(_Pot, "recount", forgetful)
+    assert breaks()
+
+
+def test_a_limit_that_is_taken_out_and_put_back_waits_for_what_was_granted() -> None:
+    home = Home(Terms(), 1, 0, 0)
+    pot = rate_pot(TENANT)
+    home.set_whole(pot, 1000, 0)
+    home.keep([], 50 * SECOND)
+    home.set_whole(pot, 1000, 0)
+    assert not home.ready(pot, 51 * SECOND)
+    assert home.ready(pot, 52 * SECOND)
+
+
+def test_parts_follow_the_traffic_when_it_jumps() -> None:
+    made = world(["a", "b", "c"], 3, 5)
+    want(made, "a", 400, 30)
+    want(made, "b", 5, 1)
+    want(made, "c", 5, 1)
+    made.run(8.0)
+    assert made.amounts(rate_pot(TENANT))["a"] > 0.85 * LIMITS.rate
+    want(made, "a", 5, 1)
+    want(made, "b", 400, 30)
+    made.run(6 * made.terms.round / SECOND)  # rounds
+    assert made.amounts(rate_pot(TENANT))["b"] > 0.85 * LIMITS.rate
+
+
+def test_fewer_places_than_instances_go_round() -> None:
+    names = [f"i{n:02}" for n in range(24)]
+    made = world(names, 3, 2)
+    for name in names:
+        want(made, name, 30, 1)
+    had: dict[str, int] = dict.fromkeys(names, 0)
+    made.run(6.0)
+    for _ in range(240):
+        made.run(0.25)
+        for server in LIMITS.servers:
+            for name, amount in made.amounts(place_pot(TENANT, server)).items():
+                had[name] += amount
+    assert all(had.values()), had  # ten places, 24 that want one: nobody starves
+
+
+def test_a_lost_instances_part_comes_back_and_not_before_its_end() -> None:
+    made = world(["a", "b", "c", "d"], 2, 4)
+    for name in made.seats:
+        want(made, name, 400, 9)
+    made.run(6.0)
+    before = sum(a for n, a in made.amounts(rate_pot(TENANT)).items() if n != "d")
+    made.pause("d")
+    made.run(1.0)
+    assert sum(a for n, a in made.amounts(rate_pot(TENANT)).items()) <= before * 1.01
+    made.run(made.terms.length / SECOND)
+    assert sum(a for n, a in made.amounts(rate_pot(TENANT)).items()) > 0.97 * LIMITS.rate
+
+
+def test_an_instance_cut_off_goes_on_with_its_own_slice_alone() -> None:
+    made = world(["a", "b", "c"], 3, 6)
+    for name in made.seats:
+        want(made, name, 400, 9)
+    made.run(6.0)
+    made.split(["a"])
+    made.run(6.0)
+    amounts = made.amounts(rate_pot(TENANT))
+    assert 0.3 * LIMITS.rate < amounts["a"] <= LIMITS.rate // 3
+    assert amounts["a"] + amounts["b"] + amounts["c"] <= LIMITS.rate
+
+
+def test_one_that_ends_in_order_gives_back_at_once() -> None:
+    made = world(["a", "b", "c", "d"], 3, 7)
+    for name in made.seats:
+        want(made, name, 400, 9)
+    made.run(6.0)
+    last = made.seats["d"].instance
+    assert last is not None
+    made.seats["d"].used.clear()
+    made.seats["d"].out.clear()
+    last.leave(made.clock(made.seats["d"]))
+    made.flush("d")
+    made.kill("d")
+    made.run(3 * made.terms.round / SECOND)
+    assert sum(made.amounts(open_pot(TENANT)).values()) > 0.9 * LIMITS.open
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,181 @@
+"""Who is there: found, lost, back, never by old news."""
+
+from __future__ import annotations
+
+from random import Random
+
+from standins.fleet.simulated import World
+from tansywood.fleet.members import Members, State, longest, shortest
+from tansywood.fleet.messages import Rumour
+from tansywood.fleet.terms import SECOND
+from tests.fleet.worlds import world
+
+
+def states(made: World, name: str) -> dict[str, str]:
+    """What everybody that lives believes of one."""
+    found = {}
+    for other, seat in made.seats.items():
+        if seat.instance is not None and other != name and not seat.paused:
+            m = seat.instance.members.rows.get(name)
+            found[other] = m.state.name if m is not None else "unknown"
+    return found
+
+
+def everybody(made: World) -> bool:
+    up = sorted(n for n, s in made.seats.items() if s.instance is not None)
+    lives = [s.instance.members.live() for s in made.seats.values() if s.instance is not None]
+    return all(live == up for live in lives)
+
+
+def names(count: int) -> list[str]:
+    return [f"i{n:02}" for n in range(count)]
+
+
+def test_all_find_all_from_the_first_addresses() -> None:
+    made = world(names(20), watched=False)
+    made.run(6.0)
+    assert everybody(made)
+
+
+def test_one_that_dies_is_lost_within_the_stated_time_and_comes_back() -> None:
+    made = world(names(12), watched=False)
+    made.run(6.0)
+    made.kill("i07")
+    made.run(12 * 0.5 + longest(12) / SECOND + 2)
+    assert set(states(made, "i07").values()) == {"LOST"}
+    made.start("i07")
+    made.run(4.0)
+    assert everybody(made)
+
+
+def test_lost_datagrams_take_nobody_for_lost() -> None:
+    made = world(names(12), watched=False)
+    made.weather.loss = 0.1
+    made.run(60.0)
+    lost = [
+        e
+        for s in made.seats.values()
+        if s.instance is not None
+        for _, e in s.instance.events
+        if e.what == "lost"
+    ]
+    assert lost == []
+    assert everybody(made)
+
+
+def test_a_split_heals_twice() -> None:
+    made = world(names(9), watched=False)
+    made.run(5.0)
+    for _ in range(2):
+        made.split(names(9)[:4])
+        made.run(25.0)
+        assert not everybody(made)
+        made.heal()
+        made.run(25.0)
+        assert everybody(made)
+
+
+def test_one_way_cut_loses_nobody_that_others_hear() -> None:
+    made = world(names(6), watched=False)
+    made.run(5.0)
+    made.cut.add(("i01", "i02"))  # i02 does not hear i01; others stand in
+    made.run(30.0)
+    assert everybody(made)
+
+
+def test_one_that_was_stopped_accuses_nobody_when_it_wakes() -> None:
+    made = world(names(6), watched=False)
+    made.run(5.0)
+    made.pause("i03")
+    made.run(60.0)
+    made.go_on("i03")
+    made.run(0.05)
+    woken = made.seats["i03"].instance
+    assert woken is not None
+    assert not [e for _, e in woken.events if e.what in ("suspect", "lost")]
+    made.run(20.0)
+    assert everybody(made)
+
+
+def rumour(name: str, life: int, incarnation: int, state: State, born: int = 5) -> Rumour:
+    return Rumour(name, f"10.0.0.9:{life}", bytes([life]) * 16, born, incarnation, state)
+
+
+def alone() -> Members:
+    own = rumour("a", 1, 0, State.ALIVE)
+    return Members(own, [], Random(1), 0, lambda _address, _body: None)
+
+
+def test_old_news_after_newer_changes_nothing() -> None:
+    m = alone()
+    m.hear(1, rumour("b", 2, 3, State.ALIVE), "c")
+    m.hear(2, rumour("b", 2, 2, State.LOST), "c")
+    assert m.rows["b"].state.name == "ALIVE"
+    m.hear(3, rumour("b", 2, 3, State.LOST), "c")
+    assert m.rows["b"].state.name == "LOST"
+    m.hear(4, rumour("b", 2, 3, State.ALIVE), "c")  # what it was before
+    m.hear(5, rumour("b", 2, 3, State.SUSPECT), "c")
+    assert m.rows["b"].state.name == "LOST"
+    m.hear(6, rumour("b", 2, 4, State.ALIVE), "c")
+    assert m.rows["b"].state.name == "ALIVE"
+
+
+def test_a_start_by_a_clock_a_day_behind_goes_before_the_life_it_was() -> None:
+    m = alone()
+    m.hear(1, Rumour("a", m.own.address, b"\7" * 16, 86_400_000, 9, State.ALIVE), "c")
+    assert m.own.born > 86_400_000
+    assert not m.conflict
+
+
+def test_a_second_of_our_name_is_told_and_kept_out() -> None:
+    m = alone()
+    m.hear(1, rumour("a", 9, 0, State.ALIVE, born=3), "c")
+    assert m.conflict == "10.0.0.9:9"
+    assert [e.what for e in m.events] == ["conflict"]
+
+
+def test_the_more_accuse_the_sooner_it_is_lost() -> None:
+    m = alone()
+    for n in range(20):
+        m.hear(0, rumour(f"m{n:02}", 20 + n, 0, State.ALIVE), "c")
+    ends = []
+    for teller in ("c", "d", "e", "f", "g"):
+        m.hear(1, rumour("m01", 21, 0, State.SUSPECT), teller)
+        ends.append(m.rows["m01"].ends)
+    assert ends[0] == 1 + longest(21)
+    assert ends == sorted(ends, reverse=True)
+    assert ends[3] == 1 + shortest(21)
+    m.tick(ends[3])  # woken after a pause: the suspicion goes on, it is not over
+    assert m.rows["m01"].state == State.SUSPECT
+
+
+def test_who_is_taken_for_lost_says_otherwise() -> None:
+    m = alone()
+    m.hear(1, Rumour("a", m.own.address, m.own.life, 5, 0, State.LOST), "c")
+    assert (m.own.incarnation, m.own.state) == (1, State.ALIVE)
+    assert m.health == 1
+
+
+def test_a_drain_is_heard_of_and_takes_its_turns_away() -> None:
+    made = world(names(5), watched=False)
+    made.run(4.0)
+    drained = made.seats["i02"].instance
+    assert drained is not None
+    drained.drain(made.clock(made.seats["i02"]))
+    made.run(5.0)
+    for seat in made.seats.values():
+        assert seat.instance is not None
+        assert "i02" not in seat.instance.members.working()
+        assert "i02" in seat.instance.members.live()
+
+
+def test_the_sum_of_all_datagrams_is_flat() -> None:
+    made = world(names(16), watched=False)
+    made.run(10.0)
+    tenths = []
+    for _ in range(50):
+        before = sum(made.sent.values())
+        made.run(0.1)
+        tenths.append(sum(made.sent.values()) - before)
+    mean = sum(tenths) / len(tenths)
+    assert max(tenths) < 3 * mean  # on one tick all would fall on one tenth in two or five
--- /dev/null
+++ b/tests/fleet/worlds.py
@@ -0,0 +1,94 @@
+"""Small worlds of instances in simulated time, and what must hold in them at every moment."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from random import Random
+
+from standins.fleet.simulated import World
+from tansywood.fleet.parts import open_pot, place_pot, rate_pot
+from tansywood.fleet.share import Limits
+from tansywood.fleet.terms import SECOND, Terms
+
+TENANT = "cork"
+LIMITS = Limits(150_000, 40, 5, ("s-0", "s-1"), SECOND)
+WHOLES = {
+    rate_pot(TENANT): LIMITS.rate,
+    open_pot(TENANT): LIMITS.open,
+    place_pot(TENANT, "s-0"): LIMITS.places,
+    place_pot(TENANT, "s-1"): LIMITS.places,
+}
+
+
+class Broken(AssertionError):
+    """More in use than there is."""
+
+
+def conserved(world: World) -> None:
+    for pot, whole in WHOLES.items():
+        if world.in_use(pot) > whole:
+            raise Broken(f"{pot}: {world.in_use(pot)} of {whole} at {world.now / SECOND:.3f} s")
+
+
+def world(
+    names: list[str],
+    homes: int = 3,
+    seed: int = 1,
+    clocks: Mapping[str, float] | None = None,
+    terms: Terms | None = None,
+    watched: bool = True,
+) -> World:
+    made = World(names, homes, {TENANT: LIMITS}, seed, terms, clocks)
+    if watched:
+        made.watch = conserved
+    for name in names:
+        made.start(name)
+    return made
+
+
+def want(made: World, name: str, rate: int, units: int = 3) -> None:
+    """What an instance's callers ask for: requests a second, and units of all else."""
+    made.seats[name].want = {pot: rate * 1000 if pot.endswith("/rate") else units for pot in WHOLES}
+
+
+def history(made: World, seed: int, steps: int = 14) -> None:
+    """Random stops, ends, returns, cuts and weather, each for a random while."""
+    rng = Random(seed)
+    names = list(made.seats)
+    for _ in range(steps):
+        name = rng.choice(names)
+        seat = made.seats[name]
+        kind = rng.randrange(8)
+        if kind == 0 and seat.instance is not None and not seat.paused:
+            made.pause(name)
+        elif kind == 1 and seat.instance is not None:
+            made.kill(name)
+        elif kind == 2:
+            made.split(rng.sample(names, rng.randint(1, len(names) - 1)), rng.random() < 0.6)
+        elif kind == 3:
+            made.heal()
+        elif kind == 4:
+            made.weather.loss = rng.choice((0.0, 0.1, 0.4))
+            made.weather.late = rng.choice((0.0, 0.1, 0.3))
+            made.weather.twice = rng.choice((0.0, 0.2))
+        else:
+            want(made, name, rng.choice((0, 5, 80, 400)), rng.choice((0, 1, 4, 30)))
+        for other in names:
+            seat = made.seats[other]
+            if seat.paused and rng.random() < 0.4:
+                made.go_on(other)
+            elif seat.instance is None and rng.random() < 0.5:
+                made.start(other)
+        made.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
+
+
+def settle(made: World, seconds: float = 8.0) -> None:
+    """Every fault ends, and so much time passes."""
+    made.heal()
+    made.weather.loss = made.weather.late = made.weather.twice = 0.0
+    for name, seat in made.seats.items():
+        if seat.instance is None:
+            made.start(name)
+        elif seat.paused:
+            made.go_on(name)
+    made.run(seconds)
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -29,14 +29,18 @@
         "tansywood.service.report",
         "tansywood.service.wire",
     },
+    "tansywood/fleet": {"tansywood.fleet", "tansywood.tenancy"},
     "tansywood/service": {"tansywood", "windrelay", "flinthatch"},
     "standins": {"standins", "tansywood.iso8583"},  # its pure codec
+    # Many instances on one clock: what it plays are the pure rules themselves.
+    "standins/fleet": {"standins", "tansywood.fleet"},
     # Many nodes on one clock: what it plays is the pure decision module itself.
     "standins/mass": {"standins.mass", "flinthatch"},
     "benchmarks": {
         "benchmarks",
         "flinthatch",
         "standins",
+        "tansywood.fleet",
         "tansywood.store",
         "tansywood.iso8583",
         "windrelay",
@@ -68,7 +72,7 @@
         "import runpy, sys\n"
         "import windrelay.__main__, flinthatch.drill\n"
         "print([m for m in sys.modules if m.split('.')[0] in"
-        " ('tansywood', 'standins', 'google_crc32c') or m in"
+        " ('tansywood', 'standins', 'google_crc32c', 'msgspec') or m in"
         " ('jsonschema', 'starlette', 'uvicorn')])"
     )
     done = subprocess.run(
