The service shares its tenants' limits over instances; a rig of whole processes

Change: a part of the service speaks with the other instances (`[fleet]` in its file; absent, nothing of it is loaded) and lends each worker its tenants' parts with an end. The bucket and the decision module look at that end before they let anything through: `Balancer.places` caps a server's slots, `lapse_at` is one comparison in `dispatch`.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -99,6 +99,7 @@
 COLD_LEVEL = 2
 
 INFINITE = float("inf")
+NEVER = 1 << 63
 
 TIMER_WAKE = 1
 TIMER_CYCLE = 2
@@ -324,7 +325,12 @@
         self.stride = [1.0 / max(t.portion, 1e-6) for t in settings.tenants]
         self.credit = [max(q * SECOND, 1.0) for q in self.quota]
         self.credit_at = [0] * tenants
-        self.retry_credit = RETRY_BURST
+        self.retry_credit = self.retry_most = RETRY_BURST
+        # What several hosts share, by `parts`: most requests at each server, until when, and then.
+        self.places: dict[int, int] | None = None
+        self.places_after: dict[int, int] | None = None
+        self.lapse_at = NEVER
+        self.instances = 1  # that send to the same backends with modules of their own
         # Since the last cycle.
         self.outcomes = 0
         self.fulls = 0
@@ -510,6 +516,8 @@
             backend.takers = max(1, min(int(depth + 1.0), nodes))
             depth = int(depth + backend.offset)
             cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
+            if self.places is not None:
+                cap = min(cap, self.places.get(backend.id, 0))
             backend.cap = cap
             total += cap
             self.settle(backend)
@@ -699,6 +707,11 @@
         return c
 
     def dispatch(self, now: int) -> None:
+        if now > self.lapse_at:
+            # Looked at here, before any send: a host that was stopped must not go by old parts.
+            self.lapse_at = NEVER
+            self.places = self.places_after
+            self.recap()
         while self.running < self.total:
             over = False
             if not self.waiting:
@@ -795,7 +808,7 @@
             end = min(end, r.aim_at - int(c.aim * AIM_MARGIN))
         limit = max(end - now, MS)
         if not r.attempts:
-            self.retry_credit = min(self.retry_credit + RETRY_PART, RETRY_BURST)
+            self.retry_credit = min(self.retry_credit + RETRY_PART, self.retry_most)
         if c.effect == Effect.PURE and len(r.attempts) + 1 < self.settings.max_attempts:
             patience = int(max(PATIENCE * c.lat, PATIENCE_PART * c.aim))
             if self.retry_credit >= 1.0:
@@ -818,7 +831,8 @@
         s = self.settings
         usual = self.send_rate * s.balancers / max(self.ready, 1)
         rate = COLD_SAFETY * s.fall_multiple * self.warmth(b) * usual
-        gap = s.fall if rate <= 0 else min(int(SECOND * b.takers / rate), s.fall)
+        most = s.fall * self.instances
+        gap = most if rate <= 0 else min(int(SECOND * b.takers / rate), most)
         b.rest_until = now + gap
         self.remind(b.rest_until, b)
 
--- /dev/null
+++ b/flinthatch/parts.py
@@ -0,0 +1,95 @@
+"""Limits that several Balancers in several processes share. Pure; the platform loads none of it.
+
+What each may use was agreed on elsewhere. The module still picks; here it is told how far it may
+go, until when, and which servers others find out. As with `amend`, nothing is decided on a request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from flinthatch.balancer import NEVER, RETRY_BURST, Balancer
+from flinthatch.terms import State
+
+
+def share(
+    balancer: Balancer,
+    now: int,
+    places: Mapping[int, int] | None,
+    until: int = NEVER,
+    after: Mapping[int, int] | None = None,
+    instances: int = 1,
+    part: float = 1.0,
+) -> None:
+    """Keep at most `places` requests at each server (of one that is not named: none) up to
+    `until`, and `after` from then on; None: as many as the module itself finds right.
+
+    `part` of the burst of retries is ours, and a cold server gets its trickle from `instances`.
+    Requests that are out stay out; nothing is added where more are out than may be.
+    """
+    balancer.now = now
+    balancer.places = None if places is None else dict(places)
+    balancer.places_after = None if after is None else dict(after)
+    balancer.lapse_at = until
+    balancer.instances = max(instances, 1)
+    balancer.retry_most = RETRY_BURST * min(max(part, 0.0), 1.0)
+    balancer.retry_credit = min(balancer.retry_credit, balancer.retry_most)
+    balancer.recap()
+    balancer.dispatch(now)
+
+
+def doubt(balancer: Balancer, now: int, servers: Iterable[int], fresh: int) -> int:
+    """Others find these out: each gets one request at a time until it has answered one of ours,
+    unless it answered one within `fresh`. Returns how many that are so from now on.
+
+    One that is left alone already is not touched, and none is ever left alone by this.
+    """
+    balancer.now = now
+    count = 0
+    for number in servers:
+        b = balancer.backends.get(number)
+        if b is None or b.state != State.READY or b.trial or b.down_until:
+            continue
+        if b.seen and now - b.seen <= fresh and not b.errs and not b.strikes:
+            continue
+        b.trial = True
+        balancer.settle(b)
+        count += 1
+    return count
+
+
+def wait(balancer: Balancer, now: int, server: int, until: int) -> bool:
+    """Another tries this server, which is left alone here: stay away from it up to `until`.
+    False where it is not left alone, or for longer than that already."""
+    b = balancer.backends.get(server)
+    if b is None or not b.down_until or b.down_until >= until:
+        return False
+    b.down_until = until
+    balancer.remind(until, b)
+    return True
+
+
+def back(balancer: Balancer, now: int, server: int) -> bool:
+    """Another's try was answered: try it here too, with one request at a time. False where it
+    was not left alone."""
+    balancer.now = now
+    b = balancer.backends.get(server)
+    if b is None or not b.down_until:
+        return False
+    balancer.revive(b)
+    balancer.dispatch(now)
+    return True
+
+
+def left_alone(balancer: Balancer) -> set[int]:
+    """Servers that this module leaves alone now."""
+    return {b.id for b in balancer.backends.values() if b.down_until}
+
+
+def answered_lately(balancer: Balancer, now: int, within: int) -> dict[int, int]:
+    """Servers that answered within so long, and how long ago that was."""
+    return {
+        b.id: now - b.seen
+        for b in balancer.backends.values()
+        if b.seen and now - b.seen <= within and not b.strikes and not b.errs
+    }
--- a/standins/service.py
+++ b/standins/service.py
@@ -12,7 +12,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -95,8 +95,13 @@
         listeners: Sequence[str] = LISTENERS,
         rate_per_s: float = 10_000.0,
         iso: Sequence[str] = (),
+        more: str = "",
+        environ: Mapping[str, str] | None = None,
     ) -> None:
-        """`iso` are those of the listeners whose callers speak ISO 8583."""
+        """`iso` are those of the listeners whose callers speak ISO 8583; `more` goes into its
+        file as it is, `environ` on top of ours."""
+        self.more = more
+        self.environ = environ or {}
         self.folder = folder
         self.workers = workers
         self.listeners = listeners
@@ -121,6 +126,7 @@
         (self.folder / "service.toml").write_text(
             f'[service]\nrun = "run"\nstore = "state"\nworkers = {self.workers}\n{rows}'
             f'[admin]\naddress = "127.0.0.1:{self.admin_port}"\nrate_per_s = {self.rate_per_s}\n'
+            f"{self.more}"
         )
         begin = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
@@ -136,6 +142,7 @@
                 cwd=ROOT,
                 stderr=log,
                 stdout=log,
+                env=os.environ | dict(self.environ),
                 start_new_session=True,
             )
         end = time.monotonic() + LIMIT_S
--- a/tansywood/admin/calls.py
+++ b/tansywood/admin/calls.py
@@ -491,13 +491,14 @@
 
 async def status(call: Call) -> Response:
     feed = call.admin.feed
-    return call.answer(
-        {
-            "seq": call.registry.seq,
-            "tenants": len(call.registry.tenants),
-            "followers": {name: {"applied": n} for name, n in sorted(feed.applied.items())},
-        }
-    )
+    told: dict[str, object] = {
+        "seq": call.registry.seq,
+        "tenants": len(call.registry.tenants),
+        "followers": {name: {"applied": n} for name, n in sorted(feed.applied.items())},
+    }
+    if feed.fleet is not None:
+        told["fleet"] = feed.fleet
+    return call.answer(told)
 
 
 async def describe(call: Call) -> Response:
--- a/tansywood/admin/feed.py
+++ b/tansywood/admin/feed.py
@@ -23,6 +23,7 @@
         self.applied: dict[str, int] = {}  # by follower
         # Counters by tenant and by a worker's life: those of one life only grow.
         self.reports: dict[str, dict[str, dict[str, Any]]] = {}
+        self.fleet: dict[str, Any] | None = None  # as its process told last; None without one
         self._views = views
         self._writers: dict[str, asyncio.StreamWriter] = {}
         self._moved = asyncio.Event()
@@ -91,6 +92,7 @@
         if "applied" in message:
             self.applied[name] = message["applied"]
             self._wake()
+        self.fleet = message.get("fleet", self.fleet)
         for uid, record in message.get("reports", {}).items():
             self.reports.setdefault(uid, {})[message["life"]] = record
 
--- /dev/null
+++ b/tansywood/service/fleet.py
@@ -0,0 +1,365 @@
+"""The part that speaks with the other instances: `python -m tansywood.service.fleet`.
+
+Datagrams on one side, this instance's workers on the other, `tansywood.fleet`'s pure rules between.
+It holds no request and no connection of a caller. Where it ends, its workers go on with what they
+were told until that is over, and then with the floor; started again it is another life.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import os
+import socket
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from tansywood.fleet.instance import HEADROOM, Demand, Instance
+from tansywood.fleet.messages import MessageError, pack, unpack
+from tansywood.fleet.parts import open_pot, place_pot, rate_pot
+from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
+from tansywood.fleet.settings import FleetSettings
+from tansywood.fleet.share import limits_of
+from tansywood.fleet.signals import Kind
+from tansywood.fleet.terms import MS, SECOND, Terms
+from tansywood.service import part
+from tansywood.service.follow import Follower
+from tansywood.service.wire import WireError, frame, read_frame
+from tansywood.tenancy.settings import read
+from windrelay.config import parse_address
+
+VERSION = "1"
+TICK_S = 0.1  # at the latest
+TELL_S = 0.1  # workers, though nothing has changed: how long parts hold is news
+STATUS_S = 1.0
+BEHIND = 1 << 20
+BUFFER = 4 << 20  # for datagrams: a fleet's claims come in bursts
+# For the rig alone, which owns the network and the clocks between the processes that it starts.
+VIA = "TANSYWOOD_RIG_VIA"
+CLOCK = "TANSYWOOD_RIG_CLOCK"
+
+
+class Clock:
+    """Nanoseconds that only go on. The rig makes one run at another rate."""
+
+    def __init__(self, rate: float = 1.0) -> None:
+        self.rate = rate
+        self._begin = time.monotonic_ns()
+
+    def now(self) -> int:
+        real = time.monotonic_ns()
+        return real if self.rate == 1.0 else self._begin + int((real - self._begin) * self.rate)
+
+    def real(self, left: int) -> int:
+        """The time on the machine's own clock after `left` on this one."""
+        return time.monotonic_ns() + int(left / self.rate)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self.agent.received(data)
+
+    def error_received(self, exc: Exception) -> None:
+        self.agent.unreachable += 1  # nobody listens there now: silence says the same
+
+
+class Agent:
+    """One instance on sockets."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        place: part.Place,
+        settings: FleetSettings,
+        clock: Clock,
+        via: str = "",
+    ) -> None:
+        self.loop = loop
+        self.place = place
+        self.settings = settings
+        self.clock = clock
+        self.via = parse_address(via) if via else None
+        life = os.urandom(16)
+        self.keys_seen = 0
+        self.bound = bound_to(settings.name, settings.first)
+        self.seal = Seal(self.read_keys(), self.bound, life)
+        self.instance = Instance(
+            settings.instance,
+            settings.address,
+            settings.first,
+            Terms(),
+            Random(int.from_bytes(life, "big")),
+            life,
+            time.time_ns() // MS,
+            clock.now(),
+            settings.zone,
+            VERSION,
+        )
+        self.refused = dict.fromkeys((*WHYS, "message"), 0)
+        self.unreachable = 0
+        self.too_long = 0
+        self.follower = Follower(place.feed, "fleet", self.changed)
+        self.views: dict[str, dict[str, Any]] = {}
+        self.workers: dict[str, asyncio.StreamWriter] = {}
+        self.told_version = -1
+        self.told_at = 0.0
+        self.status_at = 0.0
+        self.ended: asyncio.Future[int] = loop.create_future()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.server: asyncio.Server | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def log(self, text: str) -> None:
+        print(f"fleet: {text}", file=sys.stderr, flush=True)
+
+    # ---- keys ------------------------------------------------------------------------
+
+    def read_keys(self) -> list[bytes]:
+        path = self.settings.key_file
+        try:
+            found = path.stat()
+            if found.st_mode & 0o077:
+                raise KeyFileError("others may read it: chmod 600")
+            self.keys_seen = found.st_mtime_ns
+            return read_keys(path.read_text())
+        except (OSError, UnicodeDecodeError) as err:
+            raise KeyFileError(f"can't be read: {err}") from None
+
+    def look_at_keys(self) -> None:
+        """A key in rotation: the file is read anew when it changes; a bad one changes nothing."""
+        with contextlib.suppress(OSError):
+            if self.settings.key_file.stat().st_mtime_ns == self.keys_seen:
+                return
+        try:
+            self.seal.rekey(self.read_keys())
+            self.log("keys read anew")
+        except KeyFileError as err:
+            self.log(f"{self.settings.key_file}: {err}; the old keys stay in force")
+            with contextlib.suppress(OSError):
+                self.keys_seen = self.settings.key_file.stat().st_mtime_ns
+
+    # ---- the feed --------------------------------------------------------------------
+
+    def changed(self, uid: str, view: dict[str, Any] | None) -> None:
+        if view is None:
+            self.views.pop(uid, None)
+        else:
+            self.views[uid] = view
+        if self.follower.ready.is_set():
+            self.know_tenants()
+
+    def know_tenants(self) -> None:
+        rows = [read(view["document"]) for view in self.views.values()]
+        self.instance.set_tenants(self.clock.now(), {t.name: limits_of(t) for t in rows})
+        self.flush()
+
+    # ---- datagrams -------------------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        try:
+            life, body = self.seal.open(data)
+            envelope = unpack(body)
+        except SealError as err:
+            self.refused[err.why] += 1
+            return
+        except MessageError:
+            self.refused["message"] += 1
+            return
+        self.instance.receive(self.clock.now(), life, envelope)
+        self.flush()
+
+    def flush(self) -> None:
+        """Send what is to be sent, tell workers what is new, print what happened."""
+        sends, self.instance.sends = self.instance.sends, []
+        for address, envelope in sends:
+            data = self.seal.seal(pack(envelope))
+            self.too_long += len(data) > MOST
+            host, port = parse_address(address)
+            if self.transport is None:
+                continue
+            if self.via is not None:
+                data = socket.inet_aton(host) + port.to_bytes(2, "big") + data
+                host, port = self.via
+            self.transport.sendto(data, (host, port))
+        for event in self.instance.fresh_events:
+            self.log(f"event {event.name} {event.what}: {event.why}")
+        self.instance.fresh_events.clear()
+        now = self.loop.time()
+        if self.instance.holder.version != self.told_version or now - self.told_at >= TELL_S:
+            self.told_version = self.instance.holder.version
+            self.told_at = now
+            for name in list(self.workers):
+                self.tell(name)
+
+    def tick(self) -> None:
+        self.instance.tick(self.clock.now())
+        self.flush()
+        now = self.loop.time()
+        if now - self.status_at >= STATUS_S:
+            self.status_at = now
+            self.look_at_keys()
+            self.follower.tell({"fleet": self.status()})
+        left = (self.instance.next_due() - self.clock.now()) / SECOND
+        self.timer = self.loop.call_later(min(max(left, 0.002), TICK_S), self.tick)
+
+    # ---- workers and people ----------------------------------------------------------
+
+    def tell(self, worker: str) -> None:
+        told = self.instance.parts(self.clock.now(), worker)
+        for row in told["tenants"].values():
+            # The machine's own clock, which its workers share: a message may lie for long.
+            row["until"] = self.clock.real(row.pop("left"))
+        writer = self.workers[worker]
+        writer.write(frame(told))
+        if writer.transport.get_write_buffer_size() > BEHIND:
+            writer.transport.abort()
+
+    def reported(self, worker: str, message: dict[str, Any]) -> None:
+        now = self.clock.now()
+        hosted: dict[str, Demand] = {}
+        seen: dict[str, tuple[Kind, int]] = {}
+        for tenant, row in message["tenants"].items():
+            rate = int(row["rate"])
+            needs = {rate_pot(tenant): int(rate * HEADROOM), open_pot(tenant): int(row["open"])}
+            used = {open_pot(tenant): int(row["used"])}
+            for server, (need, held) in row["places"].items():
+                needs[place_pot(tenant, server)] = int(need)
+                used[place_pot(tenant, server)] = int(held)
+            hosted[tenant] = Demand(worker, now, rate, needs, used)
+            for server, (kind, age) in row["seen"].items():
+                seen[f"{tenant}/{server}"] = (Kind(kind), now - int(age))
+        self.instance.report(now, worker, int(message["version"]), hosted, seen)
+
+    async def link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A worker's for its whole life, or one question of a person's."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        name = ""
+        try:
+            first = await read_frame(reader)
+            if "ask" in first:
+                writer.write(frame(self.asked(str(first["ask"]))))
+                await writer.drain()
+                return
+            name = str(first["hello"])
+            self.workers[name] = writer
+            while True:
+                message = await read_frame(reader)
+                if self.workers.get(name) is not writer:
+                    return
+                self.reported(name, message)
+                self.flush()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except (WireError, KeyError, TypeError, ValueError) as err:
+            self.log(f"{name or 'somebody'} said what is not understood: {err!r}")
+        finally:
+            writer.close()
+            if name and self.workers.get(name) is writer:
+                del self.workers[name]
+                self.instance.gone(self.clock.now(), name)
+                self.flush()
+
+    def asked(self, what: str) -> dict[str, Any]:
+        if what == "drain":
+            self.instance.drain(self.clock.now())
+            self.flush()
+        elif what == "resume":
+            self.instance.members.resume(self.clock.now())
+            self.flush()
+        elif what != "status":
+            return {"error": f"{what!r} can't be asked: status, drain or resume"}
+        return self.status()
+
+    def status(self) -> dict[str, Any]:
+        told = self.instance.status(self.clock.now())
+        told["refused"] = dict(self.refused)
+        told["counts"] |= {"unreachable": self.unreachable, "too_long": self.too_long}
+        return told
+
+    # ---- the process -----------------------------------------------------------------
+
+    async def run(self) -> int:
+        host, port = parse_address(self.settings.address)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        try:
+            sock.bind((host, port))
+        except OSError as err:
+            self.log(f"{self.settings.address} can't be used: {err.strerror}")
+            sock.close()
+            return 2
+        self.transport, _ = await self.loop.create_datagram_endpoint(
+            lambda: Datagrams(self), sock=sock
+        )
+        path = f"{self.place.folder}/fleet.sock"
+        part.unlink(path)
+        self.server = await asyncio.start_unix_server(self.link, path)
+        return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
+
+    def begin(self) -> None:
+        if self.ended.done():
+            return
+        self.views = dict(self.follower.views)
+        self.know_tenants()
+        self.tick()
+        part.ready()
+
+    def stop(self) -> None:
+        """The workers have ended before: what this instance held is given back."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.workers:
+            self.instance.leave(self.clock.now())
+            self.flush()
+        self.loop.call_later(0.02, self.end)
+
+    def end(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(0)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="tansywood.service.fleet")
+    parser.add_argument("run")
+    parser.add_argument("name")
+    parser.add_argument("instance")
+    parser.add_argument("address")
+    parser.add_argument("key_file")
+    parser.add_argument("zone")
+    parser.add_argument("--first", action="append", default=[])
+    options = parser.parse_args()
+    settings = FleetSettings(
+        options.name,
+        options.instance,
+        options.address,
+        tuple(options.first),
+        Path(options.key_file),
+        options.zone,
+    )
+
+    async def run(loop: asyncio.AbstractEventLoop) -> int:
+        clock = Clock(float(os.environ.get(CLOCK, "1")))
+        try:
+            agent = Agent(loop, part.Place(options.run), settings, clock, os.environ.get(VIA, ""))
+        except KeyFileError as err:
+            print(f"fleet: {settings.key_file}: {err}", file=sys.stderr, flush=True)
+            return 2
+        return await agent.run()
+
+    part.run("fleet", run)
+
+
+if __name__ == "__main__":
+    main()
--- a/tansywood/service/settings.py
+++ b/tansywood/service/settings.py
@@ -9,6 +9,8 @@
 
 from jsonschema import Draft202012Validator
 
+from tansywood.fleet import settings as fleet_settings
+from tansywood.fleet.settings import FleetSettings
 from tansywood.tenancy.checks import Fault, schema_faults
 from tansywood.tenancy.schema import NAME, whole
 from windrelay.config import Address, parse_address
@@ -52,6 +54,7 @@
                 "rate_per_s": {"type": "number", "minimum": 1, "maximum": 10_000},
             },
         },
+        "fleet": fleet_settings.SCHEMA,
     },
 }
 _VALIDATOR = Draft202012Validator(SCHEMA)
@@ -76,6 +79,7 @@
     admin: Address
     admin_rate_per_s: float
     iso_listeners: frozenset[str] = frozenset()
+    fleet: FleetSettings | None = None  # None: one instance alone, nothing of a fleet is loaded
 
     @property
     def records(self) -> Path:
@@ -106,6 +110,7 @@
         iso_listeners=frozenset(
             row["name"] for row in raw["listeners"] if row.get("protocol") == "iso8583"
         ),
+        fleet=fleet_settings.read(raw["fleet"], folder) if "fleet" in raw else None,
     )
 
 
@@ -132,6 +137,8 @@
         if address.port and address in seen:
             found.append(Fault(place, f"{text} is that of {seen[address]} too"))
         seen[address] = place
+    if isinstance(raw.get("fleet"), dict):
+        found += fleet_settings.faults(raw["fleet"])
     names = [row.get("name") for row in rows or () if isinstance(row, dict)] if rows else []
     for i, name in enumerate(names):
         if name in names[:i]:
--- a/tansywood/service/supervisor.py
+++ b/tansywood/service/supervisor.py
@@ -29,6 +29,7 @@
 DOOR_S = 2.0  # to end after SIGTERM
 WORKER_S = 125.0  # the longest deadline there may be, and a little
 ADMIN_S = 5.0
+FLEET_S = 2.0
 
 
 def bind(address: Address) -> socket.socket:
@@ -92,8 +93,15 @@
             + iso,
             [admin.fileno()],
         )
+        fleet = []
+        if s.fleet is not None:
+            f = s.fleet
+            words = [f.name, f.instance, f.address, str(f.key_file), f.zone]
+            firsts = [f"--first={address}" for address in f.first]
+            self.add("fleet", ["tansywood.service.fleet", run, *words, *firsts])
+            fleet = [f"--fleet={len(f.first)}:{f.index}"]
         for name in workers:
-            self.add(name, ["tansywood.service.worker", run, name, str(s.records), *iso])
+            self.add(name, ["tansywood.service.worker", run, name, str(s.records), *iso, *fleet])
         self.add(
             "door",
             ["tansywood.service.door", run]
@@ -177,8 +185,14 @@
 
     async def stop_all(self) -> None:
         workers = [name for name in self.parts if name.startswith("worker")]
+        fleet = [name for name in self.parts if name == "fleet"]
         clean = True
-        for names, patience in ((["door"], DOOR_S), (workers, WORKER_S), (["admin"], ADMIN_S)):
+        for names, patience in (
+            (["door"], DOOR_S),
+            (workers, WORKER_S),
+            (fleet, FLEET_S),  # behind the workers: what it gives back must not be in use
+            (["admin"], ADMIN_S),
+        ):
             clean &= await self.stop_some([self.parts[name] for name in names], patience)
         self.ended.set_result(0 if clean else 1)
 
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -14,17 +14,21 @@
 import socket
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tansywood.service import part, wire
 from tansywood.service.follow import Follower
 from tansywood.service.isotenant import IsoHosted
+from tansywood.service.limiting import apply, whole
 from tansywood.service.tenant import FULL, Hosted, with_answer
 from tansywood.service.wire import Handed, WireError, take
 from tansywood.tenancy.fair import waits
 from tansywood.tenancy.identity import Directory, Key, Known, Shown
 from tansywood.tenancy.settings import read
 
+if TYPE_CHECKING:
+    from tansywood.service.sharing import Sharing
+
 MS = 1_000_000
 WINDOW_S = 0.02  # of the fair share
 SWEEP_S = 0.25
@@ -57,6 +61,7 @@
         name: str,
         records: str = "",
         iso: frozenset[str] = frozenset(),
+        fleet: tuple[int, int] | None = None,
     ) -> None:
         self.loop = loop
         self.place = place
@@ -77,6 +82,12 @@
         self.stopping = False
         self.ended: asyncio.Future[int] = loop.create_future()
         self.crashes = 0
+        self.sharing: Sharing | None = None
+        if fleet is not None:
+            from tansywood.service.sharing import Sharing  # an instance alone loads none of it
+
+            path = f"{place.folder}/fleet.sock"
+            self.sharing = Sharing(loop, path, name, *fleet, lambda: self.hosted)
 
     # ---- news ------------------------------------------------------------------------------
 
@@ -94,6 +105,7 @@
         if hosted is not None:
             try:
                 hosted.change(view)
+                self.limit(hosted)
             except Exception as err:
                 hosted.node.crashed("a change of settings", err)
         waiting, self.awaited = self.awaited, []
@@ -181,11 +193,22 @@
         else:
             hosted = Hosted(view, self.loop, self.identify)
         self.hosted[view["uid"]] = hosted
+        if self.sharing is not None:
+            self.sharing.begin(hosted)
+        else:
+            self.limit(hosted)
         self.loop.set_exception_handler(self.loop_failed)  # each node sets its own
         if self.stopping:
             hosted.stop()
         return hosted
 
+    def limit(self, hosted: Hosted | IsoHosted) -> None:
+        """What other instances use of its limits, and a limit that holds at each server."""
+        if self.sharing is not None:
+            self.sharing.again(hosted)
+        elif hosted.settings.limits.places or hosted.node.balancer.places is not None:
+            apply(hosted, whole(hosted.settings))
+
     # ---- time ----------------------------------------------------------------------------------
 
     def window(self) -> None:
@@ -266,7 +289,13 @@
             transport.abort()
 
     async def run(self) -> int:
-        return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
+        if self.sharing is None:
+            return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
+        sharing = self.loop.create_task(self.sharing.run())
+        try:
+            return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
+        finally:
+            sharing.cancel()
 
     def begin(self) -> None:
         if self.ended.done():
@@ -312,12 +341,15 @@
     parser.add_argument("name")
     parser.add_argument("records")
     parser.add_argument("--iso-listener", action="append", default=[])
+    parser.add_argument("--fleet", default="", help="HOMES:INDEX, where there is a fleet")
     options = parser.parse_args()
+    homes, _, index = options.fleet.partition(":")
 
     async def run(loop: asyncio.AbstractEventLoop) -> int:
         iso = frozenset(options.iso_listener)
         place = part.Place(options.run)
-        return await Worker(loop, place, options.name, options.records, iso).run()
+        fleet = (int(homes), int(index)) if homes else None
+        return await Worker(loop, place, options.name, options.records, iso, fleet).run()
 
     part.run(options.name, run)
 
