--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -32,6 +32,10 @@
     "cut_servers": ("instance",),  # its ways to all servers: its network card
     "heal_servers": ("instance",),
     "drain": ("instance",),
+    "slow": ("from", "to", "delay"),  # seconds on the links, both ways
+    "slow_servers": ("instance", "delay"),
+    "reset_servers": ("instance",),  # every connection it has to any
+    "disk": ("instance", "state"),  # full, broken, "slow S", or "" for sound
     "load": ("callers",),  # by instance
 }
 
@@ -68,6 +72,8 @@
     pause_s: float  # of a caller, between an answer and its next request
     faults: tuple[Fault, ...] = ()
     clocks: Mapping[str, float] = field(default_factory=dict)  # rates of the fleet's clocks
+    offsets: Mapping[str, float] = field(default_factory=dict)  # of wall clocks
+    without: str = ""  # defences that are taken out, see `inject`
     link: Mapping[str, float] = field(default_factory=dict)
     settle_s: float = 4.0  # after the last fault, by when parts are where they belong
     fleet: bool = True  # false: every instance takes the whole for its own
@@ -92,6 +98,7 @@
     known = {
         "seconds", "instances", "homes", "servers", "places", "rate", "burst", "open", "work_s",
         "callers", "pause_s", "faults", "clocks", "link", "settle_s", "deadline_ms", "fleet",
+        "offsets", "without",
     }  # fmt: skip
     for key in raw:
         if key not in known:
@@ -114,6 +121,8 @@
             pause_s=float(raw.get("pause_s", 0.05)),
             faults=tuple(sorted(faults, key=lambda f: f.at)),
             clocks={str(k): float(v) for k, v in raw.get("clocks", {}).items()},
+            offsets={str(k): float(v) for k, v in raw.get("offsets", {}).items()},
+            without=str(raw.get("without", "")),
             link={str(k): float(v) for k, v in raw.get("link", {}).items()},
             settle_s=float(raw.get("settle_s", 4.0)),
             deadline_ms=int(raw.get("deadline_ms", 2000)),
@@ -125,7 +134,7 @@
         raise DayError(f"{file}: {err}") from None
     if not 1 <= day.homes <= len(names):
         raise DayError(f"{file}: homes: {day.homes} of {len(names)} instances; 1 to {len(names)}")
-    for table, what in ((day.callers, "callers"), (day.clocks, "clocks")):
+    for table, what in ((day.callers, "callers"), (day.clocks, "clocks"), (day.offsets, "offsets")):
         for name in table:
             if name not in names:
                 raise DayError(f"{file}: {what}.{name}: is no instance; {', '.join(names)}")
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -15,6 +15,7 @@
 from standins.service import ServiceProcess, document
 
 LIMIT_S = 20.0
+INJECT = Path(__file__).parent / "inject"
 
 
 def free_port() -> int:
@@ -35,11 +36,14 @@
         first: Sequence[int],
         key: str,
         via: int,
-        clock: float = 1.0,
+        clock: tuple[float, float] = (1.0, 0.0),
         fleet: bool = True,
         workers: int = 1,
+        without: str = "",
     ) -> None:
-        """`port` is for datagrams, `first` are the homes'; `via` is the network's."""
+        """`port` is for datagrams, `first` are the homes'; `via` is the network's. `clock` is
+        the rate of its monotonic clock and the seconds that its wall clock is ahead; `without`
+        names defences that are taken out, see `inject`."""
         self.name = name
         self.folder = folder
         self.port = port
@@ -56,9 +60,15 @@
             path = folder / "fleet.key"
             path.write_text(key + "\n")
             path.chmod(0o600)
-        environ = {"TANSYWOOD_RIG_VIA": f"127.0.0.1:{via}"}
-        if clock != 1.0:
-            environ["TANSYWOOD_RIG_CLOCK"] = str(clock)
+        self.disk = folder / "disk-fault"
+        environ = {
+            "PYTHONPATH": str(INJECT),
+            "TANSYWOOD_RIG_VIA": f"127.0.0.1:{via}",
+            "TANSYWOOD_RIG_DISK": str(self.disk),
+            "TANSYWOOD_RIG_WITHOUT": without,
+        }
+        if clock != (1.0, 0.0):
+            environ["TANSYWOOD_RIG_CLOCK"] = f"{clock[0]},{clock[1]}"
         self.service = ServiceProcess(
             folder, workers, more=section if fleet else "", environ=environ
         )
@@ -118,6 +128,13 @@
         self.service.process = None
         return code
 
+    def fail_disk(self, how: str) -> None:
+        """`full`, `broken`, `slow S`, or nothing: as it was."""
+        if how:
+            self.disk.write_text(how)
+        else:
+            self.disk.unlink(missing_ok=True)
+
     def kill_part(self, part: str) -> None:
         os.kill(self.service.pid(part), signal.SIGKILL)
 
--- a/standins/fleet/network.py
+++ b/standins/fleet/network.py
@@ -73,6 +73,11 @@
                     self.link(a, b).cut = True
                     self.link(b, a).cut |= both
 
+    def slow(self, some: Iterable[str], others: Iterable[str], delay_s: float) -> None:
+        for a in some:
+            for b in others:
+                self.link(a, b).delay_s = self.link(b, a).delay_s = delay_s
+
     def heal(self) -> None:
         for link in self.links.values():
             link.cut = False
@@ -207,13 +212,16 @@
             if half.transport is not None:
                 (half.transport.pause_reading if cut else half.transport.resume_reading)()
 
-    def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+    def reset(self) -> None:
         for half in list(self.halves):
             if half.transport is not None:
                 reset(half.transport)
 
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
 
 def reach(relays: Mapping[tuple[str, str], Relay], instance: str) -> list[Relay]:
     return [relay for (name, _), relay in relays.items() if name == instance]
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -136,8 +136,9 @@
                 first,
                 key,
                 self.network.port,
-                day.clocks.get(name, 1.0),
+                (day.clocks.get(name, 1.0), day.offsets.get(name, 0.0)),
                 day.fleet,
+                without=day.without,
             )
         for link, value in day.link.items():
             self.network.all(**{link: value})
@@ -240,6 +241,14 @@
             self.network.heal()
         elif fault.what in ("loss", "late", "twice"):
             self.network.all(**{fault.what: float(words["part"])})
+        elif fault.what == "slow":
+            self.network.slow(words["from"], words["to"], float(words["delay"]))
+        elif fault.what == "slow_servers":
+            for relay in reach(self.relays, name):
+                relay.delay_s = float(words["delay"])
+        elif fault.what == "reset_servers":
+            for relay in reach(self.relays, name):
+                relay.reset()
         elif fault.what == "replay":
             self.network.replay()
         elif fault.what == "server_kill":
@@ -280,6 +289,8 @@
             self.break_up(one.name)
             one.kill_part(str(fault.words["part"]))
             self.up_since[one.name] = self.now()
+        elif fault.what == "disk":
+            one.fail_disk(str(fault.words["state"]))
         elif fault.what == "drain":
             await asyncio.to_thread(self.drain, one)
 
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -11,9 +11,7 @@
 import asyncio
 import contextlib
 import os
-import socket
 import sys
-import time
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -25,8 +23,9 @@
 from tansywood.fleet.settings import FleetSettings
 from tansywood.fleet.share import limits_of
 from tansywood.fleet.signals import Kind
-from tansywood.fleet.terms import MS, SECOND, Terms
+from tansywood.fleet.terms import SECOND, Terms
 from tansywood.service import part
+from tansywood.service.endpoint import Clock, Endpoint
 from tansywood.service.follow import Follower
 from tansywood.service.wire import WireError, frame, read_frame
 from tansywood.tenancy.settings import read
@@ -37,37 +36,6 @@
 TELL_S = 0.1  # workers, though nothing has changed: how long parts hold is news
 STATUS_S = 1.0
 BEHIND = 1 << 20
-BUFFER = 4 << 20  # for datagrams: a fleet's claims come in bursts
-# For the rig alone, which owns the network and the clocks between the processes that it starts.
-VIA = "TANSYWOOD_RIG_VIA"
-CLOCK = "TANSYWOOD_RIG_CLOCK"
-
-
-class Clock:
-    """Nanoseconds that only go on. The rig makes one run at another rate."""
-
-    def __init__(self, rate: float = 1.0) -> None:
-        self.rate = rate
-        self._begin = time.monotonic_ns()
-
-    def now(self) -> int:
-        real = time.monotonic_ns()
-        return real if self.rate == 1.0 else self._begin + int((real - self._begin) * self.rate)
-
-    def real(self, left: int) -> int:
-        """The time on the machine's own clock after `left` on this one."""
-        return time.monotonic_ns() + int(left / self.rate)
-
-
-class Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, agent: Agent) -> None:
-        self.agent = agent
-
-    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        self.agent.received(data)
-
-    def error_received(self, exc: Exception) -> None:
-        self.agent.unreachable += 1  # nobody listens there now: silence says the same
 
 
 class Agent:
@@ -79,13 +47,11 @@
         place: part.Place,
         settings: FleetSettings,
         clock: Clock,
-        via: str = "",
     ) -> None:
         self.loop = loop
         self.place = place
         self.settings = settings
         self.clock = clock
-        self.via = parse_address(via) if via else None
         life = os.urandom(16)
         self.keys_seen = 0
         self.bound = bound_to(settings.name, settings.first)
@@ -97,13 +63,12 @@
             Terms(),
             Random(int.from_bytes(life, "big")),
             life,
-            time.time_ns() // MS,
+            clock.wall_ms(),
             clock.now(),
             settings.zone,
             VERSION,
         )
         self.refused = dict.fromkeys((*WHYS, "message"), 0)
-        self.unreachable = 0
         self.too_long = 0
         self.follower = Follower(place.feed, "fleet", self.changed)
         self.views: dict[str, dict[str, Any]] = {}
@@ -112,7 +77,7 @@
         self.told_at = 0.0
         self.status_at = 0.0
         self.ended: asyncio.Future[int] = loop.create_future()
-        self.transport: asyncio.DatagramTransport | None = None
+        self.endpoint = Endpoint(self.received)
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,13 +147,7 @@
         for address, envelope in sends:
             data = self.seal.seal(pack(envelope))
             self.too_long += len(data) > MOST
-            host, port = parse_address(address)
-            if self.transport is None:
-                continue
-            if self.via is not None:
-                data = socket.inet_aton(host) + port.to_bytes(2, "big") + data
-                host, port = self.via
-            self.transport.sendto(data, (host, port))
+            self.endpoint.send(data, parse_address(address))
         for event in self.instance.fresh_events:
             self.log(f"event {event.name} {event.what}: {event.why}")
         self.instance.fresh_events.clear()
@@ -284,25 +243,20 @@
     def status(self) -> dict[str, Any]:
         told = self.instance.status(self.clock.now())
         told["refused"] = dict(self.refused)
-        told["counts"] |= {"unreachable": self.unreachable, "too_long": self.too_long}
+        told["counts"] |= {
+            "unreachable": self.endpoint.unreachable,
+            "too_long": self.too_long,
+        }
         return told
 
     # ---- the process -----------------------------------------------------------------
 
     async def run(self) -> int:
-        host, port = parse_address(self.settings.address)
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
         try:
-            sock.bind((host, port))
+            await self.endpoint.open(parse_address(self.settings.address))
         except OSError as err:
             self.log(f"{self.settings.address} can't be used: {err.strerror}")
-            sock.close()
             return 2
-        self.transport, _ = await self.loop.create_datagram_endpoint(
-            lambda: Datagrams(self), sock=sock
-        )
         path = f"{self.place.folder}/fleet.sock"
         part.unlink(path)
         self.server = await asyncio.start_unix_server(self.link, path)
@@ -350,9 +304,8 @@
     )
 
     async def run(loop: asyncio.AbstractEventLoop) -> int:
-        clock = Clock(float(os.environ.get(CLOCK, "1")))
         try:
-            agent = Agent(loop, part.Place(options.run), settings, clock, os.environ.get(VIA, ""))
+            agent = Agent(loop, part.Place(options.run), settings, Clock())
         except KeyFileError as err:
             print(f"fleet: {settings.key_file}: {err}", file=sys.stderr, flush=True)
             return 2
--- /dev/null
+++ b/tests/fleet/test_limits_lent.py
@@ -0,0 +1,152 @@
+"""A part that is over is not used: not by the bucket, not by the module, whatever lies waiting."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from flinthatch import Balancer, Effect, Listing, RequestClass, Settings, State, Update, parts
+from flinthatch.balancer import NEVER, RETRY_BURST
+from tansywood.tenancy.limits import SECOND, Bucket
+
+
+class Host:
+    def __init__(self) -> None:
+        self.sent: list[tuple[int, int]] = []
+        self.refused: list[int] = []
+
+    def send(self, request: int, backend: int, timeout: int) -> None:
+        self.sent.append((request, backend))
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        self.refused.append(request)
+
+    def fail(self, request: int) -> None: ...
+    def cancel(self, request: int, attempt: int) -> None: ...
+    def set_timer(self, token: int, due: int) -> None: ...
+    def probe(self, backend: int) -> None: ...
+    def watch(self) -> None: ...
+    def fetch(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+def balancer(servers: Sequence[int] = (1, 2)) -> tuple[Balancer, Host]:
+    host = Host()
+    classes = (RequestClass("balance", 8 * SECOND, 9 * SECOND, Effect.PURE),)
+    made = Balancer(Settings(classes), 1, host)
+    made.start(0)
+    made.on_members(0, Update.FULL, [Listing(n, State.READY) for n in servers])
+    return made, host
+
+
+def test_no_more_at_a_server_than_its_places() -> None:
+    b, host = balancer()
+    parts.share(b, 0, {1: 2, 2: 1})
+    for n in range(10):
+        b.on_request(0, n, 0, 9 * SECOND)
+    assert sorted(s for _, s in host.sent) == [1, 1, 2]
+    parts.share(b, 1, {1: 2})  # of one that is not named there are none
+    b.on_outcome(2, next(r for r, s in host.sent if s == 2), 0, 1, 1, True)
+    assert len(host.sent) == 3
+
+
+def test_over_parts_are_not_used_by_what_waits_already() -> None:
+    b, host = balancer()
+    parts.share(b, 0, {1: 1, 2: 1}, until=100, after={1: 1})
+    for n in range(4):
+        b.on_request(0, n, 0, 9 * SECOND)
+    assert len(host.sent) == 2
+    # Woken after the end, the first thing that comes is an answer: one leaves, none is sent.
+    freed = next(r for r, s in host.sent if s == 2)
+    b.on_outcome(101, freed, 0, 1, 1, True)
+    assert len(host.sent) == 2
+    assert b.places == {1: 1}
+
+
+def test_a_part_of_the_retries_and_of_a_cold_servers_trickle() -> None:
+    b, _ = balancer()
+    parts.share(b, 0, None, instances=4, part=0.25)
+    assert b.retry_most == RETRY_BURST / 4 >= b.retry_credit
+    assert b.instances == 4
+    row = b.backends[1]
+    row.cold_until = 8 * SECOND
+    b.rest(0, row)
+    assert row.rest_until == 4 * b.settings.fall  # a quarter of what one alone would send
+    parts.share(b, 0, None)
+    assert b.retry_most == RETRY_BURST
+
+
+def test_a_doubted_server_gets_one_at_a_time_and_is_never_taken_away() -> None:
+    b, host = balancer([1])
+    assert parts.doubt(b, 0, [1, 7], SECOND) == 1  # one that only a peer has named: nothing
+    for n in range(3):
+        b.on_request(0, n, 0, 9 * SECOND)
+    assert len(host.sent) == 1
+    b.on_outcome(5, 0, 0, 1, 5, True)  # it answers us
+    assert len(host.sent) == 3
+    assert parts.doubt(b, 6, [1], SECOND) == 0  # our own eyes go first
+
+
+def test_a_try_is_left_to_another_and_taken_up_again() -> None:
+    b, host = balancer([1, 2])
+    b.suspend(0, b.backends[1], "it is silent")
+    assert parts.left_alone(b) == {1}
+    until = b.backends[1].down_until + SECOND
+    assert parts.wait(b, 0, 1, until) and b.backends[1].down_until == until
+    assert not parts.wait(b, 0, 1, until - 1)
+    assert not parts.wait(b, 0, 2, until)
+    assert parts.back(b, 1, 1) and not parts.back(b, 1, 1)
+    b.on_request(2, 1, 0, 9 * SECOND)
+    b.on_request(2, 2, 0, 9 * SECOND)
+    assert {s for _, s in host.sent} == {1, 2}
+    b.on_outcome(3, 1, 0, 1, 1, True)
+    b.on_outcome(3, 2, 0, 1, 1, True)
+    assert sorted(parts.answered_lately(b, 4, SECOND)) == [1, 2]
+
+
+def test_the_module_alone_is_as_it_was() -> None:
+    b, host = balancer()
+    for n in range(20):
+        b.on_request(0, n, 0, 9 * SECOND)
+    assert len(host.sent) == 8  # four to a server, as its level begins
+    assert b.lapse_at == NEVER
+
+
+def test_a_bucket_goes_down_before_it_lets_the_first_through() -> None:
+    bucket = Bucket(0, 100.0, 50.0)
+    lapsed = []
+
+    def lapse() -> None:
+        lapsed.append(True)
+        bucket.change(10 * SECOND, 1.0, 1.0)
+
+    bucket.hold_until(2 * SECOND, lapse)
+    assert bucket.take(SECOND) == 0
+    passed = sum(bucket.take(10 * SECOND) == 0 for _ in range(50))
+    assert lapsed == [True]
+    assert passed == 1
+    assert not bucket.extend(20 * SECOND)
+
+
+def test_rates_that_move_between_two_buckets_sum_to_the_whole() -> None:
+    rate, burst = 100.0, 20.0
+    a, b = Bucket(0, rate, burst), Bucket(0, rate, burst)
+    for bucket in (a, b):
+        bucket.empty(0)
+    passed = 0
+    for step in range(1, 2001):
+        now = step * SECOND // 100
+        part = 0.9 if step // 50 % 2 else 0.1
+        a.change(now, rate * part, burst * part)
+        b.change(now, rate * (1 - part), burst * (1 - part))
+        passed += sum(x.take(now) == 0 for x in (a, b) for _ in range(5))
+    assert passed <= rate * 20 + burst
+    assert passed >= 0.9 * rate * 20
+
+
+def test_no_rate_lets_nobody_through_and_comes_back() -> None:
+    bucket = Bucket(0, 10.0, 5.0)
+    bucket.change(0, 0.0, 0.0)
+    assert bucket.take(100 * SECOND) == SECOND
+    bucket.change(100 * SECOND, 10.0, 5.0)
+    assert bucket.take(100 * SECOND) > 0  # nothing was saved meanwhile
+    assert bucket.take(101 * SECOND) == 0
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,57 @@
+"""Whole instances as processes, faults between them, one ledger: the short standard day."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from standins.fleet import report
+from standins.fleet.day import Day, load
+from standins.fleet.rig import Outcome, play
+from standins.ledger import End
+
+SHORT = load("short")
+
+
+@pytest.fixture(scope="module")
+def short() -> Outcome:
+    return play(SHORT, 1)
+
+
+def test_every_promise_is_kept_on_the_short_day(short: Outcome) -> None:
+    assert short.problems == [], report.timeline(short) + "\n" + report.summary(short)
+
+
+def test_every_instance_served_and_all_of_the_rate_is_dealt(short: Outcome) -> None:
+    assert all(ends[End.SERVED] for ends in short.ends.values())
+    assert 0.9 <= short.dealt <= 1.0
+    assert short.datagrams["cut"] and short.datagrams["sent"] > 1000
+
+
+def small(**over: object) -> Day:
+    """Two instances before one server, more callers at each than the whole lets in."""
+    base = replace(
+        SHORT,
+        seconds=7.0,
+        instances=("a", "b"),
+        homes=2,
+        servers=1,
+        places=2,
+        rate=40.0,
+        burst=10,
+        work_s=0.03,
+        callers={"a": 6, "b": 6},
+        pause_s=0.02,
+        faults=(),
+        clocks={},
+        settle_s=0.0,
+    )
+    return replace(base, **over)  # type: ignore[arg-type]
+
+
+def test_without_a_fleet_every_instance_takes_the_whole() -> None:
+    made = play(small(seconds=3.0, fleet=False), 1)
+    assert made.over > 0  # two places, and each instance thinks that both are its own
+    assert made.excess > len(made.day.instances)
+    assert made.twice == 0
