--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Two commands for a newcomer, on a fresh machine with Python 3.11 and a C compiler:
 #   make test    all checks and tests, some five minutes
+#   make fleet   several instances of the service and faults between them, five minutes
 #   make demo    a node, then the hosted service, over stand-ins: a minute, with live tables
-.PHONY: test demo lint setup
+.PHONY: test demo fleet lint setup
 
 PY = .venv-dev/bin/python
 STAMP = .venv-dev/requirements.txt
@@ -19,6 +20,10 @@
 	@echo
 	$(PY) -m standins.demo_service
 
+# Whole instances with faults between them: all standard days, some five minutes.
+fleet: setup
+	$(PY) -m standins.fleet calm jump short split lives servers
+
 # The node as deploy/balancer.toml builds it, then what tests and tools need beside it.
 setup: $(STAMP)
 	@sh -c "$$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/balancer.toml", "rb"))["build"])')"
--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -29,6 +29,9 @@
     "replay": (),
     "server_kill": ("server",),
     "server_start": ("server",),
+    "server_work": ("server", "work_s"),  # mean seconds of its work from now on
+    "suspend": ("instance",),  # the tenant, through that instance's administration
+    "resume": ("instance",),
     "cut_servers": ("instance",),  # its ways to all servers: its network card
     "heal_servers": ("instance",),
     "drain": ("instance",),
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -114,9 +114,9 @@
         await self.network.start()
         for link, value in day.link.items():
             self.network.all(**{link: value})
-        behaviour = Behaviour(work_s=day.work_s)
         for n in range(day.servers):
             name = f"s-{n}"
+            behaviour = Behaviour(work_s=day.work_s)
             server = PlacedServer(
                 name, self.books, Random(self.rng.random()), day.places, behaviour
             )
@@ -257,6 +257,8 @@
             self.servers[str(words["server"])].kill()
         elif fault.what == "server_start":
             await self.servers[str(words["server"])].start()
+        elif fault.what == "server_work":
+            self.servers[str(words["server"])].behaviour.work_s = float(words["work_s"])
         elif fault.what in ("cut_servers", "heal_servers"):
             if fault.what == "cut_servers":
                 self.break_up(name)
@@ -291,6 +293,14 @@
             self.break_up(one.name)
             one.kill_part(str(fault.words["part"]))
             self.up_since[one.name] = self.now()
+        elif fault.what in ("suspend", "resume"):
+            if fault.what == "suspend":
+                self.break_up(one.name)
+            await asyncio.to_thread(
+                one.service.operator().must, "POST", f"/v1/tenants/{TENANT}/{fault.what}"
+            )
+            if fault.what == "resume":
+                self.up_since[one.name] = self.now()
         elif fault.what == "disk":
             one.fail_disk(str(fault.words["state"]))
         elif fault.what == "drain":
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -227,7 +227,16 @@
                 self._confirm(now, pot, demand.used.get(pot, 0), version)
             if grown:
                 self._soon(now)
+        for server, (kind, _) in seen.items():
+            if kind == Kind.OUT and self.seen.get(server, (Kind.GOOD, 0))[0] != Kind.OUT:
+                row = turns.order(server, self.members.working())
+                place = turns.place(server, row, self.name)
+                first = "we try it first" if not place else f"{row[0]} tries it first"
+                self.members.events.append(
+                    Event(server, "turn", f"found out here; {first}, {place} are before us")
+                )
         self.seen |= dict(seen)
+        self._collect(now)
 
     def gone(self, now: int, worker: str) -> None:
         """A worker's process has ended. What it had out may still be at work at servers."""
--- a/tests/fleet/test_conserved.py
+++ b/tests/fleet/test_conserved.py
@@ -150,6 +150,28 @@
     assert all(had.values()), had  # ten places, 24 that want one: nobody starves
 
 
+def test_one_to_forty_instances_and_back_within_a_minute() -> None:
+    names = [f"i{n:02}" for n in range(40)]
+    made = world(names, 3, 8)
+    for name in names:
+        want(made, name, 60, 2)
+        made.kill(name)
+    made.start("i00")
+    made.run(4.0)
+    for name in names[1:]:
+        made.start(name)
+        made.run(0.5)
+    amounts = made.amounts(rate_pot(TENANT))
+    assert len(amounts) == 40 and sum(amounts.values()) > 0.9 * LIMITS.rate
+    for name in reversed(names[1:]):
+        made.kill(name)
+        made.run(0.7)
+    made.run(4.0)
+    # What two homes that are away deal rests; what the fortieth had of the first's is back.
+    left = made.amounts(rate_pot(TENANT))["i00"]
+    assert 0.97 * LIMITS.rate / 3 < left <= LIMITS.rate / 3
+
+
 def test_a_lost_instances_part_comes_back_and_not_before_its_end() -> None:
     made = world(["a", "b", "c", "d"], 2, 4)
     for name in made.seats:
--- a/tests/fleet/test_seal.py
+++ b/tests/fleet/test_seal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from tansywood.fleet.messages import (
@@ -106,6 +107,17 @@
     assert HEAD.size == 29
 
 
+def test_an_older_and_a_newer_version_read_one_another() -> None:
+    old = ["b", "10.0.0.2:1", b"2" * 16, 5, 0, 0]  # before drains, version, zone, accuser
+    new = [*old, True, "9", "east", "", "a field of the next version"]
+    for row in (old, new):
+        data = msgspec.msgpack.encode(["b", "10.0.0.2:1", b"1" * 16, ["s", [row], False]])
+        (rumour,) = unpack(data).body.members  # type: ignore[union-attr]
+        assert rumour.name == "b" and rumour.drains is (row is new)
+    claim = msgspec.msgpack.encode(["b", "10.0.0.2:1", b"1" * 16, ["c", 7, [["x/rate", 1, 0]]]])
+    assert unpack(claim).body == Claim(7, [Want("x/rate", 1, 0)])
+
+
 def test_what_was_said_to_an_earlier_life_changes_nothing() -> None:
     made = world(["a", "b"], 2, watched=False)
     made.run(3.0)
