Servers choose their instances: every server is used, and a join moves 1/n

Change: each server takes its highest instances, as many as it has places; who is chosen by none waits at its own highest.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -35,7 +35,7 @@
 from tansywood.fleet.members import State
 from tansywood.fleet.parts import open_pot, place_pot, rate_pot
 from tansywood.fleet.share import Limits
-from tansywood.fleet.subsets import deterministic, rendezvous
+from tansywood.fleet.subsets import chosen, deterministic, rendezvous
 from tansywood.fleet.terms import SECOND
 
 PARTS = ("worth", "members", "subsets", "cost")
@@ -241,9 +241,12 @@
         names = [f"i{n:03}" for n in range(count)]
         rows = [f"s-{n}" for n in range(servers)]
         weights = dict.fromkeys(rows, 1.0)
-        for kind in ("rendezvous", "deterministic"):
+        for kind in ("chosen", "rendezvous", "deterministic"):
 
             def pick(who: list[str], kind: str = kind, size: int = size) -> dict[str, set[str]]:
+                if kind == "chosen":
+                    places = round(count * size / servers)  # noqa: B023
+                    return {n: set(chosen(n, who, weights, places)) for n in who}  # noqa: B023
                 if kind == "rendezvous":
                     return {n: set(rendezvous(n, weights, size)) for n in who}  # noqa: B023
                 return {n: set(deterministic(n, who, rows, size)) for n in who}  # noqa: B023
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -38,7 +38,7 @@
 )
 from tansywood.fleet.share import Limits
 from tansywood.fleet.signals import Kind, Signals
-from tansywood.fleet.subsets import overlapped, rendezvous, size_for
+from tansywood.fleet.subsets import chosen, overlapped
 from tansywood.fleet.terms import MS, SECOND, Terms
 
 SILENT = SECOND  # a worker that says nothing for so long is not claimed for
@@ -125,6 +125,7 @@
         self._left: dict[str, tuple[int, int]] = {}  # in use by dead workers' requests, until
         self._answered: dict[int, int] = {}  # when each home did last
         self._known_rate: dict[str, int] = {}
+        self._chosen: dict[str, tuple[object, list[str]]] = {}  # by what it was made of
         self._subsets: dict[str, tuple[list[str], list[str], int]] = {}
         self._now = now
 
@@ -376,8 +377,13 @@
         """The servers of a tenant whose places this instance asks for; the old ones besides,
         while a change goes through."""
         limits = self.tenants[tenant]
-        size = size_for(len(self.members.working()), len(limits.servers), limits.places)
-        new = rendezvous(self.name, dict.fromkeys(limits.servers, 1.0), size)
+        members = tuple(self.members.working())
+        key = (members, limits.servers, limits.places)
+        known = self._chosen.get(tenant)
+        if known is None or known[0] != key:
+            weights = dict.fromkeys(limits.servers, 1.0)
+            known = self._chosen[tenant] = (key, chosen(self.name, members, weights, limits.places))
+        new = known[1]
         old, last, since = self._subsets.get(tenant, (new, new, now - OVERLAP))
         if last != new:
             old, since = last, now
--- a/tansywood/fleet/subsets.py
+++ b/tansywood/fleet/subsets.py
@@ -1,7 +1,7 @@
 """Which instance uses which servers: rendezvous and deterministic subsets. Pure.
 
-Both are here because they are held against one another by balance, by moves for each join and
-leave and by connections opened (`benchmarks/fleet`); the service uses `rendezvous`.
+All are here because they are held against one another by balance, by moves for each join and
+leave and by connections opened (`benchmarks/fleet`); the service uses `chosen`.
 """
 
 from __future__ import annotations
@@ -58,14 +58,26 @@
     return row[at * size : (at + 1) * size]
 
 
-def size_for(instances: int, servers: int, places: int) -> int:
-    """How many servers each instance should use so that no server is asked by more instances
-    than it has places, and every server by somebody; `places` 0: no limit is known."""
-    if servers < 1:
-        return 1
-    if places <= 0 or instances <= places:
-        return servers
-    return max(1, -(-servers * places // instances))
+def chosen(
+    instance: str, members: Sequence[str], servers: Mapping[str, float], places: int
+) -> list[str]:
+    """The servers that choose this instance: each chooses as many instances as it has places,
+    those that score highest for it. So every server is used, by no more than it has places, and
+    the n-th instance to join takes a part of 1/n from the others.
+
+    One that no server chooses takes the server that scores highest for it, and waits its turn
+    there. `places` 0: no limit is known, and all use all.
+    """
+    if not servers:
+        return []
+    if places <= 0 or len(members) <= places:
+        return sorted(servers)
+    found = [
+        s
+        for s in sorted(servers)
+        if instance in sorted(members, key=lambda m: (-score(m, s, servers[s]), m))[:places]
+    ]
+    return found or rendezvous(instance, servers, 1)
 
 
 def overlapped(
--- a/tests/fleet/test_rules.py
+++ b/tests/fleet/test_rules.py
@@ -14,7 +14,7 @@
 from tansywood.fleet.parts import floor_of, slice_of
 from tansywood.fleet.settings import faults
 from tansywood.fleet.signals import FRESH, Kind, Signals
-from tansywood.fleet.subsets import deterministic, overlapped, rendezvous, size_for
+from tansywood.fleet.subsets import chosen, deterministic, overlapped, rendezvous
 from tansywood.fleet.terms import SECOND, Terms
 
 NEEDS = st.dictionaries(st.integers(0, 30), st.integers(0, 10_000), min_size=1, max_size=20)
@@ -96,11 +96,19 @@
         rendezvous("a", SERVERS, 0)
 
 
-def test_no_server_is_asked_by_more_than_it_has_places_on_the_mean() -> None:
-    for instances, servers, places in ((200, 50, 3), (200, 3, 3), (10, 50, 15), (1, 1, 0)):
-        size = size_for(instances, servers, places)
-        assert 1 <= size <= servers
-        assert places == 0 or instances * size <= max(servers * places + instances, instances)
+def test_every_server_is_used_and_by_no_more_than_it_has_places() -> None:
+    members = [f"i{n:03}" for n in range(50)]
+    subsets = {m: chosen(m, members, SERVERS, 6) for m in members}
+    used = Counter(s for some in subsets.values() for s in some)
+    assert set(used) == set(SERVERS)
+    assert all(6 <= n <= 7 for n in used.values())  # one more where nobody chose somebody
+    assert all(subsets.values())
+    joined = {m: chosen(m, [*members, "new"], SERVERS, 6) for m in [*members, "new"]}
+    moved = sum(len(set(subsets[m]) - set(joined[m])) for m in members)
+    assert 0 < moved <= 2.5 * 60 * 6 / 51  # about 1/n
+    few = {m: chosen(m, members, {"s-0": 1.0}, 3) for m in members}
+    assert all(few.values())  # 50 and three: all know where to wait
+    assert chosen("a", ["a"], SERVERS, 0) == sorted(SERVERS)
 
 
 def test_a_turn_passes_on_and_comes_back() -> None:
