The core of leases: a replicated log, holders, fences, and a search that drives them

Found by the search: doubled asks each began a round of heartbeats, and refused appends each sent the same entries once more; both are out of the program.

--- /dev/null
+++ b/tansywood/lease/keeper.py
@@ -0,0 +1,314 @@
+"""Leases over the log: the voters' side (`Keeper`) and the holders' (`Holder`), and the `Fence`.
+
+Pure; times are nanoseconds of one process's monotonic clock, never compared with another's.
+docs/design/lease.md says why two holders never act at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from tansywood.lease.log import COMMAND
+from tansywood.lease.raft import MS, Out, Raft
+from tansywood.lease.table import End, Give, Lease, Table, Take, pack
+
+SECOND = 1000 * MS
+ASKED_MOST = 4096  # holders of which the latest word is remembered
+Count = Annotated[int, Meta(ge=0, le=1 << 62)]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """The same at every voter and holder."""
+
+    length: int = 4 * SECOND
+    skew: float = 0.1  # by which the rates of two clocks may differ
+    renew: int = SECOND  # between two renewals: three may be lost
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.skew < 0.5:
+            raise ValueError("clocks' rates may differ by less than a half")
+        if not 0 < 2 * self.renew <= self.length:
+            raise ValueError("a lease has to last for two renewals at least")
+
+    @property
+    def used(self) -> int:
+        """How long a holder goes by an answer, from when it asked."""
+        return int(self.length * (1.0 - self.skew))
+
+
+class Ask(Struct, array_like=True, frozen=True, tag="ask"):
+    """A holder's whole word: keep what I have, and what I want or give back besides."""
+
+    holder: str
+    seq: Count
+    take: tuple[str, ...] = ()
+    give: tuple[tuple[str, int, str], ...] = ()  # name, token, to whom
+
+
+class Told(Struct, array_like=True, frozen=True, tag="told"):
+    """What the holder has, all of it, at a moment after it asked. `leader` where another leads."""
+
+    seq: Count
+    ok: bool
+    leases: tuple[tuple[str, int], ...] = ()
+    leader: str = ""
+
+
+@dataclass(slots=True)
+class _Waits:
+    """An ask that is answered once a majority has confirmed this leader."""
+
+    sender: str
+    ask: Ask
+    round: int
+    index: int  # and once this place of the log is applied
+    term: int
+
+
+@dataclass(slots=True)
+class Said:
+    """What a keeper has to say to holders, by the address they asked from."""
+
+    answers: list[tuple[str, Told]] = field(default_factory=list)
+
+
+class Keeper:
+    """One voter: the log, the table it comes to, and, while it leads, when holders end."""
+
+    def __init__(self, raft: Raft, terms: LeaseTerms, snapshot_every: int = 4096) -> None:
+        self.raft = raft
+        self.terms = terms
+        self.snapshot_every = snapshot_every
+        self.table = Table.load(raft.snapshot.data)
+        self.ends: dict[str, int] = {}  # by holder: before then the leader may not end it
+        self.waits: list[_Waits] = []
+        self.answers: list[tuple[str, Told]] = []
+        self._led = 0  # the term in which `ends` was begun
+        self._floor = 0  # the end of whoever has not asked in it
+        self._ticked = 0
+        self._ending: dict[str, int] = {}  # holders whose End is in the log, by its index
+        self._taking: dict[tuple[str, str], int] = {}
+        self._asked: dict[str, int] = {}  # the latest of each holder, in this term
+
+    # ---- from outside --------------------------------------------------------------------------
+
+    def ask(self, now: int, sender: str, ask: Ask) -> None:
+        """A holder's word. Where this one does not lead it is told who does, at once."""
+        raft = self.raft
+        if not raft.settled:
+            self.answers.append((sender, Told(ask.seq, False, (), raft.leader)))
+            return
+        self._lead(now)
+        if ask.seq <= self._asked.get(ask.holder, 0):
+            return  # doubled, or overtaken by a newer one, whose answer says all of it
+        self._asked[ask.holder] = ask.seq
+        index = 0
+        for name in ask.take:
+            known = self.table.leases.get(name)
+            if known is None and (name, ask.holder) not in self._taking:
+                index = raft.propose(pack(Take(name, ask.holder)))
+                self._taking[name, ask.holder] = index
+        for name, token, to in ask.give:
+            known = self.table.leases.get(name)
+            if known is not None and known.token == token and known.holder == ask.holder:
+                index = raft.propose(pack(Give(name, token, to)))
+                if to:
+                    # It does not know yet: from now on it has a whole length to hear of it.
+                    self._extend(now, to)
+        round_ = raft.begin_round(now)
+        waits = _Waits(sender, ask, round_, max(index, raft.commit), raft.term)
+        self.waits = [w for w in self.waits if w.ask.holder != ask.holder]
+        self.waits.append(waits)
+        self.after(now)
+
+    def after(self, now: int) -> None:
+        """After anything that happened to the log: answer what can be answered by now."""
+        if not self.raft.settled:
+            for w in self.waits:
+                self.answers.append((w.sender, Told(w.ask.seq, False, (), self.raft.leader)))
+            self.waits.clear()
+            return
+        self._lead(now)
+        kept = []
+        for w in self.waits:
+            if w.term != self.raft.term:
+                continue
+            if self.raft.confirmed(w.round) and self.raft.applied >= w.index:
+                self._answer(now, w)
+            else:
+                kept.append(w)
+        self.waits = kept
+
+    def _answer(self, now: int, w: _Waits) -> None:
+        holder = w.ask.holder
+        if holder in self._ending:
+            # Its end is in the log: it is not to hear that it may go on.
+            self.answers.append((w.sender, Told(w.ask.seq, False, (), self.raft.name)))
+            return
+        self._extend(now, holder)
+        names = sorted(self.table.of.get(holder, ()))
+        leases = tuple((name, self.table.leases[name].token) for name in names)
+        self.answers.append((w.sender, Told(w.ask.seq, True, leases)))
+
+    def _extend(self, now: int, holder: str) -> None:
+        self.ends[holder] = max(self.ends.get(holder, 0), now + self.terms.length)
+
+    def _lead(self, now: int) -> None:
+        """At the first look in a term that this one leads: everybody lives for a whole length
+        from the election on, for an earlier leader may have said so just before."""
+        if self._led == self.raft.term:
+            return
+        self._led = self.raft.term
+        self._ending.clear()
+        self._taking.clear()
+        self._asked.clear()
+        self.ends = {h: self.raft.led_since + self.terms.length for h in self.table.of}
+        self._floor = self.raft.led_since + self.terms.length
+
+    def tick(self, now: int) -> None:
+        """End those whose time is over."""
+        if now - self._ticked > self.terms.length // 2 and self._led:
+            # Stopped for long, it has not read what holders asked meanwhile. They get more time.
+            for holder in self.ends:
+                self._extend(now, holder)
+        self._ticked = now
+        self.raft.tick(now)
+        self.after(now)
+        if not self.raft.settled:
+            return
+        ended = False
+        for holder in list(self.table.of):
+            # One whose grant was applied after this one was elected may never have asked it.
+            end = self.ends.setdefault(holder, max(self._floor, now + self.terms.length))
+            if now >= end and holder not in self._ending:
+                self._ending[holder] = self.raft.propose(pack(End(holder)))
+                ended = True
+        if ended:
+            self.raft.beat(now)
+
+    def next_due(self) -> int:
+        due = [self.raft.due]
+        if self.raft.settled:
+            due += [at for h, at in self.ends.items() if h not in self._ending]
+        return min(due)
+
+    def take(self, now: int) -> Out:
+        """As `Raft.take`, with what is committed applied to the table. Answers that it makes
+        possible are in `answers`, to be sent behind what is to be kept."""
+        out = self.raft.take()
+        if out.installed is not None:
+            self.table = Table.load(out.installed.data)
+        for index, entry in out.committed:
+            if entry.kind == COMMAND:
+                self.table.apply(index, entry.data)
+        if out.committed:
+            applied = self.raft.applied
+            self._ending = {h: i for h, i in self._ending.items() if i > applied}
+            self._taking = {k: i for k, i in self._taking.items() if i > applied}
+            for holder in [h for h in self.ends if h not in self.table.of]:
+                if holder not in self._ending:
+                    del self.ends[holder]
+            if len(self._asked) > ASKED_MOST:
+                self._asked = {h: s for h, s in self._asked.items() if h in self.table.of}
+            self.after(now)
+            if applied - self.raft.snapshot.index >= self.snapshot_every:
+                self.raft.compact(applied, self.table.save())
+        return out
+
+    def held(self, name: str) -> Lease | None:
+        """As far as this voter knows."""
+        return self.table.leases.get(name)
+
+
+class Holder:
+    """One life of one instance as a holder: what it may act on, and what it asks."""
+
+    def __init__(self, name: str, terms: LeaseTerms) -> None:
+        self.name = name
+        self.terms = terms
+        self.seq = 0
+        self.heard = 0  # the latest ask that was answered
+        self.until = 0
+        self.leases: dict[str, int] = {}  # tokens
+        self.want: set[str] = set()
+        self.giving: dict[str, tuple[int, str]] = {}  # tokens, and to whom
+        self._sent: deque[tuple[int, int]] = deque()
+        self.lost: list[str] = []  # that it had and has not any more, to end their tasks
+
+    def ask(self, now: int) -> Ask:
+        """The next word to whoever leads. It has to leave now, or never."""
+        self.seq += 1
+        self._sent.append((self.seq, now))
+        while now - self._sent[0][1] > self.terms.used:
+            self._sent.popleft()
+        take = tuple(sorted(n for n in self.want if n not in self.leases))
+        give = tuple((n, t, to) for n, (t, to) in sorted(self.giving.items()))
+        return Ask(self.name, self.seq, take, give)
+
+    def told(self, now: int, told: Told) -> bool:
+        """Take an answer; False where it is nothing to go by: late, overtaken, or a refusal."""
+        sent = next((at for seq, at in self._sent if seq == told.seq), None)
+        if not told.ok or sent is None or told.seq <= self.heard:
+            return False
+        end = sent + self.terms.used
+        if end <= now:
+            return False
+        self.heard = told.seq
+        self.until = end
+        new = {name: token for name, token in told.leases}
+        for name, (token, _) in list(self.giving.items()):
+            if new.get(name) != token:
+                del self.giving[name]  # it has gone where it was to go
+            else:
+                del new[name]  # given up here already, though the log does not have it yet
+        self.lost += [n for n, token in self.leases.items() if new.get(n) != token]
+        self.leases = new
+        for name in [n for n in new if n not in self.want]:
+            self.give(name)  # an old word of ours came late and took it once more
+        return True
+
+    def may(self, now: int, name: str) -> int:
+        """The token to act with on this lease now; 0 where it may not."""
+        return self.leases.get(name, 0) if now < self.until else 0
+
+    def give(self, name: str, to: str = "") -> None:
+        """Give a lease back, to somebody perhaps. It may not act on it from this moment on."""
+        token = self.leases.pop(name, 0)
+        self.want.discard(name)
+        if token:
+            self.giving[name] = (token, to)
+
+    def expire(self, now: int) -> list[str]:
+        """Names whose tasks have to end: lost by word, or by time."""
+        if now >= self.until and self.leases:
+            self.lost += list(self.leases)
+            self.leases.clear()
+        lost, self.lost = self.lost, []
+        return lost
+
+
+class Refused(Exception):
+    """An act under a token that is older than one that has acted already."""
+
+
+class Fence:
+    """What a holder changes looks at its token here: the newest that has acted goes on, any older
+    is refused. It belongs beside the thing itself, and lasts as long as that."""
+
+    def __init__(self, newest: dict[str, int] | None = None) -> None:
+        self.newest = newest if newest is not None else {}
+
+    def check(self, name: str, token: int, kept: Callable[[], None] = lambda: None) -> None:
+        """Let an act under this token through, or raise Refused. `kept` makes a newer token last
+        before anything is done under it."""
+        if token <= 0 or token < self.newest.get(name, 0):
+            raise Refused(f"{name}: token {token} is older than {self.newest.get(name, 0)}")
+        if token > self.newest.get(name, 0):
+            self.newest[name] = token
+            kept()
--- /dev/null
+++ b/tansywood/lease/log.py
@@ -0,0 +1,102 @@
+"""What the voters say to one another, and what they keep: Raft's messages and entries, typed."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+Voter = Annotated[str, Meta(min_length=1, max_length=100)]  # a disk: name and id
+Count = Annotated[int, Meta(ge=0, le=1 << 62)]
+
+NOOP, VOTERS, COMMAND = 0, 1, 2
+
+
+class Entry(Struct, array_like=True, frozen=True):
+    """One place of the log. Of VOTERS `data` is their names, by lines."""
+
+    term: Count
+    kind: Annotated[int, Meta(ge=0, le=2)]
+    data: bytes = b""
+
+
+Entries = Annotated[tuple[Entry, ...], Meta(max_length=256)]
+
+
+class Snapshot(Struct, array_like=True, frozen=True):
+    """All up to `index`, in place of the entries: what they came to, and who the voters were."""
+
+    index: Count = 0
+    term: Count = 0
+    voters: tuple[str, ...] = ()
+    data: bytes = b""
+
+
+class PreVote(Struct, array_like=True, frozen=True, tag="pv"):
+    """Would you vote for me in this term? Changes nothing (Ongaro, 9.6)."""
+
+    term: Count
+    last: Count
+    last_term: Count
+
+
+class PreVoted(Struct, array_like=True, frozen=True, tag="pw"):
+    term: Count
+    granted: bool
+
+
+class Vote(Struct, array_like=True, frozen=True, tag="v"):
+    term: Count
+    last: Count
+    last_term: Count
+
+
+class Voted(Struct, array_like=True, frozen=True, tag="w"):
+    term: Count
+    granted: bool
+
+
+class Append(Struct, array_like=True, frozen=True, tag="e"):
+    """Entries behind `prev`, or none: a heartbeat. `round` is counted by the leader."""
+
+    term: Count
+    prev: Count
+    prev_term: Count
+    entries: Entries
+    commit: Count
+    round: Count
+
+
+class Appended(Struct, array_like=True, frozen=True, tag="f"):
+    """`match`: all up to it is as the leader's; where not ok, the next try may begin there."""
+
+    term: Count
+    ok: bool
+    match: Count
+    round: Count
+
+
+class Install(Struct, array_like=True, frozen=True, tag="i"):
+    term: Count
+    snapshot: Snapshot
+    round: Count
+
+
+Message = PreVote | PreVoted | Vote | Voted | Append | Appended | Install
+
+
+class Saved(Struct, array_like=True, frozen=True):
+    """What a voter's disk holds. A vote or an entry that is not there was never given."""
+
+    term: Count = 0
+    vote: str = ""
+    snapshot: Snapshot = Snapshot()
+    entries: tuple[Entry, ...] = ()
+
+
+def voters_of(entry: Entry) -> tuple[str, ...]:
+    return tuple(filter(None, entry.data.decode().split("\n")))
+
+
+def voters_entry(term: int, voters: tuple[str, ...]) -> Entry:
+    return Entry(term, VOTERS, "\n".join(sorted(voters)).encode())
--- /dev/null
+++ b/tests/lease/test_raft.py
@@ -0,0 +1,342 @@
+"""The log under losses, ends, cuts and changes of its voters; leases and fences on top."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from tansywood.lease.keeper import Ask, Fence, Holder, Keeper, LeaseTerms, Refused, Told
+from tansywood.lease.log import COMMAND, Message, Saved, Snapshot
+from tansywood.lease.raft import LEADER, MS, Raft, Timing
+from tansywood.lease.table import End, Give, Table, TableError, Take, pack
+
+SECOND = 1000 * MS
+TERMS = LeaseTerms(length=2 * SECOND, renew=SECOND // 2)
+
+
+class Cluster:
+    """Keepers on one simulated clock, with a lossy network and disks that outlast them."""
+
+    def __init__(self, voters: list[str], seed: int, disks: list[str] | None = None) -> None:
+        self.rng = Random(seed)
+        self.now = 0
+        self.heap: list[tuple[int, int, str, str, Any]] = []
+        self.count = 0
+        self.loss = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        saved = Saved(snapshot=Snapshot(0, 0, tuple(sorted(voters))))
+        self.kept = {n: saved if n in voters else Saved() for n in disks or voters}
+        self.keepers: dict[str, Keeper] = {}
+        self.holders: dict[str, Holder] = {}
+        self.log: dict[int, Any] = {}
+        self.acts: list[tuple[int, str, int]] = []
+        self.every = 4096
+        for name in self.kept:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        raft = Raft(name, self.kept[name], Timing(), Random(self.rng.random()), self.now)
+        self.keepers[name] = Keeper(raft, TERMS, self.every)
+
+    def send(self, a: str, b: str, what: Any) -> None:
+        if (a, b) in self.cut or self.rng.random() < self.loss:
+            return
+        self.count += 1
+        due = self.now + int(self.rng.uniform(1, 20) * MS)
+        heappush(self.heap, (due, self.count, a, b, what))
+
+    def flush(self, name: str) -> None:
+        keeper = self.keepers[name]
+        for _ in range(3):
+            out = keeper.take(self.now)
+            if out.saved is not None:
+                self.kept[name] = msgspec.msgpack.decode(
+                    msgspec.msgpack.encode(out.saved), type=Saved
+                )
+            for to, message in out.sends:
+                self.send(name, to, message)
+            for index, entry in out.committed:
+                assert self.log.setdefault(index, entry) == entry, index
+            answers, keeper.answers = keeper.answers, []
+            for to, told in answers:
+                self.send(name, to, told)
+
+    def hold(self, name: str, *want: str) -> Holder:
+        holder = self.holders.setdefault(name, Holder(name, TERMS))
+        holder.want |= set(want)
+        return holder
+
+    def run(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            self.now += 10 * MS
+            while self.heap and self.heap[0][0] <= self.now:
+                _, _, a, b, what = heappop(self.heap)
+                if isinstance(what, Told):
+                    if b in self.holders:
+                        self.holders[b].told(self.now, what)
+                elif b in self.keepers:
+                    if isinstance(what, Ask):
+                        self.keepers[b].ask(self.now, a, what)
+                    else:
+                        message: Message = what
+                        self.keepers[b].raft.receive(self.now, a, message)
+                        self.keepers[b].after(self.now)
+                    self.flush(b)
+            for name in list(self.keepers):
+                self.keepers[name].tick(self.now)
+                self.flush(name)
+            if self.now // (10 * MS) % 20 == 0:
+                for name, holder in self.holders.items():
+                    ask = holder.ask(self.now)
+                    for voter in self.keepers:
+                        self.send(name, voter, ask)
+            self.check()
+
+    def check(self) -> None:
+        leaders = [k.raft.term for k in self.keepers.values() if k.raft.role == LEADER]
+        assert len(leaders) == len(set(leaders))
+        acting: dict[str, list[str]] = {}
+        for holder in self.holders.values():
+            holder.expire(self.now)
+            for name in list(holder.leases):
+                token = holder.may(self.now, name)
+                if token:
+                    acting.setdefault(name, []).append(holder.name)
+                    self.acts.append((token, holder.name, self.now))
+        assert all(len(some) == 1 for some in acting.values()), acting
+
+    @property
+    def leader(self) -> Keeper:
+        led = [k for k in self.keepers.values() if k.raft.settled]
+        return max(led, key=lambda k: k.raft.term)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_never_two_holders_over_random_faults(seed: int) -> None:
+    c = Cluster(["v1", "v2", "v3"], seed)
+    for name in "ABC":
+        c.hold(name, "x", f"own-{name}")
+    names = list(c.kept)
+    for _ in range(25):
+        kind = c.rng.randrange(6)
+        voter = c.rng.choice(names)
+        if kind == 0 and len(c.keepers) > 1:
+            c.keepers.pop(voter, None)
+        elif kind == 1:
+            c.loss = c.rng.choice((0.0, 0.1, 0.3))
+        elif kind == 2:
+            other = c.rng.choice([*names, "A", "B", "C"])
+            c.cut |= {(voter, other)} | ({(other, voter)} if c.rng.random() < 0.5 else set())
+        elif kind == 3:
+            c.cut.clear()
+        for name in names:
+            if name not in c.keepers and c.rng.random() < 0.6:
+                c.start(name)
+        for holder in c.holders.values():
+            if "x" in holder.leases and c.rng.random() < 0.3:
+                holder.give("x", c.rng.choice(["", "A", "B"]))
+                holder.want.add("x")
+        c.run(c.rng.choice((0.2, 0.7, 1.5)))
+    c.loss = 0.0
+    c.cut.clear()
+    for name in names:
+        if name not in c.keepers:
+            c.start(name)
+    c.run(8.0)
+    assert sum(bool(h.may(c.now, "x")) for h in c.holders.values()) == 1  # free in the end
+    tokens = [token for token, _, _ in c.acts if token]
+    by_time = [t for t, _, _ in sorted(c.acts, key=lambda a: a[2])]
+    assert tokens and max(by_time) == max(tokens)
+    assert all(h.may(c.now, f"own-{n}") for n, h in c.holders.items())
+
+
+def test_a_dead_holder_of_hundreds_is_one_entry() -> None:
+    c = Cluster(["v1", "v2", "v3"], 3)
+    c.hold("A", *(f"l{n}" for n in range(300)))
+    c.run(3.0)
+    assert len(c.holders["A"].leases) == 300
+    before = c.leader.raft.commit
+    del c.holders["A"]
+    c.run(3.0)
+    assert not c.leader.table.leases
+    assert c.leader.raft.commit == before + 1
+
+
+def test_nobody_acts_without_a_majority_and_all_goes_on_after() -> None:
+    c = Cluster(["v1", "v2", "v3"], 4)
+    c.hold("A", "x")
+    c.run(3.0)
+    assert c.holders["A"].may(c.now, "x")
+    gone = [n for n in c.kept if n != c.leader.raft.name]
+    for name in gone:
+        del c.keepers[name]
+    c.hold("B", "x")
+    c.run(4.0)
+    assert not any(h.may(c.now, "x") for h in c.holders.values())
+    for name in gone:
+        c.start(name)
+    c.run(5.0)
+    assert sum(bool(h.may(c.now, "x")) for h in c.holders.values()) == 1
+
+
+def test_one_cut_off_does_not_unseat_a_leader_when_it_is_back() -> None:
+    c = Cluster(["v1", "v2", "v3"], 5)
+    c.run(3.0)
+    leader = c.leader.raft
+    other = next(n for n in c.kept if n != leader.name)
+    for name in c.kept:
+        c.cut |= {(other, name), (name, other)}
+    c.run(6.0)
+    c.cut.clear()
+    c.run(2.0)
+    assert c.leader.raft is leader
+    assert c.keepers[other].raft.term == leader.term  # it asked, and raised nobody's term
+
+
+def test_a_leader_that_hears_nobody_is_none_any_more() -> None:
+    c = Cluster(["v1", "v2", "v3"], 6)
+    c.run(3.0)
+    old = c.leader.raft
+    for name in c.kept:
+        c.cut.add((name, old.name))  # it is heard, and hears nothing
+    c.run(6.0)
+    assert old.role != LEADER
+    assert c.leader.raft.name != old.name
+
+
+def change(c: Cluster, *voters: str) -> None:
+    for _ in range(200):
+        leader = c.leader.raft
+        if not leader.change_voters(c.now, tuple(voters)):
+            c.flush(leader.name)
+            c.run(1.0)
+            return
+        c.run(0.1)
+    raise AssertionError("the change was never taken")
+
+
+def test_voters_change_one_at_a_time_under_load() -> None:
+    c = Cluster(["v1"], 7, ["v1", "v2", "v3", "v4", "v5"])
+    c.hold("A", "x")
+    c.run(2.0)
+    steps = [("v1", "v2"), ("v1", "v2", "v3"), ("v1", "v2", "v3", "v4"),
+             ("v1", "v2", "v3", "v4", "v5"), ("v2", "v3", "v4", "v5")]  # fmt: skip
+    for voters in steps:
+        change(c, *voters)
+        c.run(3.0)
+        assert set(c.leader.raft.voters) == set(voters)
+        assert c.holders["A"].may(c.now, "x")
+    c.run(3.0)
+    assert c.leader.raft.name != "v1"
+    assert c.leader.raft.change_voters(c.now, ("v2", "v3")) == "voters change one at a time"
+
+
+def test_a_change_waits_for_an_entry_of_the_leaders_own_term() -> None:
+    raft = Raft("v1", Saved(snapshot=Snapshot(0, 0, ("v1", "v2", "v3"))), Timing(), Random(1), 0)
+    assert raft.change_voters(0, ("v1", "v2")) == "not the leader"
+    raft._elect(0)
+    raft._lead(0)
+    assert raft.change_voters(0, ("v1", "v2")) == "nothing of this term is committed yet"
+
+
+def test_a_voter_without_its_disk_is_asked_nothing() -> None:
+    c = Cluster(["v1", "v2", "v3"], 8)
+    c.run(2.0)
+    gone = next(n for n in c.kept if n != c.leader.raft.name)
+    del c.keepers[gone]
+    c.kept["v9"] = Saved()  # the same machine, another disk
+    c.start("v9")
+    c.run(3.0)
+    blank = c.keepers["v9"].raft
+    assert (blank.term, blank.vote, blank.role) == (0, "", "follower")
+    leader = c.leader.raft
+    leader.teach(c.now, "v9")
+    c.flush(leader.name)
+    c.run(1.0)
+    assert leader.caught_up("v9")
+    change(c, "v1", "v2", "v3", "v9")
+    change(c, *(n for n in ("v1", "v2", "v3", "v9") if n != gone))
+    assert c.keepers["v9"].raft.last == c.leader.raft.last
+
+
+def test_a_voter_far_behind_is_given_the_whole() -> None:
+    c = Cluster(["v1", "v2", "v3"], 9)
+    c.every = 50
+    for name in list(c.keepers):
+        c.start(name)
+    c.run(2.0)
+    behind = next(n for n in c.kept if n != c.leader.raft.name)
+    del c.keepers[behind]
+    holder = c.hold("A")
+    for n in range(120):
+        holder.want.add(f"l{n}")
+        c.run(0.21)
+    assert c.leader.raft.snapshot.index > 50
+    c.start(behind)
+    c.run(2.0)
+    assert c.keepers[behind].table.leases == c.leader.table.leases
+    assert c.kept[behind].snapshot.index > 0
+
+
+def test_a_lease_handed_over_leaves_no_gap_for_another() -> None:
+    c = Cluster(["v1", "v2", "v3"], 10)
+    c.hold("A", "x")
+    c.run(2.0)
+    c.hold("C", "x")
+    c.hold("B")
+    c.holders["A"].give("x", "B")
+    c.holders["B"].want.add("x")
+    assert not c.holders["A"].may(c.now, "x")  # from this moment on
+    c.run(1.0)
+    assert c.holders["B"].may(c.now, "x") and not c.holders["C"].may(c.now, "x")
+
+
+def test_what_a_holder_had_ends_by_word_or_by_time() -> None:
+    h = Holder("A", TERMS)
+    h.want.add("x")
+    ask = h.ask(0)
+    assert ask.take == ("x",)
+    assert h.told(5, Told(ask.seq, True, (("x", 7),)))
+    assert h.may(TERMS.used - 1, "x") == 7 and not h.may(TERMS.used, "x")
+    late = h.ask(SECOND)
+    assert not h.told(9 * SECOND, Told(late.seq, True, (("x", 7),)))  # after its own end
+    assert h.expire(9 * SECOND) == ["x"] and h.expire(9 * SECOND) == []
+    older = Told(ask.seq, True, (("x", 7),))
+    assert not h.told(9 * SECOND, older)
+
+
+def test_an_act_under_an_older_token_is_refused() -> None:
+    kept = []
+    fence = Fence()
+    fence.check("x", 5, lambda: kept.append(5))
+    fence.check("x", 5, lambda: kept.append(5))
+    fence.check("x", 9, lambda: kept.append(9))
+    with pytest.raises(Refused, match="token 5 is older than 9"):
+        fence.check("x", 5)
+    with pytest.raises(Refused):
+        fence.check("y", 0)  # nobody's
+    assert kept == [5, 9]
+
+
+def test_a_table_lasts_and_refuses_what_it_cannot_read() -> None:
+    t = Table()
+    t.apply(1, pack(Take("x", "A")))
+    t.apply(2, pack(Take("x", "B")))  # it is taken
+    t.apply(3, pack(Give("x", 9)))  # another token: nothing
+    assert t.leases["x"].holder == "A"
+    t.apply(4, pack(Give("x", 1, "B")))
+    assert (t.leases["x"].holder, t.leases["x"].token) == ("B", 4)
+    again = Table.load(t.save())
+    assert (again.leases, again.of, again.index) == (t.leases, t.of, 4)
+    again.apply(5, pack(End("B")))
+    assert not again.leases and not again.of
+    with pytest.raises(TableError, match="entry 6"):
+        again.apply(6, b"\xc1")
+    with pytest.raises(TableError, match="snapshot"):
+        Table.load(b"\xc1")
+    assert COMMAND == 2
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -30,6 +30,8 @@
         "tansywood.service.wire",
     },
     "tansywood/fleet": {"tansywood.fleet", "tansywood.tenancy"},
+    "tansywood/lease": {"tansywood.lease"},
+    "tansywood/verify": {"tansywood.verify", "tansywood.lease"},
     "tansywood/service": {"tansywood", "windrelay", "flinthatch"},
     "standins": {"standins", "tansywood.iso8583"},  # its pure codec
     # Many instances on one clock: what it plays are the pure rules themselves.
