Parts follow need: a rate over four seconds, within what the last third of one shows

Ruled out: lost or late grants (all of the rate was dealt) and places (none were short). At fault: HEADROOM kept 0.3 of the small ones' needs from the one that went short, the floor was asked for twice, and counts over one second were a third too high at times.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -39,6 +39,7 @@
 from tansywood.fleet.terms import SECOND
 
 PARTS = ("worth", "members", "subsets", "cost")
+DAYS = ("even", "skewed", "split")
 WARM_S = 7.0  # homes deal from the fourth second on
 MEASURED_S = 12.0
 RATE, BURST, PLACES, SERVERS = 240.0, 48, 16, 5
@@ -128,16 +129,17 @@
     )  # fmt: skip
 
 
-def worth(sizes: list[int], seeds: int) -> None:
+def worth(sizes: list[int], seeds: int, kinds: list[str]) -> None:
     print(
         f"a tenant with {RATE:g} requests a second, {PLACES} places at each of {SERVERS} servers,"
     )
     print(f"{CALLERS} callers; served a second from the {WARM_S:g}th second on, {seeds} seeds")
     print(f"{'instances':>14}{'sees all':>26}{'ours to it':>26}{'1/N to it':>26}"
           f"{'worst over limit':>18}{'places over':>13}{'connections':>13}")  # fmt: skip
-    days = [day(n, skewed) for n in sizes for skewed in ((False, True) if n > 1 else (False,))]
-    split = replace(load("split"), seconds=38.0)
-    for shared in [*days, split]:
+    days = [day(n, False) for n in sizes if "even" in kinds]
+    days += [day(n, True) for n in sizes if n > 1 and "skewed" in kinds]
+    days += [replace(load("split"), seconds=38.0)] if "split" in kinds else []
+    for shared in days:
         rows = []
         for seed in range(1, seeds + 1):
             if sys.stderr.isatty():
@@ -318,13 +320,14 @@
     parser.add_argument("--parts", nargs="+", default=list(PARTS), choices=PARTS)
     parser.add_argument("--instances", type=int, nargs="+", default=[1, 3, 8, 16])
     parser.add_argument("--fleets", type=int, nargs="+", default=[3, 20, 200])
+    parser.add_argument("--days", nargs="+", default=list(DAYS), choices=DAYS, help="of worth")
     parser.add_argument("--seeds", type=int, default=3)
     args = parser.parse_args()
     for number, part in enumerate(args.parts):
         if number:
             print()
         if part == "worth":
-            worth(args.instances, args.seeds)
+            worth(args.instances, args.seeds, args.days)
         elif part == "members":
             members(args.fleets, args.seeds)
         elif part == "subsets":
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -50,7 +50,10 @@
 HELLO_AGAIN = 200 * MS
 WAITING = 16  # messages for one whose life is not known yet ...
 WAITS = 500 * MS  # ... that long
-HEADROOM = 1.3  # times what a tenant's callers ask for, so that growth is not refused
+# Times what a tenant's callers ask for. What is left over is dealt out evenly anyway; what is asked
+# for beyond need is only kept from those that go short: at 1.3 three instances with unlike traffic
+# served 0.886 of what one that sees all did, eight 0.794; at 1.05 0.958 and 0.887.
+HEADROOM = 1.0
 DOUBT_FOR = 2 * SECOND
 SWEEP = SECOND
 OVERLAP = SECOND  # both subsets are claimed for while one gives way to the other
@@ -361,7 +364,7 @@
             limits = self.tenants[tenant]
             ours = self.subset(now, tenant)
             for pot in limits.pots(tenant):
-                needs[pot] = demand.needs.get(pot, 0)
+                needs[pot] = max(demand.needs.get(pot, 0) - self.floor(pot), 0)
             if limits.places:
                 # Places elsewhere are only taken where nobody else wants them.
                 needs |= {place_pot(tenant, s): 0 for s in limits.servers if s not in ours}
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -25,9 +25,9 @@
 REPORT_S = 0.1
 AGAIN_S = 0.05
 SEEN = 2 * SECOND  # what a server answered longer ago is no evidence
-LONG = SECOND  # over which a tenant's rate is counted ...
+LONG = 4 * SECOND  # over which a tenant's rate is counted ...
 SHORT = SECOND // 3  # ... and over which a jump shows
-SURE = 2.0  # standard deviations of a count that are taken off it there
+SURE = 2.0  # standard deviations of a count that are taken off it there, or put on it
 HEADROOM = 1.3
 REST = 2 * SECOND  # without a request, after which no places are asked for
 TRY_STEP = SECOND  # that each next one waits before it tries a server itself
@@ -67,19 +67,21 @@
     busy_at: int = 0
 
     def rate(self, now: int, asked: int) -> float:
-        """Requests asked a second: over the last second, or what the last third of it shows for
-        sure. Each tenth taken by itself, a stream of 15 a second asked for 50 at times, and the
+        """Requests asked a second: over the last four, within what the last third of one
+        shows. Each tenth taken by itself, a stream of 15 a second asked for 50 at times, and the
         shares of three instances were even however unlike their traffic."""
         counts = self.counts
         counts.append((now, asked))
         while len(counts) > 2 and now - counts[1][0] >= LONG:
             counts.popleft()
         begin, first = counts[0]
-        long = (asked - first) * SECOND / max(now - begin, LONG)
+        long = (asked - first) * SECOND / max(now - begin, SECOND)
         short_begin, short_first = next(c for c in counts if now - c[0] <= SHORT)
         n = asked - short_first
-        short = (n - SURE * math.sqrt(n)) * SECOND / max(now - short_begin, SHORT)
-        return max(long, short)
+        span = max(now - short_begin, SHORT)
+        low = (n - SURE * math.sqrt(n)) * SECOND / span
+        high = (n + SURE * math.sqrt(n + 1)) * SECOND / span
+        return min(max(long, low), high)
 
 
 class Sharing:
