A worker's orderly end waits for what its tenants keep lazily

At fault: `Worker.wait` ended the process 10 ms after the last answer, while an answer's record may wait 20 ms for its batch (`LAZY_S`). The records are closed first, within 5 s.

--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -20,6 +20,7 @@
 from tansywood.service.follow import Follower
 from tansywood.service.isotenant import IsoHosted
 from tansywood.service.limiting import apply, whole
+from tansywood.service.records import StoreRecords
 from tansywood.service.tenant import FULL, Hosted, with_answer
 from tansywood.service.wire import Handed, WireError, take
 from tansywood.tenancy.fair import waits
@@ -38,6 +39,7 @@
 REST_S = 300.0  # after which a tenant without callers is let go of
 STOP_S = 0.7  # on top of the longest deadline
 POLL_S = 0.01
+CLOSE_S = 5.0  # for a disk that is slow at the very end
 
 
 def known_of(view: dict[str, Any]) -> Known:
@@ -82,6 +84,7 @@
         self.stopping = False
         self.ended: asyncio.Future[int] = loop.create_future()
         self.crashes = 0
+        self.closing: asyncio.Task[None] | None = None
         self.sharing: Sharing | None = None
         if fleet is not None:
             from tansywood.service.sharing import Sharing  # an instance alone loads none of it
@@ -326,9 +329,23 @@
         if not late and (self.doors or not all([h.finished() for h in all_of_them])):
             self.loop.call_later(POLL_S, self.wait, until)
             return
+        if self.sharing is not None and not late:
+            self.sharing.bye()
         for hosted in all_of_them:
             hosted.node.fail_all()
-        self.loop.call_later(POLL_S, self.end)  # one more turn, so that the last answers leave
+        records = [h.records for h in all_of_them if isinstance(h, IsoHosted)]
+        self.closing = self.loop.create_task(self.close([r for r in records if r is not None]))
+
+    async def close(self, records: list[StoreRecords]) -> None:
+        """One more turn, so that the last answers leave, and what was kept lazily is kept: ended
+        before, a credit that was answered is in doubt to whoever repeats it after the start."""
+        await asyncio.sleep(POLL_S)
+        try:
+            async with asyncio.timeout(CLOSE_S):
+                await asyncio.gather(*(r.close() for r in records), return_exceptions=True)
+        except TimeoutError:
+            self.log(f"records were not closed in {CLOSE_S:g} s")
+        self.end()
 
     def end(self) -> None:
         if not self.ended.done():
