--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -20,6 +20,8 @@
     "stop": ("instance",),  # SIGSTOP of every process of it
     "go": ("instance",),  # SIGCONT
     "kill_part": ("instance", "part"),
+    "stop_part": ("instance", "part"),  # SIGSTOP of one process alone
+    "go_part": ("instance", "part"),
     "cut": ("from", "to"),  # lists of instances, both ways
     "cut_one_way": ("from", "to"),
     "heal": (),
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -135,8 +135,8 @@
         else:
             self.disk.unlink(missing_ok=True)
 
-    def kill_part(self, part: str) -> None:
-        os.kill(self.service.pid(part), signal.SIGKILL)
+    def signal_part(self, part: str, number: signal.Signals) -> None:
+        os.kill(self.service.pid(part), number)
 
     def status(self) -> Mapping[str, Any]:
         """What its fleet's process says, as the operator's tool asks."""
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import tempfile
 import time
 from collections.abc import Callable
@@ -32,6 +33,11 @@
 STARVED_S = 5.0  # within which an instance that is up and asked serves somebody
 BACK_PART = 0.9  # of the whole rate that is dealt again once all has settled
 TURNED_AWAY = 429
+PART_SIGNALS = {
+    "kill_part": signal.SIGKILL,
+    "stop_part": signal.SIGSTOP,
+    "go_part": signal.SIGCONT,
+}
 WORTH = {"balance": 1.0, "credit": 5.0}
 
 
@@ -293,10 +299,11 @@
             begin, _ = self.stops[one.name][-1]
             self.stops[one.name][-1] = (begin, self.now())
             self.up_since[one.name] = self.now()
-        elif fault.what == "kill_part":
+        elif fault.what in PART_SIGNALS:
             self.break_up(one.name)
-            one.kill_part(str(fault.words["part"]))
-            self.up_since[one.name] = self.now()
+            one.signal_part(str(fault.words["part"]), PART_SIGNALS[fault.what])
+            if fault.what != "stop_part":
+                self.up_since[one.name] = self.now()
         elif fault.what in ("suspend", "resume"):
             if fault.what == "suspend":
                 self.break_up(one.name)
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -494,11 +494,13 @@
         self._collect(now)
 
     def leave(self, now: int) -> None:
-        """At the end, once no worker uses anything any more: what we hold is free at once."""
+        """At the end: what we hold is free at once, unless requests of a worker that died may
+        still be at work at servers; then it ends by itself."""
         self._now = now
+        left = [pot for pot, (used, until) in self._left.items() if used and now < until]
         for home, address in enumerate(self.homes):
             self.holder.seqs[home] += 1
-            if address == self.address:
+            if address == self.address or left or self.demands:
                 continue
             for _ in range(2):  # nobody is there to send it again
                 self._send(address, Return(self.holder.seqs[home]))
--- a/tansywood/fleet/parts.py
+++ b/tansywood/fleet/parts.py
@@ -96,6 +96,12 @@
         self.total += most - c.most
         c.most = most
 
+    def lengthen(self, by: int) -> None:
+        for who, c in self.claimants.items():
+            for o in c.out:
+                o.end += by
+                heappush(self.ends, (o.end, who))
+
     def expire(self, now: int) -> None:
         while self.ends and self.ends[0][0] <= now:
             who = heappop(self.ends)[1]
@@ -155,14 +161,17 @@
 
     def set_whole(self, pot: str, whole: int, tail: int) -> None:
         """The limit is `whole` from now on; whatever is taken under a grant is over `tail` after
-        the grant's end. A tail that was longer before still binds what was granted then."""
+        the grant's end. A longer tail binds what is out already, a shorter one nothing."""
         part = slice_of(pot, whole, self.homes, self.index)
         known = self.pots.get(pot)
         if known is None:
             self.pots[pot] = _Pot(part, tail, self._dropped.pop(pot, self.born))
         else:
             known.part = part
-            known.tail = max(known.tail, tail)
+            if tail > known.tail:
+                # What is taken from now on under a grant that is out already lasts longer too.
+                known.lengthen(self.terms.after(tail) - self.terms.after(known.tail))
+                known.tail = tail
 
     def keep(self, pots: Iterable[str], now: int) -> None:
         """There are no limits but these any more. What was granted of others ends by itself: one
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -106,6 +106,7 @@
         self.instances = 1
         self.told: dict[str, dict[str, Any]] = {}  # by tenant's name
         self.watched: dict[str, _Watched] = {}
+        self._writer: asyncio.StreamWriter | None = None
         self._waited: dict[tuple[str, int], int] = {}  # back-off of the try that was left
         self._said = -1  # the version that the fleet was told last
         self._soon = asyncio.Event()
@@ -238,6 +239,13 @@
             "seen": seen,
         }
 
+    def bye(self) -> None:
+        """The last word: every request has ended, at the servers too. Without it what was lent
+        here counts as in use for as long as the longest request may take."""
+        if self._writer is not None:
+            self._writer.write(frame({"version": self.version, "tenants": {}}))
+            self._writer = None
+
     # ---- the link ------------------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -250,6 +258,7 @@
     async def _follow(self) -> None:
         reader, writer = await asyncio.open_unix_connection(self.path)
         self.version = 0  # another life of the fleet's process counts anew
+        self._writer = writer
         telling = self.loop.create_task(self._tell(writer))
         try:
             while True:
@@ -257,12 +266,13 @@
                 if self.version != self._said:
                     self._soon.set()  # what was taken back is free once we have said so
         finally:
+            self._writer = None
             telling.cancel()
             writer.close()
 
     async def _tell(self, writer: asyncio.StreamWriter) -> None:
         writer.write(frame({"hello": self.worker}))
-        while True:
+        while self._writer is writer:
             self._said = self.version
             writer.write(frame(self.report()))
             self._soon.clear()
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins.fleet import report
-from standins.fleet.day import Day, load
+from standins.fleet.day import Day, Fault, load
 from standins.fleet.rig import Outcome, play
 from standins.ledger import End
 
@@ -50,6 +50,26 @@
     return replace(base, **over)  # type: ignore[arg-type]
 
 
+def stopped_part(without: str) -> Outcome:
+    """The fleet's own process of b stops; its worker is left with what it was lent."""
+    stop = Fault(5.0, "stop_part", {"instance": "b", "part": "fleet"})
+    # It does not end in order while it is stopped.
+    go = Fault(11.0, "go_part", {"instance": "b", "part": "fleet"})
+    return play(small(homes=1, seconds=11.5, faults=(stop, go), without=without), 1)
+
+
+def test_a_worker_without_its_fleet_keeps_to_what_nobody_else_may_use() -> None:
+    made = stopped_part("")
+    assert made.over == 0 and made.excess <= len(made.day.instances), report.summary(made)
+    assert made.ends["b"][End.SERVED] > 0 and made.twice == 0
+
+
+def test_without_the_end_of_what_was_lent_a_limit_is_exceeded() -> None:
+    made = stopped_part("end")
+    assert made.excess > 2 * len(made.day.instances), report.summary(made)
+    assert made.over > 0
+
+
 def test_without_a_fleet_every_instance_takes_the_whole() -> None:
     made = play(small(seconds=3.0, fleet=False), 1)
     assert made.over > 0  # two places, and each instance thinks that both are its own
