Who was first keeps a name; a limit that comes back waits for its longest deadline

Seen on reading: a second process of a name was taken by all for a restart of the first, by its later start, though a test's name says that it is kept out (`hear` compared lives alone); and a tenant that was deleted and made anew with a shorter deadline was dealt before requests under its old one were over, while what was dropped was remembered for ever. Change: another life at another address waits until the bearer is lost or has left; a dropped pot keeps its tail until all of it is over.

Measured: both cases as tests, which fail without; tests of members and conservation pass.

--- a/tansywood/fleet/members.py
+++ b/tansywood/fleet/members.py
@@ -397,6 +397,10 @@
             return
         if rank(rumour) <= rank(m.rumour):
             return
+        if rumour.life != m.rumour.life and rumour.address != m.rumour.address and m.there:
+            # Another process under a name whose bearer is there: who was first keeps it. One
+            # that moved to another machine is taken in once the one it was is lost or has left.
+            return
         if rumour.state == State.SUSPECT:
             self._set(now, rumour, State.ALIVE, f"told by {teller}")
             self._accuse(now, rumour, rumour.accuser or teller, f"told by {teller}")
--- a/tansywood/fleet/parts.py
+++ b/tansywood/fleet/parts.py
@@ -157,7 +157,7 @@
         self.index = index
         self.born = now
         self.pots: dict[str, _Pot] = {}
-        self._dropped: dict[str, int] = {}
+        self._dropped: dict[str, tuple[int, int]] = {}  # when, and with what tail
 
     def set_whole(self, pot: str, whole: int, tail: int) -> None:
         """The limit is `whole` from now on; whatever is taken under a grant is over `tail` after
@@ -165,7 +165,8 @@
         part = slice_of(pot, whole, self.homes, self.index)
         known = self.pots.get(pot)
         if known is None:
-            self.pots[pot] = _Pot(part, tail, self._dropped.pop(pot, self.born))
+            born, before = self._dropped.pop(pot, (self.born, tail))
+            self.pots[pot] = _Pot(part, max(tail, before), born)
         else:
             known.part = part
             if tail > known.tail:
@@ -178,8 +179,10 @@
         that comes back under its name waits for that, as after a start."""
         wanted = set(pots)
         for pot in [p for p in self.pots if p not in wanted]:
-            del self.pots[pot]
-            self._dropped[pot] = now
+            self._dropped[pot] = (now, self.pots.pop(pot).tail)
+        for pot, (at, tail) in list(self._dropped.items()):
+            if now >= at + self.terms.length + self.terms.after(tail):
+                del self._dropped[pot]  # all that was granted of it is over
 
     def ready(self, pot: str, now: int) -> bool:
         """Whether whatever an earlier life of this home granted is certainly over."""
--- a/tests/fleet/test_conserved.py
+++ b/tests/fleet/test_conserved.py
@@ -138,6 +138,15 @@
     home.set_whole(pot, 1000, 0)
     assert not home.ready(pot, 51 * SECOND)
     assert home.ready(pot, 52 * SECOND)
+    longer = open_pot(TENANT)
+    home.set_whole(longer, 40, 9 * SECOND)
+    home.keep([pot], 60 * SECOND)
+    home.set_whole(longer, 40, SECOND)  # back with a shorter deadline than what is out had
+    assert not home.ready(longer, 71 * SECOND)
+    assert home.ready(longer, 72 * SECOND)
+    home.keep([pot], 80 * SECOND)
+    home.keep([pot], 95 * SECOND)
+    assert not home._dropped  # nothing is kept for ever
 
 
 def test_a_longer_deadline_binds_what_is_granted_already() -> None:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -136,6 +136,17 @@
     assert [e.what for e in m.events] == ["conflict"]
 
 
+def test_who_was_first_keeps_a_name_until_it_is_lost() -> None:
+    m = alone()
+    first, second = rumour("b", 2, 0, State.ALIVE), rumour("b", 3, 0, State.ALIVE, born=9)
+    m.hear(1, first, "c")
+    m.hear(2, second, "c")
+    assert m.rows["b"].rumour.address == first.address
+    m.hear(3, rumour("b", 2, 0, State.LOST), "c")
+    m.hear(4, second, "c")
+    assert m.rows["b"].rumour.address == second.address
+
+
 def test_the_more_accuse_the_sooner_it_is_lost() -> None:
     m = alone()
     for n in range(20):
