Processes show a second of one name, another key and a replay between them

Need: these were shown by unit tests alone. Change: the rig lets an instance call itself by another's name and gives one another key; a test plays four instances with a replay of all that was sent.

--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -78,6 +78,8 @@
     faults: tuple[Fault, ...] = ()
     clocks: Mapping[str, float] = field(default_factory=dict)  # rates of the fleet's clocks
     offsets: Mapping[str, float] = field(default_factory=dict)  # of wall clocks
+    names: Mapping[str, str] = field(default_factory=dict)  # what one calls itself, where not so
+    strangers: tuple[str, ...] = ()  # instances with another key
     without: str = ""  # defences that are taken out, see `inject`
     link: Mapping[str, float] = field(default_factory=dict)
     settle_s: float = 4.0  # after the last fault, by when parts are where they belong
@@ -103,7 +105,7 @@
     known = {
         "seconds", "instances", "homes", "servers", "places", "rate", "burst", "open", "work_s",
         "callers", "pause_s", "faults", "clocks", "link", "settle_s", "deadline_ms", "fleet",
-        "offsets", "without",
+        "offsets", "without", "names", "strangers",
     }  # fmt: skip
     for key in raw:
         if key not in known:
@@ -127,6 +129,8 @@
             faults=tuple(sorted(faults, key=lambda f: f.at)),
             clocks={str(k): float(v) for k, v in raw.get("clocks", {}).items()},
             offsets={str(k): float(v) for k, v in raw.get("offsets", {}).items()},
+            names={str(k): str(v) for k, v in raw.get("names", {}).items()},
+            strangers=tuple(str(n) for n in raw.get("strangers", ())),
             without=str(raw.get("without", "")),
             link={str(k): float(v) for k, v in raw.get("link", {}).items()},
             settle_s=float(raw.get("settle_s", 4.0)),
@@ -139,7 +143,13 @@
         raise DayError(f"{file}: {err}") from None
     if not 1 <= day.homes <= len(names):
         raise DayError(f"{file}: homes: {day.homes} of {len(names)} instances; 1 to {len(names)}")
-    for table, what in ((day.callers, "callers"), (day.clocks, "clocks"), (day.offsets, "offsets")):
+    for table, what in (
+        (day.callers, "callers"),
+        (day.clocks, "clocks"),
+        (day.offsets, "offsets"),
+        (day.names, "names"),
+        (day.strangers, "strangers"),
+    ):
         for name in table:
             if name not in names:
                 raise DayError(f"{file}: {what}.{name}: is no instance; {', '.join(names)}")
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -40,10 +40,12 @@
         fleet: bool = True,
         workers: int = 1,
         without: str = "",
+        called: str = "",
     ) -> None:
         """`port` is for datagrams, `first` are the homes'; `via` is the network's. `clock` is
         the rate of its monotonic clock and the seconds that its wall clock is ahead; `without`
-        names defences that are taken out, see `inject`."""
+        names defences that are taken out, see `inject`. `called` is what it calls itself in
+        its file, where that is not its name here."""
         self.name = name
         self.folder = folder
         self.port = port
@@ -53,7 +55,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         rows = ", ".join(f'"127.0.0.1:{p}"' for p in first)
         section = (
-            f'[fleet]\nname = "rig"\ninstance = "{name}"\naddress = "127.0.0.1:{port}"\n'
+            f'[fleet]\nname = "rig"\ninstance = "{called or name}"\naddress = "127.0.0.1:{port}"\n'
             f'first = [{rows}]\nkey_file = "fleet.key"\n'
         )
         if fleet:
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -71,6 +71,7 @@
     # Part of the whole rate that all together say they may use at the end. They say it at moments
     # up to a second apart, so a sum a little over 1 breaks nothing: the counts would show that.
     dealt: float = 0.0
+    told: dict[str, Any] = field(default_factory=dict)  # what each said of its fleet in the end
     parts: dict[str, float] = field(default_factory=dict)
     datagrams: dict[str, int] = field(default_factory=dict)
     meter: Meter = field(default_factory=Meter)
@@ -133,7 +134,7 @@
             self.servers[name] = server
         ports = {name: free_port() for name in day.instances}
         first = [ports[name] for name in day.instances[: day.homes]]
-        key = self.rng.randbytes(32).hex()
+        key, other = self.rng.randbytes(32).hex(), self.rng.randbytes(32).hex()
         for name in day.instances:
             self.network.know(name, ports[name])
             for server in self.servers.values():
@@ -145,11 +146,12 @@
                 self.folder / name,
                 ports[name],
                 first,
-                key,
+                other if name in day.strangers else key,
                 self.network.port,
                 (day.clocks.get(name, 1.0), day.offsets.get(name, 0.0)),
                 day.fleet,
                 without=day.without,
+                called=day.names.get(name, ""),
             )
         for link, value in day.link.items():
             self.network.all(**{link: value})
@@ -388,6 +390,7 @@
         up = [one for one in self.instances.values() if one.up]
         told = await asyncio.gather(*(asyncio.to_thread(one.status) for one in up))
         for one, status in zip(up, told, strict=True):
+            self.outcome.told[one.name] = status
             self.outcome.parts[one.name] = status["shares"][TENANT]["rate_per_s"]
         self.outcome.dealt = sum(self.outcome.parts.values()) / self.day.rate
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -58,6 +58,29 @@
     return play(small(homes=1, seconds=11.5, faults=(stop, go), without=without), 1)
 
 
+def test_a_second_of_one_name_and_one_with_another_key() -> None:
+    """Both serve nobody's limits twice: the first is told and dealt to, the other hears nothing."""
+    names = ("a", "b", "c", "d")
+    day = small(
+        seconds=9.0,
+        instances=names,
+        homes=1,
+        callers=dict.fromkeys(names, 4),
+        names={"c": "a"},
+        strangers=("d",),
+        faults=(Fault(6.0, "replay"),),
+    )
+    made = play(day, 1)
+    assert made.over == 0 and made.twice == 0 and made.excess <= len(names), report.summary(made)
+    assert all(made.ends[n][End.SERVED] for n in "abc") and not made.ends["d"][End.SERVED]
+    assert made.told["c"]["conflict"] == made.told["a"]["address"]
+    seen = {m["name"]: m["address"] for m in made.told["b"]["members"]}
+    assert seen["a"] == made.told["a"]["address"]  # who was first
+    assert sorted(seen) == ["a", "b"]
+    assert made.told["a"]["refused"]["stranger"] > 0 and made.told["d"]["refused"]["stranger"] == 0
+    assert made.told["b"]["refused"]["replay"] > 0
+
+
 def test_a_worker_without_its_fleet_keeps_to_what_nobody_else_may_use() -> None:
     made = stopped_part("")
     assert made.over == 0 and made.excess <= len(made.day.instances), report.summary(made)
