--- a/standins/fleet/network.py
+++ b/standins/fleet/network.py
@@ -184,8 +184,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
+        """Listen, at the same port as before."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Half(self), "127.0.0.1", 0)
+        self._server = await loop.create_server(lambda: _Half(self), "127.0.0.1", self.port)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
     def dial(self, half: _Half) -> None:
@@ -224,4 +225,10 @@
 
 
 def reach(relays: Mapping[tuple[str, str], Relay], instance: str) -> list[Relay]:
+    """An instance's ways."""
     return [relay for (name, _), relay in relays.items() if name == instance]
+
+
+def ways_to(relays: Mapping[tuple[str, str], Relay], server: str) -> list[Relay]:
+    """All instances' ways to a server."""
+    return [relay for (_, name), relay in relays.items() if name == server]
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -25,7 +25,7 @@
 from standins.fleet.day import Day, Fault
 from standins.fleet.instances import FleetInstance, free_port
 from standins.fleet.meter import Meter, Passage
-from standins.fleet.network import Network, Relay, reach
+from standins.fleet.network import Network, Relay, reach, ways_to
 from standins.fleet.servers import PlacedServer
 from standins.ledger import End, Ledger
 from standins.servers import Behaviour
@@ -267,9 +267,14 @@
         elif fault.what == "replay":
             self.network.replay()
         elif fault.what == "server_kill":
+            # Its ways refuse as it does: taken on and reset, a dial would look like a break.
             self.servers[str(words["server"])].kill()
+            for relay in ways_to(self.relays, str(words["server"])):
+                relay.close()
         elif fault.what == "server_start":
             await self.servers[str(words["server"])].start()
+            for relay in ways_to(self.relays, str(words["server"])):
+                await relay.start()
         elif fault.what == "server_work":
             self.servers[str(words["server"])].behaviour.work_s = float(words["work_s"])
         elif fault.what in ("cut_servers", "heal_servers"):
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -332,6 +332,9 @@
         if self.holder.granted(now, home, grant):
             self._answered[home] = now
         for server in grant.doubted:
+            if self.doubts.get(server, 0) <= now:
+                why = f"{address} hears that several find it out"
+                self.members.events.append(Event(server, "doubted", why))
             self.doubts[server] = now + DOUBT_FOR
         for server in grant.back:
             self.backs[server] = now + DOUBT_FOR // 4
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -81,6 +81,32 @@
     assert made.told["b"]["refused"]["replay"] > 0
 
 
+def test_one_with_a_broken_way_to_all_servers_takes_none_from_the_others() -> None:
+    """b reaches no server any more and says so; then s-0 is gone for everybody."""
+    names = ("a", "b", "c")
+    day = small(
+        seconds=16.0,
+        instances=names,
+        servers=3,
+        places=6,
+        callers=dict.fromkeys(names, 6),
+        faults=(
+            Fault(4.5, "cut_servers", {"instance": "b"}),
+            Fault(6.5, "server_kill", {"server": "s-0"}),
+        ),
+    )
+    made = play(day, 1)
+    assert made.over == 0 and made.twice == 0, report.summary(made)
+    heard = []
+    for name in ("a", "c"):
+        told = [(e["what"], e["name"]) for e in made.told[name]["events"]]
+        heard += told
+        assert {server for what, server in told if what == "doubted"} <= {"cork/s-0"}
+        late = [r for r in made.meter.rows if r.instance == name and r.ended > made.began + 9]
+        assert sum(r.end == End.SERVED for r in late) > 5
+    assert ("turn", "cork/s-0") in heard  # found out, and whose try it is
+
+
 def test_a_worker_without_its_fleet_keeps_to_what_nobody_else_may_use() -> None:
     made = stopped_part("")
     assert made.over == 0 and made.excess <= len(made.day.instances), report.summary(made)
