What a server may still be at keeps its place until its longest deadline

Seen: with stand-in servers that go on with what they have begun when its connection breaks, as servers do, two instances before one server of two places had up to 6 requests at work there: 35 requests found both places taken while connections broke, 12 with a slow server, 8 with a cut that healed. At fault: Balancer.on_outcome freed the place of what timed out, was reset or cancelled at once, and Sharing reported it as free. Change: where places are limited over instances (off in the platform's node) it stays taken until the request's deadline, here and in what is claimed. The stand-ins hold a place for the whole of the work, and no longer than nine tenths of the deadline.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -108,13 +108,15 @@
 
 NEVER_RAN = (3, 5, 8)
 OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET = 1, 2, 3, 4, 5, 6
+MAY_WORK = (4, 6, 7)  # timed out, reset, cancelled: no answer, and nothing says that it ended
 
 
 class Backend:
     __slots__ = (
         "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errs", "fulls",
-        "held", "id", "index", "kind", "lat", "listed", "local", "offset", "rating", "rest_until",
-        "seen", "since", "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
+        "held", "id", "index", "kind", "lat", "lingering", "listed", "local", "offset", "rating",
+        "rest_until", "seen", "since", "state", "stalled", "takers", "trial", "zone", "down_until",
+        "strikes",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
@@ -128,6 +130,7 @@
         self.listed = row.state  # the list's word; a ban may go before it
         self.local = local
         self.held = 0
+        self.lingering: tuple[int, ...] = ()  # ends of what was given up and may be at work yet
         self.cap = 0
         self.deal = 0  # this node's place in the deal of this backend's slots
         self.offset = 0.0  # where this backend's level rounds up
@@ -525,9 +528,11 @@
 
     def settle(self, b: Backend) -> None:
         """Put a backend into the bucket of what it holds, or in none if not free."""
+        if b.lingering:
+            b.lingering = tuple(end for end in b.lingering if end > self.now)
         free = (
             b.state == State.READY
-            and b.held < (min(b.cap, 1) if b.trial else b.cap)
+            and b.held + len(b.lingering) < (min(b.cap, 1) if b.trial else b.cap)
             and not b.stalled
             and not b.down_until
             and b.rest_until <= self.now
@@ -918,6 +923,11 @@
         r.live -= 1
         if not a.started:
             self.free_slot(c, b)
+            if self.places is not None and outcome in MAY_WORK:
+                # Given up here it may go on there: its place is not another's to take yet.
+                until = a.sent + c.spec.deadline
+                b.lingering = (*b.lingering, until)
+                self.remind(until, b)
         self.outcomes += 1
         if outcome in (FULL, TIMEOUT):
             self.strained_until = now + STRAIN
--- a/flinthatch/parts.py
+++ b/flinthatch/parts.py
@@ -81,6 +81,11 @@
     return True
 
 
+def at_work(balancer: Balancer) -> dict[int, int]:
+    """Places taken at each server: what is out, and what was given up and may be at work yet."""
+    return {b.id: b.held + len(b.lingering) for b in balancer.backends.values()}
+
+
 def left_alone(balancer: Balancer) -> set[int]:
     """Servers that this module leaves alone now."""
     return {b.id for b in balancer.backends.values() if b.down_until}
--- a/standins/fleet/inject/sitecustomize.py
+++ b/standins/fleet/inject/sitecustomize.py
@@ -108,11 +108,17 @@
         module.share = endless
 
 
+def module(module: Any) -> None:
+    if "given-up" in WITHOUT:
+        module.MAY_WORK = ()
+
+
 PATCHES = {
     "tansywood.service.endpoint": endpoint,
     "tansywood.store.files": files,
     "tansywood.fleet.parts": parts,
     "tansywood.tenancy.limits": limits,
+    "flinthatch.balancer": module,
     "flinthatch.parts": module_parts,
 }
 
--- a/standins/fleet/network.py
+++ b/standins/fleet/network.py
@@ -180,6 +180,7 @@
         self.delay_s = 0.0
         self.halves: set[_Half] = set()
         self.dialled = 0
+        self._cut_at = 0.0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -207,8 +208,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def set_cut(self, cut: bool) -> None:
+    def set_cut(self, cut: bool, longest_s: float) -> None:
+        """Cut it, or heal it. What was under way for more than `longest_s` by then is lost with
+        its connection: who sent it has given up and sends none of it again."""
+        now = asyncio.get_running_loop().time()
+        if self.cut and not cut and now - self._cut_at > longest_s:
+            self.reset()
         self.cut = cut
+        self._cut_at = now
         for half in self.halves:
             if half.transport is not None:
                 (half.transport.pause_reading if cut else half.transport.resume_reading)()
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -32,6 +32,7 @@
 
 TENANT = "cork"
 AIM_PART = 0.5  # of the deadline
+WORK_PART = 0.9  # of the longest deadline that a request's work takes at most
 STARVED_S = 5.0  # within which an instance that is up and asked serves somebody
 BACK_PART = 0.9  # of the whole rate that is dealt again once all has settled
 TURNED_AWAY = 429
@@ -126,7 +127,7 @@
             self.network.all(**{link: value})
         for n in range(day.servers):
             name = f"s-{n}"
-            behaviour = Behaviour(work_s=day.work_s)
+            behaviour = Behaviour(work_s=day.work_s, most_s=WORK_PART * day.deadline_ms / 1000)
             server = PlacedServer(
                 name, self.books, Random(self.rng.random()), day.places, behaviour
             )
@@ -281,7 +282,7 @@
             if fault.what == "cut_servers":
                 self.break_up(name)
             for relay in reach(self.relays, name):
-                relay.set_cut(fault.what == "cut_servers")
+                relay.set_cut(fault.what == "cut_servers", self.day.deadline_ms / 1000)
             if fault.what == "heal_servers":
                 self.up_since[name] = self.now()
         elif fault.what == "load":
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -59,6 +59,7 @@
     reply_script: deque[Reply] = field(default_factory=deque)
     work_s: float = 0.002  # mean time of a request's work, drawn exponentially
     late_s: float = 0.3
+    most_s: float = float("inf")  # that a request's work takes
 
     def greeting(self, rng: Random) -> Greeting:
         if self.greeting_script:
@@ -123,6 +124,7 @@
             return
         reply = server.behaviour.reply(server.rng)
         work = server.rng.expovariate(1 / server.behaviour.work_s)
+        work = min(work, server.behaviour.most_s)
         if reply == Reply.FULL:
             self.write(answer(b"", "503 Service Unavailable", NEVER_RAN))
         elif reply == Reply.RESET_UNRUN:
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -207,7 +207,7 @@
         need = int(w.peak * HEADROOM) + 2 if busy else 0
         if node.open >= node.config.max_open:
             need += max(node.open, 2)  # more are turned away, nobody knows how many
-        held = {b.id: b.held for b in balancer.backends.values()}
+        held = module.at_work(balancer)
         ready = max(sum(1 for b in balancer.backends.values() if b.state == 1), 1)
         waiting = balancer.waiting + balancer.waiting_over
         each = -(-int(HEADROOM * (balancer.running + waiting)) // ready) + 1 if busy else 0
--- a/tests/fleet/test_limits_lent.py
+++ b/tests/fleet/test_limits_lent.py
@@ -38,6 +38,25 @@
     assert len(host.sent) == 3
 
 
+def test_what_was_given_up_keeps_its_place_until_its_longest_deadline() -> None:
+    b, host = balancer([1])
+    parts.share(b, 0, {1: 1})
+    for n in range(3):
+        b.on_request(0, n, 0, 9 * SECOND)
+    assert host.sent == [(0, 1)]
+    b.on_outcome(SECOND, 0, 0, 4, SECOND, True)  # timed out: the server may be at it yet
+    assert len(host.sent) == 1 and parts.at_work(b) == {1: 1}
+    b.on_request(8 * SECOND, 7, 0, 9 * SECOND)
+    assert len(host.sent) == 1
+    b.on_timer(9 * SECOND, 1)
+    assert len(host.sent) == 2  # its deadline is over, and so is its work
+    other, sends = balancer([1])
+    for n in range(9):
+        other.on_request(0, n, 0, 9 * SECOND)
+    other.on_outcome(SECOND, 0, 0, 4, SECOND, True)
+    assert len(sends.sent) == 5  # where no places are limited nothing is held back
+
+
 def test_over_parts_are_not_used_by_what_waits_already() -> None:
     b, host = balancer()
     parts.share(b, 0, {1: 1, 2: 1}, until=100, after={1: 1})
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -120,6 +120,24 @@
     assert made.over > 0
 
 
+def resets(without: str) -> Outcome:
+    """Connections to a slow server break over and over; it goes on with what it has begun."""
+    faults = tuple(
+        Fault(3.5 + 0.5 * n, "reset_servers", {"instance": name}) for n in range(5) for name in "ab"
+    )
+    return play(small(seconds=6.5, work_s=0.5, faults=faults, without=without), 1)
+
+
+def test_what_a_server_may_still_be_at_keeps_its_place_through_resets() -> None:
+    made = resets("")
+    assert made.over == 0 and made.twice == 0, report.summary(made)
+    assert sum(ends[End.SERVED] for ends in made.ends.values()) > 0
+
+
+def test_without_the_place_of_what_was_given_up_a_server_gets_too_many() -> None:
+    assert resets("given-up").over > 0
+
+
 def test_without_a_fleet_every_instance_takes_the_whole() -> None:
     made = play(small(seconds=3.0, fleet=False), 1)
     assert made.over > 0  # two places, and each instance thinks that both are its own
