--- a/standins/fleet/leases.py
+++ b/standins/fleet/leases.py
@@ -308,6 +308,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def line(self, station: Station, name: str) -> tuple[Any, Any, dict[str, Any]]:
+        """Hold a lease at an instance: both ends of the line and its first word."""
+        reader, writer = await asyncio.open_unix_connection(station.socket)
+        writer.write(frame({"lease": name}))
+        return reader, writer, await asyncio.wait_for(read_frame(reader), 20)
+
     async def _acts(self, station: Station, name: str) -> None:
         rng = Random(self.rng.random())
         while not self.ending:
--- a/tansywood/lease/parcels.py
+++ b/tansywood/lease/parcels.py
@@ -29,7 +29,7 @@
 
     term: Count
     leader: Id = ""
-    founded: bool = False
+    learns: bool = False  # it is in no group's voters that it knows of
 
 
 class Behind(Struct, array_like=True, frozen=True, tag="behind"):
--- a/tansywood/lease/raft.py
+++ b/tansywood/lease/raft.py
@@ -166,12 +166,13 @@
 
     def tick(self, now: int) -> None:
         """Whatever is due by now."""
+        if self.role == LEADER:
+            # Not only when a heartbeat is due: rounds that others ask for put that off for ever.
+            self._check_quorum(now)
         if now < self.due:
             return
         if self.role == LEADER:
-            self._check_quorum(now)
-            if self.role == LEADER:
-                self.beat(now)
+            self.beat(now)
             return
         self.campaign(now)
 
--- a/tansywood/lease/side.py
+++ b/tansywood/lease/side.py
@@ -77,9 +77,7 @@
     id: str
     at: int
     group: str
-    leader: str
-    term: int
-    founded: bool
+    learns: bool
 
 
 class Side:
@@ -107,7 +105,7 @@
         self.holder = Holder(holder_id(name, life), terms)
         self.voter: Voter | None = None
         self.down = ""  # why there is no voter, where there should be one
-        self.behind = 0  # saves that others know of, where they are more than ours
+        self.aside = ""  # why our disk is to be put aside for a blank one
         self.peers: dict[str, Peer] = {}
         self.names: set[str] = set()  # tasks that somebody here would do
         self.everybodys: set[str] = set()  # of them, those that every instance would do
@@ -145,7 +143,7 @@
         """With what lies on its disk."""
         self.voter = Voter(kept, self.terms, self.timing, self.rng, now)
         self.down = ""
-        self.behind = 0
+        self.aside = ""
         self._next_here = now
         self.say(now, f"votes as {kept.id}, {kept.saves} saves, term {kept.saved.term}")
 
@@ -165,7 +163,7 @@
             return "its disk is being written: try again"
         if voter.group:
             return f"its disk belongs to group {voter.group} already"
-        heard = [h for h in self._heard.values() if h.founded]
+        heard = [h for h in self._heard.values() if h.group]
         if heard:
             return f"{heard[0].id} is in group {heard[0].group} already: it takes this one in"
         kept = Kept(voter.id, group, voter.kept.saves, Saved(), voter.known)
@@ -338,18 +336,20 @@
             return False
         if parcel.group == voter.group:
             return True
-        if (
-            not voter.group
-            and isinstance(message, Append | Install)
-            and name_of(parcel.sender) in self.wanted_voters
-        ):
-            voter.group = parcel.group  # a blank disk is taken in by whoever teaches it first
-            return True
+        teaches = isinstance(message, Append | Install)
+        if teaches and name_of(parcel.sender) in self.wanted_voters:
+            if not voter.group:
+                voter.group = parcel.group  # a blank disk is taken in by who teaches it first
+                return True
+            if voter.id not in voter.raft.voters:
+                # What it learned was of a group that did not come to take it in. As another disk
+                # it may learn of this one; for the first it is lost, which it has to outlast.
+                self.aside = f"it learned of group {voter.group}, {parcel.group} takes it in"
         self.counts["foreign"] += 1
         return False
 
     def _here(self, now: int, name: str, sender: str, group: str, here: Here) -> None:
-        self._heard[name] = _Heard(sender, now, group, here.leader, here.term, here.founded)
+        self._heard[name] = _Heard(sender, now, group, here.learns)
 
     def _take(
         self, now: int, name: str, life: bytes, sender: str, to: str, message: Message | Said
@@ -379,7 +379,8 @@
                 self.waiting.heard(now, message.holder, others)
         elif isinstance(message, Behind):
             if to == voter.id and message.saves > voter.kept.saves:
-                self.behind = message.saves
+                saves = voter.kept.saves
+                self.aside = f"its disk has {saves} saves, others know of {message.saves}"
         elif isinstance(message, Question):
             rows = voter.keeper.table.leases
             told = tuple((n, le.holder, le.token) for n, le in sorted(rows.items()))
@@ -513,7 +514,7 @@
         there = {
             name: heard.id
             for name, heard in self._heard.items()
-            if now - heard.at <= HERE_FOR and heard.group in ("", voter.group)
+            if now - heard.at <= HERE_FOR and (heard.learns or heard.group == voter.group)
         }
         there[self.name] = voter.id
         lately = set(voter.lately(now))
@@ -557,7 +558,7 @@
             if now >= self._next_here:
                 self._next_here = now + HERE_EVERY
                 raft = voter.raft
-                here = Here(raft.term, raft.leader, bool(voter.group))
+                here = Here(raft.term, raft.leader, voter.id not in raft.voters)
                 for name in self.wanted_voters:
                     if name != self.name:
                         self._send(now, name, here)
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -154,12 +154,11 @@
         self.side.flush(self.clock.now())
         self.flush()
 
-    async def begin_anew(self, known: int) -> None:
-        """Others know of more than our disk holds: it is put aside, and we are another voter."""
+    async def begin_anew(self, why: str) -> None:
+        """Our disk is put aside, and we are another voter."""
         store, voter = self.store, self.side.voter
         assert store is not None and voter is not None
-        told = f"its disk has {voter.kept.saves} saves, others know of {known}: put aside"
-        self.side.stop_voter(self.clock.now(), told)
+        self.side.stop_voter(self.clock.now(), f"{why}: put aside")
         self.store = None
         with contextlib.suppress(OSError, StoreError):
             await store.close()
@@ -205,9 +204,9 @@
                 task.cancel()
         voter = side.voter
         if voter is not None and self.store is not None:
-            if side.behind:
-                known, side.behind = side.behind, 0
-                self.spawn(self.begin_anew(known))
+            if side.aside:
+                why, side.aside = side.aside, ""
+                self.spawn(self.begin_anew(why))
             elif (batch := voter.next_write()) is not None:
                 self.spawn(self.write(batch))
         sends, side.sends = side.sends, []
--- a/tansywood/service/leasetool.py
+++ b/tansywood/service/leasetool.py
@@ -112,6 +112,14 @@
     return 0
 
 
+class Told(BaseException):
+    """A signal that ends us, and the command with us."""
+
+    def __init__(self, number: int) -> None:
+        super().__init__(number)
+        self.number = number
+
+
 class Line:
     """A lease that the fleet's process holds for us, for as long as we stay on the line."""
 
@@ -159,26 +167,39 @@
         print("tansywood lease run: write the command behind --", file=sys.stderr)
         return 2
     line = Line(path, name)
+
+    def told(number: int, _frame: object) -> None:
+        raise Told(number)
+
+    before = {n: signal.signal(n, told) for n in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
     try:
         if not line.wait(wait_s):
             print(f"tansywood lease: {name}: not ours within {wait_s:g} s", file=sys.stderr)
             return LOST
         environ = os.environ | {TOKEN: str(line.token)}
         with subprocess.Popen(command, env=environ, start_new_session=True) as process:
-            while process.poll() is None:
-                if line.lost():
-                    print(f"tansywood lease: {name}: lost; the command is ended", file=sys.stderr)
-                    end(process)
-                    return LOST
-                with contextlib.suppress(subprocess.TimeoutExpired):
-                    process.wait(0.02)
-            return process.returncode
+            try:
+                while process.poll() is None:
+                    if line.lost():
+                        print(f"tansywood lease: {name}: lost; the command ends", file=sys.stderr)
+                        return LOST
+                    with contextlib.suppress(subprocess.TimeoutExpired):
+                        process.wait(0.02)
+                return process.returncode
+            finally:
+                end(process)  # nothing of it goes on without the lease
+    except Told as err:
+        return 128 + err.number
     finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
         line.close()
 
 
 def end(process: subprocess.Popen[bytes]) -> None:
-    """The command and all that it started."""
+    """The command and all that it started, unless it has ended."""
+    if process.poll() is not None:
+        return
     for number, patience in ((signal.SIGTERM, GRACE_S), (signal.SIGKILL, 5.0)):
         with contextlib.suppress(ProcessLookupError):
             os.killpg(process.pid, number)
--- a/tests/lease/test_raft.py
+++ b/tests/lease/test_raft.py
@@ -283,6 +283,19 @@
     assert c.kept[behind].snapshot.index > 0
 
 
+def test_a_leader_that_is_asked_all_the_time_sees_that_no_majority_answers() -> None:
+    c = Cluster(["v1", "v2", "v3"], 11)
+    c.run(2.0)
+    leader = c.leader
+    for name in [n for n in c.kept if n != leader.raft.name]:
+        del c.keepers[name]
+    for seq in range(1, 60):  # a round for each puts off the next heartbeat
+        leader.ask(c.now, "A", Ask("A", seq))
+        c.flush(leader.raft.name)
+        c.run(0.05)
+    assert leader.raft.role != LEADER
+
+
 def test_a_lease_handed_over_leaves_no_gap_for_another() -> None:
     c = Cluster(["v1", "v2", "v3"], 10)
     c.hold("A", "x")
