--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # Whole instances with faults between them: all standard days, some five minutes.
 fleet: setup
-	$(PY) -m standins.fleet calm jump short split lives servers
+	$(PY) -m standins.fleet calm jump short split lives servers homes
 
 # The node as deploy/balancer.toml builds it, then what tests and tools need beside it.
 setup: $(STAMP)
--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -85,6 +85,9 @@
     settle_s: float = 4.0  # after the last fault, by when parts are where they belong
     fleet: bool = True  # false: every instance takes the whole for its own
     deadline_ms: int = 2000
+    voters: tuple[str, ...] = ()  # instances that grant leases
+    lease_ms: int = 1000
+    hand_on: bool = False  # a home that is away hands its slice on, under a lease
 
 
 def load(path: str) -> Day:
@@ -105,7 +108,7 @@
     known = {
         "seconds", "instances", "homes", "servers", "places", "rate", "burst", "open", "work_s",
         "callers", "pause_s", "faults", "clocks", "link", "settle_s", "deadline_ms", "fleet",
-        "offsets", "without", "names", "strangers",
+        "offsets", "without", "names", "strangers", "voters", "lease_ms", "hand_on",
     }  # fmt: skip
     for key in raw:
         if key not in known:
@@ -136,6 +139,9 @@
             settle_s=float(raw.get("settle_s", 4.0)),
             deadline_ms=int(raw.get("deadline_ms", 2000)),
             fleet=bool(raw.get("fleet", True)),
+            voters=tuple(str(n) for n in raw.get("voters", ())),
+            lease_ms=int(raw.get("lease_ms", 1000)),
+            hand_on=bool(raw.get("hand_on", False)),
         )
     except KeyError as err:
         raise DayError(f"{file}: {err.args[0]}: is missing") from None
@@ -149,6 +155,7 @@
         (day.offsets, "offsets"),
         (day.names, "names"),
         (day.strangers, "strangers"),
+        (day.voters, "voters"),
     ):
         for name in table:
             if name not in names:
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -41,11 +41,12 @@
         workers: int = 1,
         without: str = "",
         called: str = "",
+        leases: str = "",
     ) -> None:
         """`port` is for datagrams, `first` are the homes'; `via` is the network's. `clock` is
         the rate of its monotonic clock and the seconds that its wall clock is ahead; `without`
         names defences that are taken out, see `inject`. `called` is what it calls itself in
-        its file, where that is not its name here."""
+        its file, where that is not its name here; `leases` are more lines of its section."""
         self.name = name
         self.folder = folder
         self.port = port
@@ -56,7 +57,7 @@
         rows = ", ".join(f'"127.0.0.1:{p}"' for p in first)
         section = (
             f'[fleet]\nname = "rig"\ninstance = "{called or name}"\naddress = "127.0.0.1:{port}"\n'
-            f'first = [{rows}]\nkey_file = "fleet.key"\n'
+            f'first = [{rows}]\nkey_file = "fleet.key"\n{leases}'
         )
         if fleet:
             path = folder / "fleet.key"
--- a/standins/fleet/leases.py
+++ b/standins/fleet/leases.py
@@ -130,6 +130,7 @@
     recovered_s: float = 0.0
     gaps: list[float] = field(default_factory=list)
     status: dict[str, Any] = field(default_factory=dict)
+    log: list[str] = field(default_factory=list)  # of a run with problems: who voted when
 
 
 class LeaseRig:
@@ -177,6 +178,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.ending = False
         self.made = Made()
+        # The processes end with us, however we do.
+        self.lifeline, self._held = os.pipe()
 
     # ---- processes -----------------------------------------------------------------------------
 
@@ -224,6 +227,7 @@
             "TANSYWOOD_RIG_DISK": str(station.disk),
             "TANSYWOOD_RIG_CLOCK": f"{station.clock},0",
             "TANSYWOOD_RIG_WITHOUT": self.without,
+            "TANSYWOOD_LIFELINE": str(self.lifeline),
         }
         with (station.folder / "log").open("ab") as log:
             station.process = subprocess.Popen(
@@ -235,6 +239,7 @@
                     f"--lease-ms={self.lease_ms}", f"--promises={station.promises}",
                 ],
                 cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=environ,
+                pass_fds=[self.lifeline],
             )  # fmt: skip
         station.lives += 1
         station.stopped = False
@@ -462,6 +467,11 @@
         finally:
             await self.close()
         self.judge()
+        if made.problems:
+            for station in self.stations.values():
+                for line in (station.folder / "log").read_text(errors="replace").splitlines():
+                    if "lease: " in line and "holds" not in line:
+                        made.log.append(f"{station.name}  {line}")
         return made
 
     async def recover(self, limit_s: float = 20.0) -> None:
@@ -493,6 +503,8 @@
             if station.feed is not None:
                 station.feed.close()
         self.network.close()
+        os.close(self._held)
+        os.close(self.lifeline)
         await asyncio.sleep(0)
 
 
@@ -528,6 +540,7 @@
         f"all acted on again {made.recovered_s:.2f} s after the last fault"
     )
     print("faults: " + ", ".join(f"{k} {n}" for k, n in sorted(made.faults.items())))
+    print("\n".join(made.log))
     print("\n".join(made.problems[:20]) or "no two holders, no older token after a newer")
     return 1 if made.problems else 0
 
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -35,6 +35,7 @@
 WORK_PART = 0.9  # of the longest deadline that a request's work takes at most
 STARVED_S = 5.0  # within which an instance that is up and asked serves somebody
 BACK_PART = 0.9  # of the whole rate that is dealt again once all has settled
+TOOL_S = 20.0
 TURNED_AWAY = 429
 PART_SIGNALS = {
     "kill_part": signal.SIGKILL,
@@ -135,6 +136,11 @@
             self.servers[name] = server
         ports = {name: free_port() for name in day.instances}
         first = [ports[name] for name in day.instances[: day.homes]]
+        leases = ""
+        if day.voters:
+            rows = ", ".join(f'"{name}"' for name in day.voters)
+            leases = f"voters = [{rows}]\nlease_ms = {day.lease_ms}\n"
+            leases += "hand_on = true\n" if day.hand_on else ""
         key, other = self.rng.randbytes(32).hex(), self.rng.randbytes(32).hex()
         for name in day.instances:
             self.network.know(name, ports[name])
@@ -153,11 +159,14 @@
                 day.fleet,
                 without=day.without,
                 called=day.names.get(name, ""),
+                leases=leases,
             )
         for link, value in day.link.items():
             self.network.all(**{link: value})
         later = {str(f.words["instance"]) for f in day.faults if f.what == "add"}
         await asyncio.gather(*(self.bring_up(n) for n in day.instances if n not in later))
+        if day.voters:
+            await asyncio.to_thread(self.tool, "lease", "found", self.instances[day.voters[0]])
 
     async def bring_up(self, name: str) -> None:
         one = self.instances[name]
@@ -326,18 +335,24 @@
         elif fault.what == "disk":
             one.fail_disk(str(fault.words["state"]))
         elif fault.what == "drain":
-            await asyncio.to_thread(self.drain, one)
+            await asyncio.to_thread(self.tool, "fleet", "drain", one)
 
     async def resumed(self, name: str) -> None:
         await asyncio.sleep(1.0)  # what was refused before may be counted after
         self.suspended.discard(name)
 
-    def drain(self, one: FleetInstance) -> None:
-        subprocess.run(
-            [sys.executable, "-B", "-m", "tansywood", "fleet", "drain",
-             str(one.folder / "service.toml")],
-            check=True, capture_output=True, timeout=20,
-        )  # fmt: skip
+    def tool(self, verb: str, what: str, one: FleetInstance) -> None:
+        """Until it is done: an instance that has just started may not be ready for it."""
+        file = str(one.folder / "service.toml")
+        row = [sys.executable, "-B", "-m", "tansywood", verb, what, file]
+        end = self.now() + TOOL_S
+        while True:
+            told = subprocess.run(row, capture_output=True, timeout=TOOL_S, text=True)
+            if not told.returncode:
+                return
+            if self.now() > end:
+                raise RuntimeError(f"{verb} {what} at {one.name}: {told.stderr}")
+            time.sleep(0.1)
 
     # ---- the day ---------------------------------------------------------------------------
 
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -63,7 +63,10 @@
         seed: int,
         terms: Terms | None = None,
         clocks: Mapping[str, float] | None = None,
+        hand_on: bool = False,
     ) -> None:
+        """`hand_on`: slices are dealt under leases, which `hand` moves at once: nothing passes
+        between the moment at which one may no longer deal and that at which the other may."""
         self.rng = Random(seed)
         self.terms = terms or Terms()
         self.tenants = dict(tenants)
@@ -77,6 +80,9 @@
         self.sent: Counter[str] = Counter()
         self.first = [f"10.0.0.{i + 1}:7946" for i in range(homes)]
         self.watch: Callable[[World], None] = lambda _world: None
+        self.dealer: dict[int, str] | None = None
+        if hand_on:
+            self.dealer = {n: names[n] for n in range(homes)}
         for i, name in enumerate(names):
             address = f"10.0.{i // 250}.{i % 250 + 1}:7946"
             rate = (clocks or {}).get(name, 1.0)
@@ -123,9 +129,24 @@
             now,
         )
         made.set_tenants(now, self.tenants)
+        if self.dealer is not None:
+            dealer = self.dealer
+            made.hand_on(lambda index: dealer[index] == name)
+            for index in [i for i, who in dealer.items() if who == name]:
+                made.deal_for(now, index)
         self._wake(name, made)
         self._work(name, made)
 
+    def hand(self, index: int, name: str) -> None:
+        """A home's slice is another's to deal from now on."""
+        assert self.dealer is not None
+        old, new = self.seats[self.dealer[index]], self.seats[name]
+        self.dealer[index] = name
+        if old.instance is not None and not old.paused:
+            old.instance.deal_no_more(index)
+        if new.instance is not None:
+            new.instance.deal_for(self.clock(new), index)
+
     def kill(self, name: str) -> None:
         """The process and its workers end: nothing of theirs is in use."""
         seat = self.seats[name]
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -54,6 +54,7 @@
 DOUBT_FOR = 2 * SECOND
 SWEEP = SECOND
 OVERLAP = SECOND  # both subsets are claimed for while one gives way to the other
+NEAR = 3  # instances that may have taken over a home's slice
 TOLD_PART = 0.2  # a tenant's rate that moves by less is no event
 
 
@@ -68,6 +69,11 @@
     used: dict[str, int] = field(default_factory=dict)
 
 
+def home_lease(index: int) -> str:
+    """The lease under which a home's slice is dealt, where slices are handed on."""
+    return f"home-{index}"
+
+
 def split(need: int, homes: Sequence[int], home: int, name: str, pot: str) -> int:
     """What of a need is asked of one home; the odd units of homes that differ by who asks."""
     if home not in homes:
@@ -110,7 +116,12 @@
         own = Rumour(name, address, life, born, 0, State.ALIVE, False, version, zone)
         self.members = Members(own, homes, rng, now, self._send)
         self.index = self.homes.index(address) if address in self.homes else -1
-        self.home = Home(terms, len(homes), self.index, now) if self.index >= 0 else None
+        self.deals: dict[int, Home] = {}  # the slices that we deal, by home
+        if self.index >= 0:
+            self.deals[self.index] = Home(terms, len(homes), self.index, now)
+        # Where slices are handed on, whether we may deal one now; asked before every grant.
+        self.may_deal: Callable[[int], bool] | None = None
+        self.dealers: dict[int, str] = {}  # who answered last for a home that is handed on
         self.holder = Holder(terms, len(homes))
         self.signals = Signals()
         self.tenants: dict[str, Limits] = {}
@@ -127,6 +138,7 @@
         self._resting: deque[str] = deque()
         self._left: dict[str, tuple[int, int]] = {}  # in use by dead workers' requests, until
         self._answered: dict[int, int] = {}  # when each home did last
+        self._turn = 0  # of members that are asked whether they deal
         self._known_rate: dict[str, int] = {}
         self._chosen: dict[str, tuple[object, list[str]]] = {}  # by what it was made of
         self._subsets: dict[str, tuple[list[str], list[str], int]] = {}
@@ -181,8 +193,9 @@
         elif isinstance(body, Grant):
             self._granted(now, address, body)
         elif isinstance(body, Return):
-            if self.home is not None:
-                self.home.give_back(now, life, body.seq)
+            home = self.deals.get(self.index if body.home < 0 else body.home)
+            if home is not None:
+                home.give_back(now, life, body.seq)
         elif isinstance(body, Carried):
             self.carried.append((envelope.sender, life, body.data))
         elif isinstance(body, Welcome):
@@ -206,15 +219,46 @@
                 pot: floor_of(slice_of(pot, whole, len(self.homes), self.index))
                 for pot, (whole, _) in pots.items()
             }
-        if self.home is not None:
+        for home in self.deals.values():
             for pot, (whole, tail) in pots.items():
-                self.home.set_whole(pot, whole, tail)
-            self.home.keep(pots, now)
+                home.set_whole(pot, whole, tail)
+            home.keep(pots, now)
         for tenant in [t for t in self.demands if t not in tenants]:
             del self.demands[tenant]
         self._resting = deque(sorted(tenants))
         self._soon(now)
 
+    def hand_on(self, may_deal: Callable[[int], bool]) -> None:
+        """Slices are dealt by whoever `may_deal` says may, and by nobody else from now on."""
+        self.may_deal = may_deal
+        self.deals.clear()
+
+    def deal_for(self, now: int, index: int) -> None:
+        """Deal a home's slice from now on, as a home does that has just started: whatever was
+        granted of it before is over first."""
+        home = Home(self.terms, len(self.homes), index, now)
+        for of_one in self.pots.values():
+            for pot, (whole, tail) in of_one.items():
+                home.set_whole(pot, whole, tail)
+        self.deals[index] = home
+        self.members.events.append(
+            Event(self.homes[index], "dealt", "its slice is dealt here from now on")
+        )
+        self._soon(now)
+
+    def deal_no_more(self, index: int) -> None:
+        """What is out ends by itself."""
+        if self.deals.pop(index, None) is not None:
+            self.members.events.append(
+                Event(self.homes[index], "dealt", "its slice is dealt here no more")
+            )
+
+    def _dealt_here(self, index: int) -> Home | None:
+        """The home whose slice we may deal now."""
+        if self.may_deal is not None and not self.may_deal(index):
+            return None
+        return self.deals.get(index)
+
     def report(
         self,
         now: int,
@@ -324,22 +368,30 @@
         }
 
     def _claimed(self, now: int, address: str, life: bytes, claim: Claim) -> None:
-        if self.home is None:
+        index = self.index if claim.home < 0 else claim.home
+        home = self._dealt_here(index)
+        if home is None:
             return
         self.signals.hear(now, life, claim.seen)
-        given = self.home.claim(now, life, claim)
+        given = home.claim(now, life, claim)
         tenants = {tenant_of(row.pot) for row in given}
         self.counts["grants"] += 1
         doubted = self.signals.doubted(now, tenants)
         back = self.signals.back(now, claim.seen)
-        self._put(address, life, Grant(claim.seq, given, doubted[:64], back))
+        self._put(address, life, Grant(claim.seq, given, doubted[:64], back, index))
 
     def _granted(self, now: int, address: str, grant: Grant) -> None:
-        if address not in self.homes:
+        if grant.home >= 0 and self.may_deal is not None:
+            home = grant.home
+        elif address in self.homes:
+            home = self.homes.index(address)
+        else:
+            return
+        if home >= len(self.homes):
             return
-        home = self.homes.index(address)
         if self.holder.granted(now, home, grant):
             self._answered[home] = now
+            self.dealers[home] = address
         for server in grant.doubted:
             if self.doubts.get(server, 0) <= now:
                 why = f"{address} hears that several find it out"
@@ -422,26 +474,44 @@
             while seen and len(some) < 64 and size < ROWS_BYTES:
                 some.append(seen.pop())
                 size += len(some[-1].server) + ROW
-            for home, address in enumerate(self.homes):
+            for home in range(len(self.homes)):
                 wants = {pot: split(need, asked, home, self.name, pot) for pot, need in row.items()}
-                self._claim(now, home, address, wants, some)
-
-    def _claim(
-        self, now: int, home: int, address: str, row: dict[str, int], seen: list[Seen]
-    ) -> None:
-        if address == self.address:
-            assert self.home is not None
-            claim = self.holder.claim(now, home, row, seen)
-            self.signals.hear(now, self.life, seen)
-            given = self.home.claim(now, self.life, claim)
-            doubted = self.signals.doubted(now, {tenant_of(pot) for pot in row})
-            back = self.signals.back(now, seen)
-            self._granted(now, address, Grant(claim.seq, given, doubted[:64], back))
-        elif address in self.lives or address in self.members.lives:
-            self.counts["claims"] += 1
-            self._send(address, self.holder.claim(now, home, row, seen))
-        else:
-            self._send(address, Hello())
+                self._claim(now, home, wants, some)
+
+    def _dealers(self, now: int, index: int) -> list[str]:
+        """Whom to ask for a home's slice: the home, unless slices are handed on and another
+        answers for it. Where nobody does, whoever may have taken it over."""
+        if self.may_deal is None:
+            return [self.homes[index]]
+        if now - self._answered.get(index, -self.terms.length) < self.terms.length:
+            return [self.dealers[index]]
+        # The first few for its lease, as they ask for it; and all others in turn, for whoever has
+        # another view of the members may hold it.
+        rows = self.members.rows
+        ranked = turns.order(home_lease(index), self.members.working())
+        self._turn += 1
+        some = [*ranked[:NEAR], ranked[self._turn % len(ranked)]] if ranked else []
+        return list(dict.fromkeys([self.homes[index], *(rows[n].rumour.address for n in some)]))
+
+    def _claim(self, now: int, home: int, row: dict[str, int], seen: list[Seen]) -> None:
+        claim: Claim | None = None
+        for address in self._dealers(now, home):
+            if address == self.address:
+                ours = self._dealt_here(home)
+                if ours is None:
+                    continue
+                claim = claim or self.holder.claim(now, home, row, seen)
+                self.signals.hear(now, self.life, seen)
+                given = ours.claim(now, self.life, claim)
+                doubted = self.signals.doubted(now, {tenant_of(pot) for pot in row})
+                back = self.signals.back(now, seen)
+                self._granted(now, address, Grant(claim.seq, given, doubted[:64], back, home))
+            elif address in self.lives or address in self.members.lives:
+                self.counts["claims"] += 1
+                claim = claim or self.holder.claim(now, home, row, seen)
+                self._send(address, claim)
+            else:
+                self._send(address, Hello())
 
     # ---- time --------------------------------------------------------------------------------
 
@@ -505,7 +575,8 @@
             if address == self.address or left or self.demands:
                 continue
             for _ in range(2):  # nobody is there to send it again
-                self._send(address, Return(self.holder.seqs[home]))
+                to = self.dealers.get(home, address) if self.may_deal else address
+                self._send(to, Return(self.holder.seqs[home], home))
                 self.holder.seqs[home] += 1
         self.members.leave(now)
         self._collect(now)
@@ -550,6 +621,7 @@
             "name": self.name,
             "address": self.address,
             "homes": list(self.homes),
+            "deals": [self.homes[i] for i in sorted(self.deals) if self._dealt_here(i)],
             "conflict": self.members.conflict,
             "members": members,
             "shares": shares,
--- a/tansywood/fleet/messages.py
+++ b/tansywood/fleet/messages.py
@@ -15,6 +15,7 @@
 Place = Annotated[str, Meta(max_length=21)]  # IPv4:port
 Key = Annotated[str, Meta(min_length=1, max_length=200)]
 Count = Annotated[int, Meta(ge=0, le=1 << 62)]
+Home = Annotated[int, Meta(ge=-1, le=63)]
 LIFE = 16  # bytes
 Life = Annotated[bytes, Meta(min_length=LIFE, max_length=LIFE)]
 
@@ -101,6 +102,7 @@
     seq: Count
     wants: Annotated[list[Want], Meta(max_length=64)]
     seen: Annotated[list[Seen], Meta(max_length=64)] = []
+    home: Home = -1  # whose slice is asked for; -1: of the one that is asked
 
 
 class Given(Struct, array_like=True, frozen=True):
@@ -113,12 +115,14 @@
     given: Annotated[list[Given], Meta(max_length=64)]
     doubted: Annotated[list[Key], Meta(max_length=64)] = []
     back: Annotated[list[Key], Meta(max_length=64)] = []  # that the claim called out, and answer
+    home: Home = -1  # whose slice this is of; -1: the answerer's
 
 
 class Return(Struct, array_like=True, frozen=True, tag="r"):
     """I hold nothing of you any more: what drains says this at its end."""
 
     seq: Count
+    home: Home = -1
 
 
 class Carried(Struct, array_like=True, frozen=True, tag="x"):
--- a/tansywood/fleet/parts.py
+++ b/tansywood/fleet/parts.py
@@ -255,7 +255,7 @@
         for pot, need in needs.items():
             held = self._held.get(pot)
             wants.append(Want(pot, need, held[home].applied if held is not None else 0))
-        return Claim(seq, wants, seen or [])
+        return Claim(seq, wants, seen or [], home)
 
     def granted(self, now: int, home: int, grant: Grant) -> bool:
         """Take an answer; False where it is nothing to go by any more: over, or overtaken."""
--- a/tansywood/fleet/seal.py
+++ b/tansywood/fleet/seal.py
@@ -158,6 +158,8 @@
         return life, body
 
 
-def bound_to(fleet: str, homes: Sequence[str]) -> bytes:
-    """What binds a datagram to a fleet: its name and its first addresses, in order."""
-    return hashlib.sha256("\n".join([fleet, *homes]).encode()).digest()
+def bound_to(fleet: str, homes: Sequence[str], hand_on: bool = False) -> bytes:
+    """What binds a datagram to a fleet: its name, its first addresses in order, and whether a
+    slice may be dealt by another than its home. Who disagrees on these must not be dealt to."""
+    rows = [fleet, *homes, *(["hand on"] if hand_on else [])]
+    return hashlib.sha256("\n".join(rows).encode()).digest()
--- a/tansywood/fleet/settings.py
+++ b/tansywood/fleet/settings.py
@@ -12,6 +12,7 @@
 
 LEASE_MS = 4000
 LEAST_LEASE_MS = 400  # renewed every quarter of it
+LEAST_HAND_ON_MS = 3000
 MOST_HOMES = 9  # every instance claims from each: more homes, more datagrams
 
 SCHEMA: dict[str, Any] = {
@@ -50,6 +51,11 @@
             "maximum": 60_000,
             "description": "how long a lease lasts: the same at every instance; 4000",
         },
+        "hand_on": {
+            "type": "boolean",
+            "description": "a slice is dealt under a lease, by another while its home is away; "
+            "needs voters, the same at every instance; false",
+        },
     },
 }
 
@@ -64,6 +70,7 @@
     zone: str = ""
     voters: tuple[str, ...] = ()  # none: no leases
     lease_ms: int = LEASE_MS
+    hand_on: bool = False  # a home that is away hands its slice on
 
     @property
     def index(self) -> int:
@@ -82,6 +89,7 @@
         raw.get("zone", ""),
         tuple(raw.get("voters", ())),
         raw.get("lease_ms", LEASE_MS),
+        raw.get("hand_on", False),
     )
 
 
@@ -95,6 +103,11 @@
                 "/fleet/voters", f"{len(voters)} voters outlast no more than one fewer", "1, 3, 5"
             )
         )
+    if raw.get("hand_on") and not voters:
+        found.append(Fault("/fleet/hand_on", "needs leases", "name `voters`, or leave it out"))
+    if raw.get("hand_on") and raw.get("lease_ms", LEASE_MS) < LEAST_HAND_ON_MS:
+        what = "is over before other voters have elected one of theirs: slices would rest with it"
+        found.append(Fault("/fleet/lease_ms", what, f"{LEAST_HAND_ON_MS} or more with hand_on"))
     rows = [("/fleet/address", raw.get("address"))]
     first = raw.get("first")
     if isinstance(first, list):
--- a/tansywood/lease/keeper.py
+++ b/tansywood/lease/keeper.py
@@ -98,6 +98,7 @@
         self._asked: dict[str, int] = {}  # the latest of each holder, in this term
         # By holder: the first answer that it has not shown to have heard, and when it was given.
         self._unheard: dict[str, tuple[int, int]] = {}
+        self._deaf: tuple[str, ...] = ()  # as of the last tick
 
     # ---- from outside --------------------------------------------------------------------------
 
@@ -182,8 +183,7 @@
         self._unheard.setdefault(holder, (w.ask.seq, now))
         self._extend(now, holder)
         leases = tuple((name, self.table.leases[name].token) for name in names)
-        deaf = tuple(h for h in self._unheard if self.deaf(now, h))[:DEAF_MOST]
-        self.answers.append((w.sender, Told(w.ask.seq, True, leases, "", deaf)))
+        self.answers.append((w.sender, Told(w.ask.seq, True, leases, "", self._deaf)))
 
     def _extend(self, now: int, holder: str) -> None:
         self.ends[holder] = max(self.ends.get(holder, 0), now + self.terms.length)
@@ -208,6 +208,7 @@
             for holder in self.ends:
                 self._extend(now, holder)
         self._ticked = now
+        self._deaf = tuple(h for h in self._unheard if self.deaf(now, h))[:DEAF_MOST]
         self.raft.tick(now)
         self.after(now)
         if not self.raft.settled:
--- a/tansywood/lease/side.py
+++ b/tansywood/lease/side.py
@@ -109,6 +109,7 @@
         self.peers: dict[str, Peer] = {}
         self.names: set[str] = set()  # tasks that somebody here would do
         self.everybodys: set[str] = set()  # of them, those that every instance would do
+        self.prefers: dict[str, str] = {}  # the address at which a lease belongs, if it is there
         self.ranking = Ranking()
         self.draining = False
         self.leader = ""  # the voter that answered last
@@ -249,6 +250,9 @@
         if self.everybodys:
             self.ranking.update(self.everybodys, [p.name for p in self.peers.values() if p.works])
             ours |= self.ranking.near(self.name)
+            here = self._address(self.name)
+            if not self.draining:
+                ours |= {n for n in self.everybodys if self.prefers.get(n, "") == here != ""}
         # What is held stays wanted until it is handed over, so that nobody has a gap.
         self.holder.want = ours | set(self.holder.leases)
         self._soon(now)
@@ -481,24 +485,39 @@
         if to and (peer is None or not peer.works):
             return f"{to} is no member that works"
         self.holder.give(name, holder_id(to, peer.life) if peer is not None else "")
+        self.holder.lost.append(name)  # whoever acts on it here has to end
         self.got.pop(name, None)
         self.say(now, f"hands {name} over to {to or 'whoever asked'}")
         self._soon(now)
         return ""
 
+    def _misplaced(self, names: list[str], members: list[str]) -> dict[str, str]:
+        """Of these, what belongs to another of the members, and to whom."""
+        at = {self._address(member): member for member in members}
+        found = misplaced(names, members, self.name)
+        for name in names:
+            first = at.get(self.prefers.get(name, ""))
+            if first == self.name:
+                found.pop(name, None)
+            elif first is not None:
+                found[name] = first
+        return found
+
     def _spread(self, now: int) -> None:
-        """Hand on what another is the first for: all of it at once when draining, one at a time
-        otherwise, and only to who has been there for a while."""
+        """Hand on what another is the first for: all of it at once when draining, an eighth at a
+        time otherwise, and only to who has been there for a while."""
         mine = [n for n in self.holder.leases if n in self.everybodys]
         if self.draining:
             others = [n for n in self._settled(now) if n != self.name]
-            for name, to in misplaced(list(self.holder.leases), others, self.name).items():
+            for name, to in self._misplaced(list(self.holder.leases), others).items():
                 self.hand_over(now, name, to)
             self._choose(now)
         elif now >= self._next_move:
             self._next_move = now + MOVE
-            for name, to in sorted(misplaced(mine, self._settled(now), self.name).items())[:1]:
+            rows = sorted(self._misplaced(mine, self._settled(now)).items())
+            for name, to in rows[: -(-len(rows) // 8)]:
                 self.hand_over(now, name, to)
+            if rows:
                 self._choose(now)
 
     # ---- who votes -----------------------------------------------------------------------------
@@ -588,7 +607,7 @@
     def leave(self, now: int) -> None:
         """At an orderly end: everything is given back now, to who is the first for it."""
         others = [n for n in self._settled(now) if n != self.name]
-        for name, to in misplaced(list(self.holder.leases), others, self.name).items():
+        for name, to in self._misplaced(list(self.holder.leases), others).items():
             self.hand_over(now, name, to)
         for name in list(self.holder.leases):
             self.hand_over(now, name)
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -17,7 +17,7 @@
 from random import Random
 from typing import Any
 
-from tansywood.fleet.instance import Demand, Instance
+from tansywood.fleet.instance import Demand, Instance, home_lease
 from tansywood.fleet.messages import MessageError, pack, unpack
 from tansywood.fleet.parts import open_pot, place_pot, rate_pot
 from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
@@ -28,7 +28,7 @@
 from tansywood.service import part
 from tansywood.service.endpoint import Clock, Endpoint
 from tansywood.service.follow import Follower
-from tansywood.service.leases import Leases
+from tansywood.service.leases import LeaseLost, Leases
 from tansywood.service.wire import WireError, frame, read_frame
 from tansywood.tenancy.settings import read
 from windrelay.config import parse_address
@@ -58,7 +58,7 @@
         self.clock = clock
         life = os.urandom(16)
         self.keys_seen = 0
-        self.bound = bound_to(settings.name, settings.first)
+        self.bound = bound_to(settings.name, settings.first, settings.hand_on)
         self.seal = Seal(self.read_keys(), self.bound, life)
         self.instance = Instance(
             settings.instance,
@@ -75,6 +75,8 @@
         self.leases: Leases | None = None
         if settings.voters:
             self.leases = Leases(loop, clock, settings, life, promises, self.carry, self.log)
+        if settings.hand_on and self.leases is not None:
+            self.instance.hand_on(self.may_deal)
         self.refused = dict.fromkeys((*WHYS, "message"), 0)
         self.too_long = 0
         self.follower = Follower(place.feed, "fleet", self.changed)
@@ -158,6 +160,26 @@
         """What the lease side says, on its way with the rest."""
         self.instance.carry(self.clock.now(), address, data)
 
+    # ---- slices under leases -----------------------------------------------------------
+
+    def may_deal(self, index: int) -> bool:
+        assert self.leases is not None
+        return self.leases.side.may(self.clock.now(), home_lease(index)) != 0
+
+    async def deal(self, leases: Leases, index: int) -> None:
+        """Deal a home's slice whenever that is ours to do. Cut off half way it ends with the
+        lease: what is granted by then is over before whoever follows grants anything."""
+        name = home_lease(index)
+        leases.side.prefers[name] = self.settings.first[index]
+        while True:
+            with contextlib.suppress(LeaseLost):
+                async with leases.lease(name, everybody=True):
+                    self.instance.deal_for(self.clock.now(), index)
+                    try:
+                        await asyncio.Event().wait()
+                    finally:
+                        self.instance.deal_no_more(index)
+
     def flush(self) -> None:
         """Send what is to be sent, tell workers what is new, print what happened."""
         sends, self.instance.sends = self.instance.sends, []
@@ -305,6 +327,11 @@
         self.know_tenants()
         if self.leases is not None:
             self.leases.start()
+            if self.settings.hand_on:
+                for index in range(len(self.settings.first)):
+                    task = self.loop.create_task(self.deal(self.leases, index))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
         self.tick()
         part.ready()
 
@@ -341,6 +368,7 @@
     parser.add_argument("--voter", action="append", default=[])
     parser.add_argument("--lease-ms", type=int, default=LEASE_MS)
     parser.add_argument("--promises", default="")
+    parser.add_argument("--hand-on", action="store_true")
     options = parser.parse_args()
     settings = FleetSettings(
         options.name,
@@ -351,6 +379,7 @@
         options.zone,
         tuple(options.voter),
         options.lease_ms,
+        options.hand_on,
     )
 
     async def run(loop: asyncio.AbstractEventLoop) -> int:
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -213,7 +213,7 @@
         for address, parcel in sends:
             self.carry(address, msgspec.msgpack.encode(parcel))
         for text in side.fresh_events:
-            self.log(f"lease: {text}")
+            self.log(f"lease: {now / SECOND:.2f} {text}")
         side.fresh_events.clear()
         for name, events in list(self._waiting.items()):
             if side.may(now, name):
--- a/tansywood/service/supervisor.py
+++ b/tansywood/service/supervisor.py
@@ -100,6 +100,7 @@
             firsts = [f"--first={address}" for address in f.first]
             firsts += [f"--voter={name}" for name in f.voters]
             leases = [f"--lease-ms={f.lease_ms}", f"--promises={s.promises}"]
+            leases += ["--hand-on"] if f.hand_on else []
             self.add("fleet", ["tansywood.service.fleet", run, *words, *firsts, *leases])
             fleet = [f"--fleet={len(f.first)}:{f.index}"]
         for name in workers:
--- a/tests/fleet/test_conserved.py
+++ b/tests/fleet/test_conserved.py
@@ -58,6 +58,44 @@
             assert min(amounts.values()) > 0
 
 
+def handed(seed: int) -> World:
+    made = world(list("abcde"), 3, seed, CLOCKS, hand_on=True)
+    for name in made.seats:
+        want(made, name, 60, 4)
+    made.run(1.0)
+    history(made, seed)
+    return made
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_slices_that_others_deal_are_not_exceeded_and_not_lost(seed: int) -> None:
+    made = handed(seed)
+    settle(made)
+    amounts = made.amounts(rate_pot(TENANT))
+    assert 0.97 * WHOLES[rate_pot(TENANT)] <= sum(amounts.values()) <= WHOLES[rate_pot(TENANT)]
+
+
+def test_without_the_wait_of_who_takes_a_slice_over_it_breaks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Home, "ready", lambda self, pot, now: True)
+    with pytest.raises(Broken):
+        for seed in range(20):
+            handed(seed)
+
+
+def test_a_home_that_is_gone_for_good_leaves_nothing_undealt() -> None:
+    made = world(list("abcd"), 3, 1, hand_on=True)
+    for name in made.seats:
+        want(made, name, 60, 4)
+    made.run(6.0)
+    made.kill("a")
+    made.run(0.5)
+    made.hand(0, "d")  # as a lease does, once a's is over
+    made.run(7.0)
+    assert sum(made.amounts(rate_pot(TENANT)).values()) >= 0.97 * WHOLES[rate_pot(TENANT)]
+
+
 def test_without_the_margin_between_two_clocks_it_breaks() -> None:
     clocks = {"a": 0.7, "b": 1.4, "c": 1.4, "d": 0.7, "e": 0.7}  # beyond what is allowed for
     assert breaks(clocks=clocks)
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -138,6 +138,32 @@
     assert resets("given-up").over > 0
 
 
+def home_lost(hand_on: bool) -> Outcome:
+    """a, a home and a voter, is killed and stays away; what is dealt is looked at in the end."""
+    day = small(
+        seconds=14.0 if hand_on else 9.0,
+        instances=("a", "b", "c"),
+        callers=dict.fromkeys("abc", 5),
+        voters=("a", "b", "c"),
+        lease_ms=3000,
+        hand_on=hand_on,
+        faults=(Fault(5.5, "kill", {"instance": "a"}),),
+    )
+    return play(day, 1)
+
+
+def test_the_slice_of_a_home_that_died_is_dealt_by_another() -> None:
+    made = home_lost(hand_on=True)
+    assert made.over == 0 and made.twice == 0, report.summary(made)
+    assert made.excess <= len(made.day.instances)
+    assert made.dealt >= 0.9
+
+
+def test_without_leases_it_rests() -> None:
+    made = home_lost(hand_on=False)
+    assert 0.4 <= made.dealt <= 0.6 and made.over == 0, report.summary(made)
+
+
 def test_without_a_fleet_every_instance_takes_the_whole() -> None:
     made = play(small(seconds=3.0, fleet=False), 1)
     assert made.over > 0  # two places, and each instance thinks that both are its own
--- a/tests/fleet/test_rules.py
+++ b/tests/fleet/test_rules.py
@@ -163,6 +163,9 @@
     found = faults({"address": "300.0.0.1:80", "first": ["10.0.0.1:0", "10.0.0.1:70000"]})
     assert [f.path for f in found] == ["/fleet/address", "/fleet/first/0", "/fleet/first/1"]
     assert all(f.allowed for f in found)
+    found = faults({"voters": ["a", "b"], "hand_on": True, "lease_ms": 1000})
+    assert [f.path for f in found] == ["/fleet/voters", "/fleet/lease_ms"]
+    assert [f.path for f in faults({"hand_on": True})] == ["/fleet/hand_on"]
 
 
 def test_terms_that_cannot_hold_are_refused() -> None:
--- a/tests/fleet/test_seal.py
+++ b/tests/fleet/test_seal.py
@@ -122,11 +122,11 @@
     made = world(["a", "b"], 2, watched=False)
     made.run(3.0)
     a, b = (made.seats[n].instance for n in "ab")
-    assert a is not None and b is not None and b.home is not None
-    before = b.home.out("cork/rate", made.clock(made.seats["b"]))
+    assert a is not None and b is not None and b.deals
+    before = b.deals[b.index].out("cork/rate", made.clock(made.seats["b"]))
     now = made.clock(made.seats["b"])
     claim = Claim(10_000, [Want("cork/rate", 150_000, 0)])
     b.sends.clear()
     b.receive(now, a.life, Envelope("a", a.address, b"\0" * 16, claim))
     assert [e.body for _, e in b.sends] == [Welcome()]  # who is here now, and no more
-    assert b.home.out("cork/rate", now) == before
+    assert b.deals[b.index].out("cork/rate", now) == before
--- a/tests/fleet/worlds.py
+++ b/tests/fleet/worlds.py
@@ -37,8 +37,9 @@
     clocks: Mapping[str, float] | None = None,
     terms: Terms | None = None,
     watched: bool = True,
+    hand_on: bool = False,
 ) -> World:
-    made = World(names, homes, {TENANT: LIMITS}, seed, terms, clocks)
+    made = World(names, homes, {TENANT: LIMITS}, seed, terms, clocks, hand_on)
     if watched:
         made.watch = conserved
     for name in names:
@@ -79,6 +80,9 @@
                 made.go_on(other)
             elif seat.instance is None and rng.random() < 0.5:
                 made.start(other)
+        if made.dealer is not None and rng.random() < 0.5:
+            here = [n for n in names if made.seats[n].instance and not made.seats[n].paused]
+            made.hand(rng.randrange(len(made.first)), rng.choice(here or names))
         made.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
 
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -46,6 +46,7 @@
         "tansywood.lease",
         "tansywood.store",
         "tansywood.iso8583",
+        "tansywood.verify",
         "windrelay",
     },
 }
