The lease of a slice is asked for by its home; others stand in while that is away

Ruled out: the wait of who takes over (as designed), routing of claims (answers came). At fault: `Side._choose` let the first few ask for every slice from their start, and `_misplaced` moved slices on by rank besides: each move rests the slice for two seconds and the longest deadline (the events showed two moves behind one kill). Change: a lease that belongs to an instance is asked for by that one, by the first few only while it is away or suspected, and moves to nobody else but it.

--- a/tansywood/lease/side.py
+++ b/tansywood/lease/side.py
@@ -46,6 +46,7 @@
 WAITING_FOR = 3  # renewals after which an ask is forgotten
 MOVE = 2 * SECOND  # between two hand-overs for the sake of spread
 TOKENS_BEYOND = 1 << 32  # grants that lost disks may have made unknown to the one that goes on
+STAND_IN = 3 * SECOND  # after a start, before which the members are not all known
 SETTLED = 10 * SECOND  # a member counts for spread once it has been there so long
 
 
@@ -58,6 +59,7 @@
     life: bytes
     since: int  # there since then
     works: bool = True  # there, and told neither to drain nor to leave
+    sure: bool = True  # and nobody suspects that it is gone
 
 
 def holder_id(name: str, life: bytes) -> str:
@@ -126,6 +128,7 @@
         self._heard: dict[str, _Heard] = {}  # by instance
         self._lives: dict[str, bytes] = {}  # of voters' disks
         self._past: dict[str, deque[bytes]] = {}
+        self._born = -1  # when it was looked at first
         self._next_ask = 0
         self._last_ask = -SECOND
         self._next_here = 0
@@ -210,8 +213,8 @@
 
     def know(self, now: int, peers: Mapping[str, Peer], draining: bool = False) -> None:
         """Who is there, as the fleet knows it, and whether we are told to drain."""
-        changed = {n for n, p in peers.items() if p.works} != {
-            n for n, p in self.peers.items() if p.works
+        changed = {n: (p.works, p.sure) for n, p in peers.items()} != {
+            n: (p.works, p.sure) for n, p in self.peers.items()
         }
         self.peers = dict(peers)
         if draining != self.draining:
@@ -249,13 +252,25 @@
         ours = (self.names - self.everybodys) if not self.draining else set()
         if self.everybodys:
             self.ranking.update(self.everybodys, [p.name for p in self.peers.values() if p.works])
-            ours |= self.ranking.near(self.name)
-            here = self._address(self.name)
-            if not self.draining:
-                ours |= {n for n in self.everybodys if self.prefers.get(n, "") == here != ""}
+            near = self.ranking.near(self.name)
+            ours |= near - self.prefers.keys()
+            ours |= {n for n in self.prefers if self._stands_in(now, n, n in near)}
         # What is held stays wanted until it is handed over, so that nobody has a gap.
-        self.holder.want = ours | set(self.holder.leases)
-        self._soon(now)
+        wanted = ours | set(self.holder.leases)
+        if wanted - self.holder.want:
+            self._soon(now)
+        self.holder.want = wanted
+
+    def _stands_in(self, now: int, name: str, near: bool) -> bool:
+        """Whether to ask for what belongs to one of the instances: that one always does, the first
+        few others while it is away. Every move of such a lease costs more than where it is."""
+        if self.draining or name not in self.everybodys:
+            return False
+        if self.prefers[name] == self._address(self.name):
+            return True
+        owner = [p for p in self.peers.values() if p.address == self.prefers[name]]
+        away = not any(p.works and p.sure for p in owner)
+        return near and away and now - self._born >= STAND_IN
 
     # ---- the network ---------------------------------------------------------------------------
 
@@ -494,13 +509,13 @@
     def _misplaced(self, names: list[str], members: list[str]) -> dict[str, str]:
         """Of these, what belongs to another of the members, and to whom."""
         at = {self._address(member): member for member in members}
-        found = misplaced(names, members, self.name)
+        found = misplaced([n for n in names if n not in self.prefers], members, self.name)
         for name in names:
-            first = at.get(self.prefers.get(name, ""))
-            if first == self.name:
-                found.pop(name, None)
-            elif first is not None:
-                found[name] = first
+            owner = at.get(self.prefers.get(name, ""), self.name)
+            if owner != self.name:
+                found[name] = owner
+            elif self.draining and name in self.prefers:
+                found |= misplaced([name], members, self.name)
         return found
 
     def _spread(self, now: int) -> None:
@@ -571,6 +586,8 @@
         return min(due)
 
     def tick(self, now: int) -> None:
+        if self._born < 0:
+            self._born = now
         voter = self.voter
         if voter is not None:
             voter.tick(now)
@@ -585,6 +602,8 @@
             self._next_tend = now + TEND
             if voter is not None:
                 self._tend(now, voter)
+            if self.prefers:
+                self._choose(now)
             self._spread(now)
         if now >= self._next_ask:
             self._ask(now)
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from tansywood.fleet.members import Members
+from tansywood.fleet.members import Members, State
 from tansywood.fleet.settings import FleetSettings
 from tansywood.fleet.terms import MS, SECOND
 from tansywood.lease.disk import DiskError, Kept, load
@@ -180,7 +180,8 @@
         peers: dict[str, Peer] = {}
         for name, m in members.rows.items():
             r = m.rumour
-            peers[name] = Peer(name, r.address, r.life, m.since, m.there and not r.drains)
+            works = m.there and not r.drains
+            peers[name] = Peer(name, r.address, r.life, m.since, works, m.state == State.ALIVE)
         self.side.know(self.clock.now(), peers, members.own.drains)
 
     def received(self, name: str, life: bytes, data: bytes) -> None:
