--- a/tansywood/lease/side.py
+++ b/tansywood/lease/side.py
@@ -238,6 +238,7 @@
         self.holder.give(name)
         self.got.pop(name, None)
         self._choose(now)
+        self._soon(now)
 
     def _settled(self, now: int) -> list[str]:
         return [
@@ -485,6 +486,7 @@
                 self.say(now, f"holds {name} no more")
         if names:
             self._choose(now)
+            self._soon(now)
         return names
 
     def question(self, now: int) -> None:
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -74,7 +74,9 @@
         )
         self.leases: Leases | None = None
         if settings.voters:
-            self.leases = Leases(loop, clock, settings, life, promises, self.carry, self.log)
+            self.leases = Leases(
+                loop, clock, settings, life, promises, self.carry, self.wake, self.log
+            )
         if settings.hand_on and self.leases is not None:
             self.instance.hand_on(self.may_deal)
         self.refused = dict.fromkeys((*WHYS, "message"), 0)
@@ -89,6 +91,8 @@
         self.endpoint = Endpoint(self.received)
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.due = 0  # what the timer was set for
+        self.carrying = False  # whether something of the lease side is about to leave
         self._tasks: set[asyncio.Task[None]] = set()
 
     def log(self, text: str) -> None:
@@ -157,8 +161,15 @@
         self.flush()
 
     def carry(self, address: str, data: bytes) -> None:
-        """What the lease side says, on its way with the rest."""
+        """What the lease side says; it leaves in this turn of the loop, whoever had it said."""
         self.instance.carry(self.clock.now(), address, data)
+        if not self.carrying:
+            self.carrying = True
+            self.loop.call_soon(self.carried)
+
+    def carried(self) -> None:
+        self.carrying = False
+        self.flush()
 
     # ---- slices under leases -----------------------------------------------------------
 
@@ -210,9 +221,18 @@
             self.status_at = now
             self.look_at_keys()
             self.follower.tell({"fleet": self.status()})
+        self.due = due
         left = (due - self.clock.now()) / SECOND
         self.timer = self.loop.call_later(min(max(left, 0.002), TICK_S), self.tick)
 
+    def wake(self, due: int) -> None:
+        """Something is due earlier than it was when the timer was set."""
+        if self.timer is not None and due < self.due:
+            self.timer.cancel()
+            self.due = due
+            left = (due - self.clock.now()) / SECOND
+            self.timer = self.loop.call_later(min(max(left, 0.0), TICK_S), self.tick)
+
     # ---- workers and people ----------------------------------------------------------
 
     def tell(self, worker: str) -> None:
@@ -338,6 +358,7 @@
     def stop(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
+            self.timer = None
         if self.leases is None:
             self.leave()
             return
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -71,11 +71,13 @@
         life: bytes,
         promises: Path,
         carry: Callable[[str, bytes], None],
+        wake: Callable[[int], None],
         log: Callable[[str], None],
     ) -> None:
         self.loop = loop
         self.clock = clock
         self.carry = carry
+        self.wake = wake
         self.log = log
         length = settings.lease_ms * MS
         self.side = Side(
@@ -220,6 +222,7 @@
             if side.may(now, name):
                 for event in events:
                     event.set()
+        self.wake(side.next_due())
 
     def next_due(self) -> int:
         return self.side.next_due()
