Only who goes on asking unheard is deaf; members are looked at ten times a second

Seen: in a new test a lease that belongs to one instance did not go back to it after its return: all others stood in the leader's list of those that hear nothing. Ruled out: spread and preferences (its turn came, the owner was left out by that list). At fault: `Keeper.deaf` took every last answer that was followed by no ask for one that was not heard, so whoever wanted nothing any more, and every life that had ended, was deaf for good. Change: deaf is who has gone on asking for a lease without hearing. Also: the fleet's process made its list of members anew at each tick (up to 500 a second).

--- a/tansywood/lease/keeper.py
+++ b/tansywood/lease/keeper.py
@@ -96,8 +96,9 @@
         self._ending: dict[str, int] = {}  # holders whose End is in the log, by its index
         self._taking: dict[tuple[str, str], int] = {}
         self._asked: dict[str, int] = {}  # the latest of each holder, in this term
-        # By holder: the first answer that it has not shown to have heard, and when it was given.
-        self._unheard: dict[str, tuple[int, int]] = {}
+        # By holder: the first answer that it has not shown to have heard, when it was given, and
+        # when it asked last without having heard it.
+        self._unheard: dict[str, tuple[int, int, int]] = {}
         self._deaf: tuple[str, ...] = ()  # as of the last tick
 
     # ---- from outside --------------------------------------------------------------------------
@@ -112,8 +113,10 @@
         if ask.seq <= self._asked.get(ask.holder, 0):
             return  # doubled, or overtaken by a newer one, whose answer says all of it
         self._asked[ask.holder] = ask.seq
-        if ask.heard >= self._unheard.get(ask.holder, (0, 0))[0]:
+        if ask.heard >= self._unheard.get(ask.holder, (0, 0, 0))[0]:
             self._unheard.pop(ask.holder, None)
+        else:
+            self._unheard[ask.holder] = (*self._unheard[ask.holder][:2], now)
         index = 0
         for name in () if self.deaf(now, ask.holder) else ask.take:
             known = self.table.leases.get(name)
@@ -147,11 +150,12 @@
         return True
 
     def deaf(self, now: int, holder: str) -> bool:
-        """Whether a holder that is heard has heard nothing of us for a whole lease: the way to it
-        is cut. Kept by its asking alone, what it has would be nobody's for as long as that lasts.
-        """
+        """Whether a holder that goes on asking has heard nothing of us for a whole lease: the way
+        to it is cut. Kept by its asking alone, what it has would be nobody's for as long as that
+        lasts. One that has ended, or wants nothing any more, does not ask."""
         row = self._unheard.get(holder)
-        return row is not None and now - row[1] > self.terms.length
+        length = self.terms.length
+        return row is not None and row[2] - row[1] > length and now - row[2] <= 2 * length
 
     def after(self, now: int) -> None:
         """After anything that happened to the log: answer what can be answered by now."""
@@ -180,7 +184,7 @@
         names = sorted(self.table.of.get(holder, ()))
         if names and self.deaf(now, holder):
             return  # neither told nor extended: it comes to its end
-        self._unheard.setdefault(holder, (w.ask.seq, now))
+        self._unheard.setdefault(holder, (w.ask.seq, now, now))
         self._extend(now, holder)
         leases = tuple((name, self.table.leases[name].token) for name in names)
         self.answers.append((w.sender, Told(w.ask.seq, True, leases, "", self._deaf)))
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -30,6 +30,7 @@
 from tansywood.store.engine import Batch, Store
 from tansywood.store.errors import StoreError
 
+KNOW = 100 * MS
 DISK_AGAIN_S = 1.0  # between two tries of a disk that failed
 REFOUND_LEASES = 1.25  # a lease by the slowest clock there may be, and a little
 ASKS = ("list", "show", "why", "hand-over", "found", "refound")
@@ -90,6 +91,7 @@
         self.promises = promises
         self.store: AsyncStore | None = None
         self.ending = False
+        self._knew = clock.now() - KNOW
         self._waiting: dict[str, list[asyncio.Event]] = {}
         self._bodies: dict[str, set[asyncio.Task[Any]]] = {}
         self._users: dict[str, int] = {}
@@ -178,13 +180,17 @@
     # ---- the network and time ----------------------------------------------------------------
 
     def know(self, members: Members) -> None:
-        """Who is there by the fleet's word."""
+        """Who is there by the fleet's word; looked at ten times a second."""
+        now = self.clock.now()
+        if now - self._knew < KNOW:
+            return
+        self._knew = now
         peers: dict[str, Peer] = {}
         for name, m in members.rows.items():
             r = m.rumour
             works = m.there and not r.drains
             peers[name] = Peer(name, r.address, r.life, m.since, works, m.state == State.ALIVE)
-        self.side.know(self.clock.now(), peers, members.own.drains)
+        self.side.know(now, peers, members.own.drains)
 
     def received(self, name: str, life: bytes, data: bytes) -> None:
         try:
--- a/tansywood/service/leasetool.py
+++ b/tansywood/service/leasetool.py
@@ -86,17 +86,17 @@
     if options.what in ("why", "hand-over", "run") and not options.name:
         print(f"tansywood lease {options.what}: which lease? write its NAME", file=sys.stderr)
         return 2
+    path = ""
     try:
         path = socket_of(options.file)
-    except NoFleet as err:
-        print(err, file=sys.stderr)
-        return 2
-    try:
         if options.what == "run":
             return run_under(path, options.name, options.command, options.wait)
         what = "list" if options.what == "show" else options.what
         limit_s = REFOUND_S if what == "refound" else WAIT_S
         told = ask(path, what, limit_s, of=options.name, to=options.to)
+    except NoFleet as err:
+        print(err, file=sys.stderr)
+        return 2
     except (OSError, ValueError) as err:
         print(f"tansywood lease: {path}: {err}: is the service running?", file=sys.stderr)
         return 2
--- a/tests/lease/test_side.py
+++ b/tests/lease/test_side.py
@@ -342,3 +342,34 @@
     side.start_voter(0, Kept("a/1"))
     assert side.found(0, "g") == ""
     assert "being written" in side.found(0, "h") or "already" in side.found(0, "h")
+
+
+def test_what_is_handed_over_ends_here_at_once() -> None:
+    w = world()
+    name, who = next(iter(w.held().items()))
+    side, place = w.side(who), w.places[who]
+    to = next(n for n in w.places if n != who)
+    assert side.hand_over(w.clock(place), name, to) == ""
+    assert side.may(w.clock(place), name) == 0
+    assert side.lost(w.clock(place)) == [name]  # its task is ended by this
+    assert "not held" in side.hand_over(w.clock(place), name, to)
+    assert "no member" in side.hand_over(w.clock(place), next(iter(side.holder.leases)), "nobody")
+
+
+def test_only_its_owner_asks_for_a_lease_that_belongs_to_one_while_that_is_there() -> None:
+    w = LeaseWorld("abcd", "abc", 1)
+    w.found()
+    for place in w.places.values():
+        w.side(place.name).prefers = {"home": "d"}
+    w.want(["home"])
+    w.run(4.0)
+    assert w.held() == {"home": "d"}
+    w.end("d")
+    w.run(5.0)
+    stand_in = w.held()["home"]
+    assert stand_in != "d"
+    w.start("d")
+    w.side("d").prefers = {"home": "d"}
+    w.run(14.0)
+    assert w.held() == {"home": "d"}  # back where it belongs, by one move
+    assert [who for _, name, who in w.grants if name == "home"] == ["d", stand_in, "d"]
