--- a/tests/lease/test_processes.py
+++ b/tests/lease/test_processes.py
@@ -10,16 +10,11 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Iterator
-from concurrent.futures import Future, ProcessPoolExecutor
-from functools import partial
-from multiprocessing import get_context
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
-import pytest
-
-from standins.fleet.leases import ROOT, LeaseRig, Made, Resource, play
+from standins.fleet.leases import ROOT, LeaseRig, Resource, play
 from standins.wire import read_frame
 
 Story = Callable[[LeaseRig], Awaitable[None]]
@@ -46,13 +41,6 @@
 KINDS = ("kill", "stop", "cut", "bare", "weather", "full", "one_way", "restore", "slow")
 
 
-@pytest.fixture(scope="module", autouse=True)
-def drawn() -> Iterator[Future[Made]]:
-    """A drawn day, played beside the stories."""
-    with ProcessPoolExecutor(1, mp_context=get_context("spawn")) as pool:
-        yield pool.submit(partial(play, kinds=KINDS), 5, 9.0)
-
-
 def stopped_holder(fenced: bool) -> LeaseRig:
     """a holds, is stopped, b holds and acts; then what a had begun comes to its act."""
 
@@ -204,9 +192,7 @@
     assert not fenced.act("x", 5, "a.1") and fenced.problems() == []
 
 
-def test_no_two_holders_act_and_all_is_acted_on_after_the_last_fault(
-    drawn: Future[Made],
-) -> None:
-    made = drawn.result()
+def test_no_two_holders_act_and_all_is_acted_on_after_the_last_fault() -> None:
+    made = play(5, 9.0, kinds=KINDS)
     assert made.problems == [], made.log
     assert made.handovers > 100 and sum(made.faults.values()) >= 3
