Read once more: one way to begin a group alone, a count and two fields out

Need: the change read as a whole. `found` and `refound` began a group in the same eight lines and reached into the voter for it; the users of a lease were counted beside the list that has them; Here said a term and a leader that nobody reads any more; a field of the rig was never filled. Change: `Voter.begin_alone`, called from one place; the count, the fields and the field of the rig are out. Behaviour is as it was.

Measured: 61 tests of leases and rooms pass, those of processes among them.

--- a/standins/fleet/leases.py
+++ b/standins/fleet/leases.py
@@ -128,7 +128,6 @@
     taken: int = 0
     faults: Counter[str] = field(default_factory=Counter)
     recovered_s: float = 0.0
-    gaps: list[float] = field(default_factory=list)
     status: dict[str, Any] = field(default_factory=dict)
     log: list[str] = field(default_factory=list)  # of a run with problems: who voted when
 
--- a/tansywood/lease/parcels.py
+++ b/tansywood/lease/parcels.py
@@ -25,10 +25,8 @@
 
 
 class Here(Struct, array_like=True, frozen=True, tag="here"):
-    """A voter's disk as it is: who leads by its word, and in which term."""
+    """A voter's disk that is there."""
 
-    term: Count
-    leader: Id = ""
     learns: bool = False  # it is in no group's voters that it knows of
 
 
--- a/tansywood/lease/side.py
+++ b/tansywood/lease/side.py
@@ -171,14 +171,7 @@
         if heard:
             return f"{heard[0].id} is in group {heard[0].group} already: it takes this one in"
         kept = Kept(voter.id, group, voter.kept.saves, Saved(), voter.known)
-        self.start_voter(now, kept)
-        made = self.voter
-        assert made is not None
-        made.raft.begin_at(Snapshot(0, 0, (made.id,)))
-        made.raft.campaign(now)
-        made._collect(now)
-        self.say(now, f"founds group {group}")
-        self.flush(now)
+        self._alone(now, kept, Snapshot(0, 0, (voter.id,)), f"founds group {group}")
         return ""
 
     def refound(self, now: int, group: str) -> str:
@@ -200,16 +193,16 @@
         table.index = raft.last + TOKENS_BEYOND
         snapshot = Snapshot(table.index, raft.term, (voter.id,), table.save())
         kept = Kept(voter.id, group, voter.kept.saves, voter.kept.saved, {})
+        told = f"goes on alone as group {group}, tokens from {table.index}"
+        self._alone(now, kept, snapshot, told)
+        return ""
+
+    def _alone(self, now: int, kept: Kept, snapshot: Snapshot, told: str) -> None:
         self.start_voter(now, kept)
-        made = self.voter
-        assert made is not None
-        made.raft.begin_at(snapshot)
-        made.keeper.table = table
-        made.raft.campaign(now)
-        made._collect(now)
-        self.say(now, f"goes on alone as group {group}, tokens from {table.index}")
+        assert self.voter is not None
+        self.voter.begin_alone(now, snapshot)
+        self.say(now, told)
         self.flush(now)
-        return ""
 
     def know(self, now: int, peers: Mapping[str, Peer], draining: bool = False) -> None:
         """Who is there, as the fleet knows it, and whether we are told to drain."""
@@ -595,8 +588,7 @@
             voter.tick(now)
             if now >= self._next_here:
                 self._next_here = now + HERE_EVERY
-                raft = voter.raft
-                here = Here(raft.term, raft.leader, voter.id not in raft.voters)
+                here = Here(voter.id not in voter.raft.voters)
                 for name in self.wanted_voters:
                     if name != self.name:
                         self._send(now, name, here)
--- a/tansywood/lease/voter.py
+++ b/tansywood/lease/voter.py
@@ -15,9 +15,9 @@
 
 from tansywood.lease.disk import Kept, changes
 from tansywood.lease.keeper import Ask, Keeper, LeaseTerms, Told
-from tansywood.lease.log import Message, Saved
+from tansywood.lease.log import Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, Raft, Timing
-from tansywood.lease.table import Change
+from tansywood.lease.table import Change, Table
 from tansywood.store.engine import Batch
 
 MOST = 4096  # messages that wait for a disk: beyond it the oldest are lost, as on a network
@@ -68,6 +68,13 @@
         for name in change.freed:
             self.since.pop(name, None)
 
+    def begin_alone(self, now: int, snapshot: Snapshot) -> None:
+        """Lead a group of this disk alone, from here on, whatever its log held."""
+        self.raft.begin_at(snapshot)
+        self.keeper.table = Table.load(snapshot.data)
+        self.raft.campaign(now)
+        self._collect(now)
+
     # ---- what comes ----------------------------------------------------------------------------
 
     def receive(self, now: int, sender: str, message: Message) -> None:
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -94,7 +94,6 @@
         self._knew = clock.now() - KNOW
         self._waiting: dict[str, list[asyncio.Event]] = {}
         self._bodies: dict[str, set[asyncio.Task[Any]]] = {}
-        self._users: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     # ---- the disk ----------------------------------------------------------------------------
@@ -255,7 +254,6 @@
         spreads such leases over its members."""
         there = asyncio.Event()
         self._waiting.setdefault(name, []).append(there)
-        self._users[name] = self._users.get(name, 0) + 1
         self.side.want(self.clock.now(), name, everybody)
         self.tick()
         try:
@@ -278,9 +276,8 @@
                 bodies.discard(task)
         finally:
             self._waiting[name].remove(there)
-            self._users[name] -= 1
-            if not self._users[name]:
-                del self._users[name], self._waiting[name]
+            if not self._waiting[name]:
+                del self._waiting[name]
                 self._bodies.pop(name, None)
                 self.side.unwant(self.clock.now(), name)
                 self.tick()
