Nothing is begun for a client that has ended its sending, closed or reset

Cause, by reading and then forced: ClientConnection.eof_received kept a request whose client had ended its sending, since a half-close looks like a close; it stayed queued and was sent on, and a dial that came up carried whatever it was made for, however long its client had been gone. Ruled out: reading is never paused while a request is out, and a pipelined request ends the connection, so the end is always seen.

Change: the module is told of a half-close as an event of its own (on_half_closed): what waits gets its one answer at once, what is out goes on and becomes the answer, nothing further begins. A host asks may_begin before an attempt's last byte where its connection took a while: not for a client that is gone, nor more than 50 ms after its half-close, nor for a keyed repeat whose servers' memory has run out meanwhile (time in the queue was counted, time in dialling was not). A connection that came up too late is kept for the next request. Dials to a server that drains are ended at once: with a dial time-out over the grace they would begin after it. An answer that was being passed on to a client that half-closed left its connection open: it ends now.

test_a_client_that_ends_its_sending_still_gets_its_answer had a dial between its end and its attempt, and would hang on time now: it uses a connection at rest, with the same assertions.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -64,6 +64,7 @@
 LEFTS = 64  # steps in which the time a client has left is told apart
 LEFTS_KEPT = 4000  # requests remembered for it, about
 USUAL_PART = 0.25  # of requests, for a time left to be taken for that of first tries
+GONE_AFTER = 50 * MS  # of its client's half-close an attempt that has not begun yet does not
 AIM_MARGIN = 0.03  # an attempt is ended this part of the aim early
 PATIENCE = 5.0  # a repeatable attempt is given this many mean latencies ...
 PATIENCE_PART = 1.0  # ... and at least this part of its aim
@@ -169,8 +170,8 @@
 
 class Request:
     __slots__ = (
-        "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "hint", "id", "live",
-        "over", "queued", "ran", "tenant", "wait_by",
+        "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "half_closed", "hint", "id",
+        "live", "over", "queued", "ran", "tenant", "wait_by",
     )  # fmt: skip
 
     def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
@@ -187,6 +188,7 @@
         self.queued = False
         self.over = False
         self.ended = False
+        self.half_closed = 0  # when its client ended its sending, 0 where it has not
         self.hint = 0
 
 
@@ -860,7 +862,7 @@
         if r.ended:
             return
         r.ended = True
-        if not r.over:
+        if not r.over and not r.half_closed:
             r.cls.refused += 1
         if not r.live:
             self.requests.pop(r.id, None)
@@ -892,7 +894,7 @@
 
     def may_resend(self, now: int, r: Request) -> bool:
         """Whether another attempt is allowed; in_group says where for keyed ones."""
-        if r.live or len(r.attempts) >= self.settings.max_attempts:
+        if r.live or r.half_closed or len(r.attempts) >= self.settings.max_attempts:
             return False
         if r.ran is None or r.cls.effect == Effect.PURE:
             return True
@@ -900,6 +902,17 @@
             return False
         return now < r.ran.sent + r.cls.spec.window
 
+    def may_begin(self, now: int, request: int, attempt: int) -> bool:
+        """Whether an attempt that has not left yet, its connection being made, may do so now."""
+        r = self.requests.get(request)
+        if r is None or r.ended or attempt >= len(r.attempts):
+            return False
+        if r.half_closed and now - r.half_closed > GONE_AFTER:
+            return False
+        if r.ran is None or r.cls.effect != Effect.TOKEN:
+            return True
+        return now < r.ran.sent + r.cls.spec.window
+
     # ---- outcomes -----------------------------------------------------
 
     def on_outcome(
@@ -1113,6 +1126,21 @@
         if not r.live:
             self.requests.pop(request, None)
 
+    def on_half_closed(self, now: int, request: int) -> None:
+        """Its client has ended its sending: mostly it has gone, and it may still read.
+
+        No attempt begins any more. What waits gets its one answer now, and what is out
+        goes on to its outcome, which is the answer then.
+        """
+        self.now = now
+        r = self.requests.get(request)
+        if r is None or r.ended or r.half_closed:
+            return
+        r.half_closed = now
+        if r.queued:
+            self.unqueue(r)
+            self.finish(r)
+
     def on_probe(
         self, now: int, backend: int, outcome: int, taken: int, load: Sequence[float] = ()
     ) -> None:
--- /dev/null
+++ b/tests/crossing.py
@@ -0,0 +1,129 @@
+"""Both ends of a node's connections in one loop with it: a test chooses what comes first.
+
+Nothing here waits for a length of time but for bytes, an end, or what the node itself brings
+about. A crossing is forced by the order in which a test writes, closes and lets the loop turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+from standins.platform import parts
+
+from .harness import roster, target
+from .inside import Inside, inside
+
+RESET = b"\1\0\0\0\0\0\0\0"  # of SO_LINGER: a close resets the connection
+
+
+class End:
+    """One end of a connection, on the node's own loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.loop = loop
+        self.sock = sock
+        self.buffer = b""
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    async def more(self) -> bool:
+        try:
+            data = await self.loop.sock_recv(self.sock, 1 << 16)
+        except ConnectionError:
+            data = b""
+        self.buffer += data
+        return bool(data)
+
+    async def message(self) -> tuple[str, dict[str, str], bytes]:
+        """One whole message with Content-Length: first line, headers, body."""
+        while b"\r\n\r\n" not in self.buffer:
+            assert await self.more(), f"ended after {self.buffer!r}"
+        head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+        first, headers = parts(head)
+        size = int(headers.get("content-length", "0"))
+        while len(self.buffer) < size:
+            assert await self.more(), "ended within a body"
+        body, self.buffer = self.buffer[:size], self.buffer[size:]
+        return first, headers, body
+
+    async def status(self) -> int:
+        return int((await self.message())[0].split(" ")[1])
+
+    async def ends(self) -> bytes:
+        """Everything up to the end of the connection."""
+        while await self.more():
+            pass
+        return self.buffer
+
+    def half_close(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.sock.close()
+
+
+class Crossing:
+    """A node before servers that the test plays, `s-0`, `s-1`, ... in the order of `servers`."""
+
+    def __init__(self, one: Inside, servers: list[socket.socket]) -> None:
+        self.one = one
+        self.node = one.node
+        self.loop = one.loop
+        self.servers = servers
+        self.port = one.server.listen(one.config.listen)
+        self.ends: list[End] = []
+
+    def keep(self, sock: socket.socket) -> End:
+        end = End(self.loop, sock)
+        self.ends.append(end)
+        return end
+
+    def client(self, data: bytes = b"") -> End:
+        end = self.keep(socket.create_connection(("127.0.0.1", self.port)))
+        if data:
+            end.send(data)
+        return end
+
+    async def server(self, number: int = 0) -> End:
+        """The next connection that the node makes to this server."""
+        sock, _ = await self.loop.sock_accept(self.servers[number])
+        return self.keep(sock)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        await self.one.until(condition)
+
+    async def settled(self) -> None:
+        """The node has read and told all that has come so far."""
+        await self.one.turns(30)
+
+
+@contextlib.contextmanager
+def crossing(tmp_path: Path, servers: int = 1, **over: Any) -> Iterator[Crossing]:
+    """A started node before so many servers; `drive` runs a test's story in its loop."""
+    with contextlib.ExitStack() as stack:
+        listeners = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(servers)
+        ]
+        for listener in listeners:
+            listener.setblocking(False)
+        rows = [target(f"s-{i}", s.getsockname()[1]) for i, s in enumerate(listeners)]
+        with inside(tmp_path, roster(*rows), **over) as one:
+            world = Crossing(one, listeners)
+            yield world
+            for end in world.ends:
+                end.close()
+
+
+def drive(world: Crossing, story: Coroutine[Any, Any, Any]) -> Any:
+    return world.one.run(story)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -211,10 +211,16 @@
 
 def test_a_client_that_ends_its_sending_still_gets_its_answer(tmp_path: Path) -> None:
     with pair(tmp_path) as (n, backend):
+        warm = n.connect()
+        warm.send(request())
+        peer = accept(backend)
+        peer.message()
+        peer.send(answer(b"first"))
+        assert warm.message()[2] == b"first"
+        # With a dial in between it would hang on time whether its attempt still begins.
         client = n.connect()
         client.send(request())
         client.sock.shutdown(socket.SHUT_WR)
-        peer = accept(backend)
         peer.message()
         peer.send(answer(b"served"))
         assert client.message()[2] == b"served"
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -300,11 +300,31 @@
         finally:
             self.leave()
 
+    def client_half_closed(self, r: Request) -> None:
+        """The client has ended its sending: it may be gone, and it may still read an answer."""
+        if r.ended:
+            return
+        now = self.enter()
+        try:
+            self.balancer.on_half_closed(now, r.id)
+        except Exception:
+            self.broken()
+        finally:
+            self.leave()
+
+    def may_begin(self, a: Attempt) -> bool:
+        """Whether an attempt whose last byte is about to leave may still do so: its connection
+        took a while to come up, or to take what is ahead of that byte."""
+        r = a.request
+        return r is None or self.balancer.may_begin(time.monotonic_ns(), r.id, a.number)
+
     def members_told(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
         now = self.enter()
         try:
             for backend in stale:
-                self.upstream.drop_idle(backend)
+                # Dials too: with a longer dial time-out than the grace for drains, what
+                # they carry would begin after it.
+                self.upstream.withdraw(backend)
             self.balancer.on_members(now, update, rows)
         except Exception:
             self.broken()
--- a/windrelay/ports.py
+++ b/windrelay/ports.py
@@ -90,10 +90,8 @@
         """Carry it; `attempt.connection` is what does, unless it was concluded at once."""
 
     def withdraw(self, backend: int) -> None:
-        """Begin nothing more there from now on; what has not begun never ran."""
-
-    def drop_idle(self, backend: int) -> None:
-        """A server has moved, drains or has left: keep nothing at rest for it."""
+        """A server has moved, drains, has left or is banned: begin nothing more there, keep
+        nothing at rest for it; what has not begun never ran."""
 
     def drop_oldest(self) -> bool:
         """Give a descriptor back; False where none can be missed."""
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -429,7 +429,8 @@
         self._request = None
         if self._chunked:
             transport.write(b"0\r\n\r\n")
-        self._answered(self._closing)
+        # Nothing more comes of a client that has ended its sending meanwhile.
+        self._answered(self._closing or self._eof)
 
     def cut(self) -> None:
         source, self._source = self._source, None
@@ -543,10 +544,12 @@
     # ---- ends ---------------------------------------------------------
 
     def eof_received(self) -> bool:
-        # A client that has ended its sending may still wait for its answer; one
-        # that has closed costs an answer that nobody reads. Taking the first for
-        # the second would lose a request.
+        # A client that has ended its sending may still wait for its answer, and one that
+        # has closed reads none. They look alike: nothing new is begun for either, and both
+        # get an answer.
         self._eof = True
+        if self._request is not None:
+            self._server.node.client_half_closed(self._request)
         return self._request is not None
 
     @ends_connection
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -178,8 +178,16 @@
         # pauses us at once: not paused means that every byte has left.
         self.transport.set_write_buffer_limits(high=0)
         self.parser = httptools.HttpResponseParser(self)
-        if self.attempt is not None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        if self.upstream.node.may_begin(attempt):
             self._write_request()
+            return
+        # Too late for this one; the connection has cost its handshake and serves another.
+        self.attempt = None
+        self.upstream.put(self)
+        self.upstream.node.conclude(attempt, Outcome.MOOT)
 
     # ---- the request --------------------------------------------------
 
@@ -221,6 +229,10 @@
         while self._unsent and not self._paused and transport is not None:
             if transport.is_closing():
                 return
+            attempt = self.attempt
+            if len(self._unsent) == 1 and attempt and not self.upstream.node.may_begin(attempt):
+                self._settle(Outcome.MOOT)
+                return
             transport.write(self._unsent.popleft())
             self.written = not self._unsent and not transport.is_closing()
 
