A list of many callers is asked patiently; all nodes together hold a cold server's ramp

The rig plays the watch's own times now (windrelay/watching.py), a list that refuses or is silent for 8 s and watches that all fall silent. Before: at 20 and 30 nodes news took up to 17.4 s (join, a list of few lines): a call behind a silent one was given up after 2.5 s, and a service may take 3 s to work through its callers, so the same calls were paid for and made again, each too late. Ruled out: requests in flight, slots and the restart of nodes within the ramp (lower).

Behind a failure the next call does not wait for news and has 3.2 s; a list that answers late is asked half as often and as patiently until it keeps up. Near and far nodes share the cold budget as they share the level, 0.7 of it in all where it was 0.5 for each kind.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -73,7 +73,7 @@
 # Back-off of list calls, from half to one and a half of this, doubled with each failure. What
 # the list has counts as told 6 s later at the latest, whatever became of the calls.
 LIST_RETRY = 200 * MS
-LIST_RETRY_MOST = 1800 * MS
+LIST_RETRY_MOST = 1600 * MS
 # Health.
 FULL_REST_MAX = SECOND // 3  # longest rest of a backend that turned an attempt away
 DIAL_REST = 50 * MS  # after a lone dial that failed
@@ -98,9 +98,9 @@
 WORST = 10.0  # predicted times are bounded at this many aims
 REFUSED_AS = 10.0  # a refusal enters the mean response time as this many aims
 LEAST_SERVED = 0.02  # of a class's requests, for the share that serving all would take
-# Slow start: part of the stated budget that is used, the rest is for views
-# that differ and for requests heavier than the mean.
-COLD_SAFETY = 0.5
+# Slow start: part of the stated budget that all nodes use together, the rest is
+# for views that differ and for requests heavier than the mean.
+COLD_SAFETY = 0.7
 COLD_LEVEL = 2
 
 INFINITE = float("inf")
@@ -153,7 +153,7 @@
         self.errs = 0.0  # part of late answers that were errors
         self.fulls = 0  # turned away in a row
         self.cold_until = 0
-        self.takers = 1  # nodes that share its cold budget
+        self.takers = 1.0  # nodes like this one that its cold budget would do for
         self.rest_until = 0
 
     def doubtful(self, now: int) -> bool:
@@ -512,6 +512,7 @@
             level = max(level, MIN_SLOTS * self.peers / local)
         spill = level * SPILL
         others = max(1, settings.balancers - self.peers)
+        many = settings.balancers > self.peers  # others than those that are near
         total = 0
         for backend in self.backends.values():
             if backend.state != State.READY:
@@ -524,7 +525,9 @@
                 # zone of half-warm backends idle and its nodes short of slots.
                 depth = min(depth, max(COLD_LEVEL, depth * self.warmth(backend)))
             nodes = self.peers if backend.local else others
-            backend.takers = max(1, min(int(depth + 1.0), nodes))
+            # Near and far nodes share one cold budget as they share the level.
+            part = (1.0 if backend.local else SPILL) / (1.0 + SPILL) if many else 1.0
+            backend.takers = max(1, min(int(depth + 1.0), nodes)) / part
             depth = int(depth + backend.offset)
             cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
             if self.places is not None:
--- a/standins/mass/listing.py
+++ b/standins/mass/listing.py
@@ -53,6 +53,9 @@
         self.changes: list[tuple[int, Row]] = []
         self.busy_until = clock.now
         self.down = False
+        self.silent = False  # while it is down calls and watches end with nothing, not with a no
+        self.reachable_since = clock.now
+        self.changed_at: dict[int, int] = {}  # by version
         self.holding: dict[int, tuple[int, Told]] = {}  # open watches: version, caller
         self.calls = 0
         self.failed = 0
@@ -66,6 +69,7 @@
         else:
             self.rows[row.server] = row
         self.changes.append((self.rev, row))
+        self.changed_at[self.rev] = self.clock.now
         del self.changes[: -self.terms.changes_kept]
         holding, self.holding = self.holding, {}
         for number, (since, told) in holding.items():
@@ -73,6 +77,19 @@
             due = self.work(1)
             self.clock.at(due, self.answer, since, told, number)
 
+    def go_down(self, silent: bool) -> None:
+        """Open watches end with a reset, or are never heard of again."""
+        self.down = True
+        self.silent = silent
+        holding, self.holding = self.holding, {}
+        if not silent:
+            for _, told in holding.values():
+                told(None)
+
+    def come_up(self) -> None:
+        self.down = False
+        self.reachable_since = self.busy_until = self.clock.now
+
     def work(self, lines: int) -> int:
         """When so many lines will have been worked off."""
         start = max(self.busy_until, self.clock.now)
@@ -88,7 +105,8 @@
         late = self.busy_until - self.clock.now > self.terms.patience
         if self.down or late:
             self.failed += 1
-            self.clock.after(self.terms.patience if self.down else 5 * MS, told, None)
+            if not (self.down and self.silent):
+                self.clock.after(5 * MS, told, None)
             return
         # A watch that goes on costs little; a whole list, or a first call, all its lines.
         lines = self.terms.call_lines // 4 if since else self.terms.call_lines + len(self.rows)
@@ -111,7 +129,8 @@
         if number < 0 and self.holding.pop(-number, None) is None:
             return  # answered already
         if self.down:
-            told(None)
+            if not self.silent:
+                told(None)
             return
         kept = [(rev, row) for rev, row in self.changes if rev > since]
         if not since or len(kept) < self.rev - since:
--- a/standins/mass/report.py
+++ b/standins/mass/report.py
@@ -53,6 +53,8 @@
         "open_mean": round(sum(s.open for s in fleet.servers) / len(fleet.servers), 2),
         "busy": round(sum(s.busy_ns for s in fleet.servers) / power, 3),
         "fallen": sum(s.fallen for s in fleet.servers),
+        "pushed_most": round(max((s.pushed_most for s in fleet.servers), default=0.0), 3),
+        "told_most_s": round(fleet.told_most / SECOND, 2),
         "list_calls": fleet.registry.calls,
         "list_failed": fleet.registry.failed,
         "broken": dict(sorted(fleet.broken.items())),
@@ -130,6 +132,8 @@
         f"attempts {f['attempts']} a wish, {f['turned_away']} turned away, {f['timeouts']} timed "
         f"out, {f['handshakes']} handshakes, {f['no_connection']} without a connection, "
         f"{f['open_mean']} open at the end, crossing {f['crossing']}",
+        f"cold servers got {f['pushed_most']} of what they bear at the most; the slowest news took "
+        f"{f['told_most_s']} s",
         f"list: {f['list_calls']} calls, {f['list_failed']} failed; tried at leaving ones "
         f"{f['to_leaving']}; fallen {f['fallen']}; rules broken: {f['broken'] or 'none'}",
         "",
--- a/windrelay/watching.py
+++ b/windrelay/watching.py
@@ -10,8 +10,11 @@
     the first back-off   of the module, 0.6 s at the most                       0.6 s
     the next call        which brings all that is new                           what is left
 
-A service that answers late has more callers than it can bear: towards it watches are longer, as
-far as the older rule allows (2 s after a watch's own time), and shorter again once it keeps up.
+Behind a call that brought nothing the next does not wait for news at all: it brings what was
+missed, and has as long as a service may take to work through its callers. Given up sooner, calls
+that wait in its queue are paid for in vain and made again, and a crowd never ends. A service that
+answers late has more callers than it can bear: towards it watches are longer, as far as the older
+rule allows (2 s after a watch's own time), and more patient, until it keeps up.
 
 Lists that are pushed come to an agent on this machine. What it has counts as told, so its silence,
 which is that of the service behind it, is found out in half of the grace that drains have; calls
@@ -24,8 +27,8 @@
 
 TOLD_S = 6.0
 HOLD_MS = 2_500
-HOLD_LEAST_MS = 1_000  # behind a call without an answer
 HOLD_MOST_MS = 8_000
+AT_ONCE_MS = 1  # 0 is not promised to mean that
 LATE_S = 0.3  # beyond its time, for the answer of a service that keeps up
 WATCH_S = 1.5  # for a watch's answer, beyond the time it may wait
 FETCH_S = 3.2  # for a whole list: calls are worked through in turn
@@ -53,7 +56,16 @@
     `agent_ms` is how long calls to an agent of pushed lists wait, 0 where the list is asked.
     """
 
-    __slots__ = ("_hold_ms", "_hung", "_short", "_tries", "agent_ms", "moved")
+    __slots__ = (
+        "_asked_ms",
+        "_crowded",
+        "_failed",
+        "_hold_ms",
+        "_hung",
+        "_tries",
+        "agent_ms",
+        "moved",
+    )
 
     def __init__(self, agent_ms: int = 0) -> None:
         self.agent_ms = agent_ms
@@ -64,8 +76,10 @@
         self.moved = moved  # until the first whole list of it is taken
         self._tries = 0  # failed calls to it
         self._hold_ms = HOLD_MS
-        self._hung = False  # the last call brought nothing in its time
-        self._short = False  # the next one waits for a short time only
+        self._asked_ms = 0  # how long the last call might wait for news
+        self._failed = False  # it brought nothing ...
+        self._hung = False  # ... in all of its time
+        self._crowded = False  # the last answer came late
 
     def ask(self, rev: int, in_doubt: bool) -> Ask:
         """The next call, from the version in hand; `in_doubt` where the service's own is older,
@@ -75,8 +89,9 @@
         since = 0 if in_doubt else rev
         if self.agent_ms:
             return Ask(since, self.agent_ms, 2 * self.agent_ms / 1000)
-        hold_ms = HOLD_LEAST_MS if self._short else self._hold_ms
-        return Ask(since, hold_ms, hold_ms / 1000 + WATCH_S)
+        self._asked_ms = AT_ONCE_MS if self._failed else self._hold_ms
+        patience = FETCH_S if self._failed or self._crowded else WATCH_S
+        return Ask(since, self._asked_ms, self._asked_ms / 1000 + patience)
 
     def failed(self, hung: bool) -> float | None:
         """A call brought nothing: seconds until the next, None where the module says when.
@@ -87,7 +102,7 @@
             # It may not be up yet, and what it has to tell counts as told soon.
             self._tries += 1
             return min(MOVE_S * (1 << (self._tries - 1)), MOVE_MOST_S)
-        self._short = True
+        self._failed = True
         # A connection was cut silently, or the service hangs. What happened meanwhile counts
         # as told already: ask again without a back-off, once.
         self._hung = hung and not self._hung and not self.moved
@@ -97,7 +112,7 @@
 
     def unusable(self) -> float | None:
         """An answer could not be used: as `failed`."""
-        self._short = self._hung = False
+        self._failed = self._hung = False
         return AGENT_S if self.agent_ms else None
 
     def answered(self, lasted: float, news: bool) -> float:
@@ -106,12 +121,12 @@
         At once, mostly: after 200 ms it would count as a new watch, and what changed in
         between as told late.
         """
-        self._hung = self._short = False
-        if news:
-            return 0.0
-        late = lasted - self._hold_ms / 1000
+        self._failed = self._hung = False
+        late = lasted - self._asked_ms / 1000
         if late > LATE_S:
-            self._hold_ms = min(self._hold_ms * 5 // 4, HOLD_MOST_MS)
+            self._crowded = True
+            self._hold_ms = min(self._hold_ms * 2, HOLD_MOST_MS)
         elif late > 0:
-            self._hold_ms = max(self._hold_ms * 4 // 5, HOLD_MS)
-        return PACE_S if lasted < PACE_S else 0.0
+            self._crowded = False
+            self._hold_ms = max(self._hold_ms * 3 // 4, HOLD_MS)
+        return 0.0 if news or lasted >= PACE_S else PACE_S
