Settings that can't be used end a start with the place and the remedy, not a crash

Cause: each value went through int() and float() of its own, so a word in place of a number was told as "settings hold an unusable value: could not convert string to float: 'x'" with no place, an unknown effect as "settings lack 'x'", an infinity ended the start with a traceback (20 keys), and some values were taken that the module then died of: ask_within of 0 or 1 (randrange of nothing after the first failed list call, so that no timer was set any more and the list was never asked again), a share that is no number, two classes of one name (one of them never served).

Change: flinthatch/reading.py reads keys with their place; both the adapter's settings and the node's file go through it. Times and counts have bounds, names of classes and tenants differ, and the back-off of list calls has a least. The watch's times move to flinthatch, where what is pure and decides lives (the rig may not import the node).

Two expected texts changed with the wording: "settings is missing", "settings.rules is missing" name the place as before. A word of digits ("480") is no number any more, as deadlines had it.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -384,7 +384,7 @@
             # What happened meanwhile may count as told: the first repeats come soon, and two
             # calls that fail in turn leave time for a third that does not, see LIST_RETRY.
             wait = LIST_RETRY << min(self.list_tries, 4)
-            wait = min(wait, LIST_RETRY_MOST, self.settings.ask_within // 2)
+            wait = min(wait, LIST_RETRY_MOST, max(self.settings.ask_within // 2, LIST_RETRY))
             if self.settings.ask:
                 due = now + wait // 2 + self.random.randrange(wait)
                 self.actions.set_timer(TIMER_LIST, due)
--- a/flinthatch/drill.py
+++ b/flinthatch/drill.py
@@ -14,7 +14,19 @@
 from typing import Any, BinaryIO
 
 from flinthatch.balancer import Balancer
-from flinthatch.terms import Effect, Listing, RequestClass, Scope, Settings, State, Tenant, Update
+from flinthatch.reading import Place, Unusable
+from flinthatch.terms import (
+    MS,
+    SECOND,
+    Effect,
+    Listing,
+    RequestClass,
+    Scope,
+    Settings,
+    State,
+    Tenant,
+    Update,
+)
 
 HEAD = struct.Struct(">IIIQ")
 REPLY = struct.Struct(">III")
@@ -45,6 +57,7 @@
 HINT_VALID = 1
 CLIENT_RETRY = 2
 
+MANY = 1_000_000  # nodes of one tier, more than there will be
 EFFECTS = {"pure": Effect.PURE, "token": Effect.TOKEN, "side_effect": Effect.SIDE_EFFECT}
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
 
@@ -62,67 +75,68 @@
     if not isinstance(raw, dict):
         raise WireError("settings are not a JSON object")
     try:
-        return _settings(raw)
-    except KeyError as err:
-        raise WireError(f"settings lack {err.args[0]!r}") from None
-    except (TypeError, ValueError, AttributeError) as err:
-        raise WireError(f"settings hold an unusable value: {err}") from None
+        return _settings(Place(raw, "settings"))
+    except ValueError as err:
+        raise WireError(str(err)) from None
 
 
-def _settings(raw: dict[str, Any]) -> Settings:
-    rules, limits = raw["rules"], raw.get("limits", {})
-    goal, prices = raw.get("goal", {}), raw.get("prices", {})
+def _settings(raw: Place) -> Settings:
+    rules, limits = raw.under("rules", needed=True), raw.under("limits")
+    goal, prices = raw.under("goal"), raw.under("prices")
+    balancers = raw.whole("balancers", least=1, most=MANY)
     classes = tuple(
         RequestClass(
-            name=str(c.get("name", i)),
-            aim=int(c["target"]),
-            deadline=int(c["deadline"]),
-            effect=EFFECTS[c["effect"]],
-            scope=SCOPES[c.get("dedup_scope", "all")],
-            window=int(c.get("repeat_window", 0)),
-            worth=float(c.get("credit", 1.0)),
-            late_worth=float(c.get("late_worth", 0.0)),
-            stream=bool(c.get("stream", False)),
-            aim_stretch=float(c.get("aim_stretch", 0.0)),
+            name=c.word("name", str(i)),
+            aim=c.whole("target", least=1),
+            deadline=c.whole("deadline", least=1),
+            effect=c.choice("effect", EFFECTS),
+            scope=c.choice("dedup_scope", SCOPES, "all"),
+            window=c.whole("repeat_window", 0),
+            worth=c.number("credit", 1.0),
+            late_worth=c.number("late_worth", 0.0),
+            stream=c.flag("stream"),
+            aim_stretch=c.number("aim_stretch", 0.0),
         )
-        for i, c in enumerate(raw["classes"])
+        for i, c in enumerate(raw.rows("classes", needed=True))
     )
+    if not classes:
+        raise Unusable(f"{raw.where('classes')} is empty: at least one class is wanted")
     tenants = tuple(
         Tenant(
-            name=str(t.get("name", i)),
-            portion=float(t.get("portion", 1.0)),
-            quota_per_s=float(t.get("quota_per_s", 0.0)),
+            name=t.word("name", str(i)),
+            portion=t.number("portion", 1.0),
+            quota_per_s=t.number("quota_per_s", 0.0),
         )
-        for i, t in enumerate(raw.get("realms", []))
+        for i, t in enumerate(raw.rows("realms"))
     )
-    info = raw.get("load_info", {})
+    info = raw.under("load_info")
     return Settings(
-        node=int(raw.get("me", 0)),
-        balancers=int(raw["balancers"]),
-        zone=int(raw.get("my_zone", 0)),
-        zones=max(1, len(raw.get("areas", []))),
+        node=raw.whole("me", 0),
+        balancers=balancers,
+        zone=raw.whole("my_zone", 0),
+        zones=max(1, len(raw.words("areas"))),
         classes=classes,
         tenants=tenants,
-        load_columns=tuple(info.get("columns", ())) if info.get("how") != "off" else (),
-        ask=raw.get("registry_mode") == "ask",
-        ask_within=int(rules.get("ask_within", 10_000_000_000)),
-        drain_grace=int(rules.get("drain_grace", 0)),
-        cold_from=float(rules.get("cold_from", 0.1)),
-        cold=int(rules.get("cold", 0)),
-        fall_multiple=float(rules.get("fall_multiple", 1.0)),
-        fall=int(rules.get("fall", 1_000_000_000)),
-        answer_slack=int(rules.get("grace_to_answer", 0)),
-        max_attempts=int(limits.get("max_attempts", 1)),
-        second_copies=bool(limits.get("second_copies", False)),
-        can_cancel=bool(limits.get("cancelling", False)),
-        can_probe=bool(limits.get("probes", False)),
-        marks_retry=bool(raw.get("clients", {}).get("marks_retry", False)),
-        max_retry_after=(int(limits.get("max_retry_after", 0)) if limits.get("retry_after") else 0),
-        connect_timeout=int(limits.get("dial_timeout", 250_000_000)),
-        tick=int(raw.get("tick", 1_000_000)),
-        worst_class=float(goal.get("worst_class", 0.0)),
-        cross_zone_price=float(prices.get("cross_zone", 0.0)),
-        rated=raw.get("weights", "off") in ("nominal", "rough"),
+        load_columns=info.words("columns") if info.word("how", "off") != "off" else (),
+        ask=raw.word("registry_mode", "push") == "ask",
+        ask_within=rules.whole("ask_within", 10 * SECOND),
+        drain_grace=rules.whole("drain_grace", 0),
+        cold_from=rules.number("cold_from", 0.1),
+        cold=rules.whole("cold", 0),
+        fall_multiple=rules.number("fall_multiple", 1.0),
+        fall=rules.whole("fall", SECOND),
+        answer_slack=rules.whole("grace_to_answer", 0),
+        max_attempts=limits.whole("max_attempts", 1, least=1),
+        second_copies=limits.flag("second_copies"),
+        can_cancel=limits.flag("cancelling"),
+        can_probe=limits.flag("probes"),
+        marks_retry=raw.under("clients").flag("marks_retry"),
+        max_retry_after=limits.whole("max_retry_after", 0) if limits.flag("retry_after") else 0,
+        connect_timeout=limits.whole("dial_timeout", 250 * MS, least=MS),
+        tick=raw.whole("tick", MS),
+        worst_class=goal.number("worst_class", 0.0),
+        cross_zone_price=prices.number("cross_zone", 0.0),
+        rated=raw.word("weights", "off") in ("nominal", "rough"),
     )
 
 
--- a/standins/mass/fleet.py
+++ b/standins/mass/fleet.py
@@ -16,12 +16,12 @@
 from typing import Protocol
 
 from flinthatch import Actions, Balancer, Effect, Listing, Outcome, Settings, State, Update
+from flinthatch.watching import Watching
 from standins.mass.clock import MS, SECOND, Clock
 from standins.mass.day import Day, Traffic
 from standins.mass.listing import Answer, Row
 from standins.mass.listing import Listing as Registry
 from standins.mass.servers import CONNECT_FAILED, FULL, OK, TIMEOUT, Server, Work
-from windrelay.watching import Watching
 
 STATES = {"ready": State.READY, "draining": State.DRAINING, "left": State.GONE}
 SWEEP = SECOND  # idle connections are looked through this often
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -72,8 +72,8 @@
         (None, "can't read"),
         ("{", "not JSON"),
         ("[]", "not a JSON object"),
-        ('{"discovery":"127.0.0.1:1"}', "lacks 'settings'"),
-        ('{"discovery":"127.0.0.1:1","settings":{}}', "settings lack 'rules'"),
+        ('{"discovery":"127.0.0.1:1"}', "settings is missing"),
+        ('{"discovery":"127.0.0.1:1","settings":{}}', "settings.rules is missing"),
     ],
 )
 def test_a_bad_configuration_is_one_line_and_status_2(
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -17,10 +17,10 @@
 import pytest
 
 from flinthatch import Balancer, Settings, Update
+from flinthatch.watching import DIAL_S, HOLD_MOST_MS, HOLD_MS, TOLD_S, Watching
 from windrelay import discovery as windrelay_discovery
 from windrelay.config import Address
 from windrelay.discovery import Call
-from windrelay.watching import DIAL_S, HOLD_MOST_MS, HOLD_MS, TOLD_S, Watching
 
 from .fakes import MS, PURE, SECOND, Host
 from .harness import accept, answer, listen, node, request, roster, target
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -9,6 +9,7 @@
 
 from flinthatch import Settings
 from flinthatch.drill import WireError, settings_from_json
+from flinthatch.reading import Place, Unusable, shown
 
 DEFAULT_MEMORY_MB = 128
 DEFAULT_SOCKETS = 1024
@@ -99,19 +100,6 @@
                 raise ConfigError(f"the configuration lacks {f'{place}[{i}].{lacking[0]}'!r}")
 
 
-def _numbers(settings: dict[str, Any]) -> None:
-    """ConfigError where a time or a count of attempts is no number above 0."""
-    rows = [(f"classes[{i}]", row) for i, row in enumerate(settings.get("classes", ()))]
-    times = ("target", "deadline")
-    wanted = [(f"{at}.{key}", row[key]) for at, row in rows for key in times if key in row]
-    limits = settings.get("limits", {})
-    if "max_attempts" in limits:
-        wanted.append(("limits.max_attempts", limits["max_attempts"]))
-    for at, value in wanted:
-        if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
-            raise ConfigError(f"{at} is no number above 0: {value!r}")
-
-
 def _load(environ: Mapping[str, str], told: tuple[str, ...]) -> Config:
     path = environ.get("PROXY_CONFIG")
     if not path:
@@ -129,42 +117,46 @@
     for key in told:
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
-        return _config(raw, words)
-    except KeyError as err:
-        raise ConfigError(f"the configuration lacks {err.args[0]!r}") from None
-    except WireError as err:
-        raise ConfigError(str(err)) from None
-    except (TypeError, ValueError, AttributeError) as err:
-        raise ConfigError(f"the configuration holds an unusable value: {err}") from None
-
-
-def _config(raw: dict[str, Any], words: dict[str, Any]) -> Config:
-    for key in ("name", "listen", "discovery"):
-        if not raw.get(key):
-            raise KeyError(key)
-    limits = raw.get("limits", {})
-    settings = raw["settings"]
-    _numbers(settings)
-    known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
-    if not isinstance(known, dict):
-        raise ValueError("known is no list of backends")
-    sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
-    if sockets < MIN_SOCKETS:
-        raise ValueError(f"sockets must be at least {MIN_SOCKETS}")
+        return _config(Place(raw, ""), words)
+    except (Unusable, WireError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+
+
+def _address(raw: Place, key: str) -> Address:
+    text = raw.value(key)
+    try:
+        return parse_address(text)
+    except ValueError:
+        raise Unusable(f"{raw.where(key)} is {shown(text)}: host:port is wanted") from None
+
+
+def _seed(raw: Place) -> int:
+    word = raw.word("seed", "0")
+    try:
+        return int(word, 16)
+    except ValueError:
+        raise Unusable(f"{raw.where('seed')} is {shown(word)}: hexadecimal is wanted") from None
+
+
+def _config(raw: Place, words: dict[str, Any]) -> Config:
+    limits = raw.under("limits")
+    settings = raw.under("settings", needed=True)
+    theirs = settings.under("limits")
+    known = raw.raw.get("known") or {"rev": 0, "all": True, "targets": []}
     return Config(
-        name=str(raw["name"]),
-        listen=parse_address(raw["listen"]),
-        discovery=parse_address(raw["discovery"]),
-        seed=int(str(raw.get("seed", "0")), 16),
-        memory_mb=int(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
-        sockets=sockets,
-        known=known,
-        settings=settings_from_json(json.dumps(settings).encode()),
-        zones=tuple(str(z) for z in settings.get("areas", ())),
-        kinds=tuple(str(k) for k in settings.get("skus", ())),
-        idle_close=int(settings.get("limits", {}).get("idle_close", 15_000_000_000)),
-        max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
-        reports=settings.get("load_info", {}).get("how", "off") != "off",
+        name=raw.word("name"),
+        listen=_address(raw, "listen"),
+        discovery=_address(raw, "discovery"),
+        seed=_seed(raw),
+        memory_mb=limits.whole("memory_mb", DEFAULT_MEMORY_MB, least=1),
+        sockets=limits.whole("sockets", DEFAULT_SOCKETS, least=MIN_SOCKETS),
+        known=dict(Place(known, "known").raw),
+        settings=settings_from_json(json.dumps(settings.raw).encode()),
+        zones=settings.words("areas"),
+        kinds=settings.words("skus"),
+        idle_close=theirs.whole("idle_close", 15_000_000_000),
+        max_open=theirs.whole("open_cap", 20_000, least=1),
+        reports=settings.under("load_info").word("how", "off") != "off",
         raw=words,
-        mgmt=parse_address(raw["mgmt"]) if raw.get("mgmt") else None,
+        mgmt=_address(raw, "mgmt") if raw.raw.get("mgmt") else None,
     )
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -13,8 +13,8 @@
 import httptools
 
 from flinthatch import Listing, State, Update
+from flinthatch.watching import AGENT_LEAST_MS, DIAL_S, FETCH_S, Watching
 from windrelay.config import Address, Config, parse_address
-from windrelay.watching import AGENT_LEAST_MS, DIAL_S, FETCH_S, Watching
 
 MAX_ANSWER = 2 << 20  # some thousands of backends
 OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
