A node ends before SIGKILL whatever the deadlines, and begins nothing in its last moment

Found beside them: after a reload with a shorter idle_close connections were reused up to the old one and met the servers' close (may have run); areas of other names were taken at a reload though the list's rows are read by those of the start. Ruled out by passing tests: a request that lies unread as the word comes, SIGHUP and SIGTERM twice each in both orders with a class dropped under an open request, small writes held back (TCP_NODELAY is set on both sides).

--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -5,6 +5,7 @@
 import copy
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -196,3 +197,24 @@
         client = n.connect()
         client.send(request("/refund/1", b"x"))
         assert client.message()[0].split(" ")[1] == "404"
+
+
+def test_servers_that_close_idle_connections_sooner_are_believed_at_once(tmp_path: Path) -> None:
+    """The limit of the start stood for good: requests were written into closes."""
+    with inside(tmp_path, roster()) as one:
+        most = one.node.upstream.idle_limit.most
+        one.node.reload(replace(one.config, idle_close=4 * 1_000_000_000))
+        assert one.node.upstream.idle_limit.most == 2 * 1_000_000_000 < most
+        learnt = one.node.upstream.idle_limit
+        learnt.limit = 5
+        one.node.reload(replace(one.config, idle_close=4 * 1_000_000_000))
+        assert one.node.upstream.idle_limit is learnt and learnt.limit == 5
+
+
+def test_areas_of_other_names_turn_the_whole_file_down(tmp_path: Path) -> None:
+    """The list's rows are read by the names of the start: each server would be in the first."""
+    with inside(tmp_path, roster()) as one:
+        before = one.node.balancer.settings
+        with pytest.raises(ValueError, match="areas"):
+            one.node.reload(replace(one.config, zones=("a", "b"), max_open=1))
+        assert one.node.balancer.settings is before and one.node.config.max_open != 1
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -35,9 +35,10 @@
 from windrelay.operate import Operated  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 
-# A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
-# after SIGTERM the node may be killed.
+# A stop. Connections go on coming for 0.4 s; the longest deadline, 3 s of it at the most, and
+# 0.7 s after SIGTERM the node may be killed.
 ACCEPT_S = 0.5
+TERM_MOST_S = 3.0
 KILL_S = 0.7
 LAST_CALL_S = 0.12  # before that, for the last answers to be written and the exit
 POLL_S = 0.01
@@ -82,7 +83,7 @@
         if self.config.mgmt is not None:
             port = await self.desk.listen(*self.config.mgmt)
             self.node.log(f"calls at {self.config.mgmt.host}:{port}")
-        self.operated.serving = True
+        self.operated.serving = not self.server.stopping  # it may have been told meanwhile
         if not self.config.settings.ask:
             # Lists are pushed to an agent on this machine, and what it has counts as told.
             # Nobody decides when to ask it: the watch stands from start to end.
@@ -164,7 +165,8 @@
         self.operated.serving = False
         self.node.log("stopping")
         longest = max(c.deadline for c in self.config.settings.classes) / 1e9
-        self.give_up_at = self.loop.time() + longest + KILL_S - LAST_CALL_S
+        patience = min(longest, TERM_MOST_S) + KILL_S - LAST_CALL_S
+        self.give_up_at = self.loop.time() + patience
         self.loop.call_later(ACCEPT_S, self.close)
 
     def close(self) -> None:
@@ -176,6 +178,8 @@
     def wait(self) -> None:
         late = self.loop.time() >= self.give_up_at
         if late:
+            # Whatever is read from here on would be sent on and lost with the process.
+            self.server.over = True
             self.node.fail_all()
         if late or self.server.finished():
             self.node.discovery.close()
--- a/windrelay/assemble.py
+++ b/windrelay/assemble.py
@@ -20,3 +20,8 @@
         super().__init__(config, loop)
         self.discovery = Discovery(config, self.members_told, self.log)
         self.upstream = Upstream(self)
+
+    def reload(self, config: Config) -> dict[str, int]:
+        numbers = super().reload(config)
+        self.upstream.rest_at_most(config.idle_close)
+        return numbers
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -187,6 +187,9 @@
 
         ValueError, and nothing has changed, where it can't be taken over in a running node.
         """
+        if config.zones != self.config.zones:
+            # The list's rows are read by the names of the start.
+            raise ValueError("areas can change only at a start")
         numbers = self.retune(config.settings)
         self.config = config
         self.share(self.elsewhere)
@@ -316,7 +319,9 @@
         """Whether an attempt whose last byte is about to leave may still do so: its connection
         took a while to come up, or to take what is ahead of that byte."""
         r = a.request
-        return r is None or self.balancer.may_begin(time.monotonic_ns(), r.id, a.number)
+        if r is None:
+            return True
+        return not r.ended and self.balancer.may_begin(time.monotonic_ns(), r.id, a.number)
 
     def members_told(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
         now = self.enter()
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -366,6 +366,10 @@
             server = self._server
             self._write_head(EMPTY[503] if server.stopping or server.evacuated else READY)
             return
+        if self._server.over:
+            node.budget.give(incoming.reserved)
+            self.answer_empty(503, 0)
+            return
         if node.repeated(incoming.rid):
             node.budget.give(incoming.reserved)
             self._reject(400, "the id of another request")
@@ -652,6 +656,7 @@
         self.sweeps = 0
         self.numbering = 0  # grows with each new numbering of the classes
         self.stopping = False
+        self.over = False  # the process is about to end: nothing more is begun
         self.evacuated = False  # by an operator's word, until another
         self._evacuated_since = 0
         self.handed = False  # a successor takes clients from the same socket
--- a/windrelay/succession.py
+++ b/windrelay/succession.py
@@ -27,6 +27,7 @@
 import json
 import os
 import socket
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -85,6 +86,7 @@
     """Take over from the process that runs; None where none does or it does not answer."""
     line = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     line.settimeout(CLAIM_S)
+    end = time.monotonic() + CLAIM_S
     listeners: list[socket.socket] = []
     try:
         with _Folder(path) as folder:
@@ -93,6 +95,8 @@
         listeners = [socket.socket(fileno=number) for number in numbers]
         buffer = b""
         while data and b"\n" not in buffer:
+            # In all, and not for each piece of what trickles: nobody is served meanwhile.
+            line.settimeout(max(end - time.monotonic(), 0.001))
             data = line.recv(1 << 16)
             buffer += data
             if len(buffer) > STATE_MOST:
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -682,10 +682,16 @@
         self.idle: dict[int, list[BackendConnection]] = {}
         self.by_age: dict[BackendConnection, None] = {}
         self.dials: set[BackendConnection] = set()  # not made yet
-        # At the backends' own limit a request would cross their close, and count
-        # as a reset: may have run.
-        limit = node.config.idle_close
-        self.idle_limit: IdleLimit = IdleLimit(max(limit - IDLE_MARGIN_NS, limit // 2))
+        self.idle_limit = IdleLimit(0)
+        self.rest_at_most(node.config.idle_close)
+
+    def rest_at_most(self, closed_after: int) -> None:
+        """Backends close what has been idle for so many nanoseconds, by the settings."""
+        # At their own limit a request would cross their close, and count as a reset: may
+        # have run. What was learnt holds only below the limit it was learnt under.
+        most = max(closed_after - IDLE_MARGIN_NS, closed_after // 2)
+        if most != self.idle_limit.most:
+            self.idle_limit = IdleLimit(most)
 
     def send(self, attempt: Attempt) -> None:
         backend = attempt.backend
