Names: concurrency limit, ejected, half-open and slow-start pace, as the field has them

Need: `level`, `left alone`, `on trial` and `rest` (of a cold server) hid the standard terms. Behaviour is unchanged. The log says "concurrency limit down to" and "recalled N servers ejected".

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -29,15 +29,15 @@
     Update,
 )
 
-# Caps. LEVEL is how many requests all nodes together keep at one backend. It
-# starts at START_LEVEL and follows the worst class's crowding: the part of the
-# room between its uncrowded latency and its aim that attempts use up. Under
+# Caps. The concurrency limit is how many requests all nodes together keep at one
+# backend. It starts at START_LIMIT and follows the worst class's crowding: the part
+# of the room between its uncrowded latency and its aim that attempts use up. Under
 # LOW_CROWDING with requests waiting it grows, over HIGH_CROWDING it is cut.
 # One is enough where work is long against the network gap, as in a slowdown.
-START_LEVEL = 4.0
-MIN_LEVEL = 1.0
-FULL_LEVEL = 3.0  # below it backends that turn away while they are quick cut nothing
-MAX_LEVEL = 64.0
+START_LIMIT = 4.0
+MIN_LIMIT = 1.0
+FULL_LIMIT = 3.0  # below it backends that turn away while they are quick cut nothing
+MAX_LIMIT = 64.0
 LOW_CROWDING = 0.17
 HIGH_CROWDING = 0.32
 BASE_RISE = 1.005  # a cycle, so that an uncrowded latency once seen is not held for ever
@@ -45,10 +45,10 @@
 CUT = 0.9
 JUDGED = 10  # answers that judge a class's crowding; fewer are carried to the next cycle
 TAKEN_MOST = 1.2  # most aims one attempt may count as
-FULL_SHARE = 0.05  # refusals by backends above this share of outcomes cut the level
+FULL_SHARE = 0.05  # refusals by backends above this share of outcomes cut the limit
 LOST_SHARE = 0.04  # the same of time-outs by backends that answer otherwise ...
 LOST_SLOW = 0.35  # ... where attempts take this part of their aim, time-outs counted in
-SPILL = 0.34  # part of the level that is dealt to nodes of other zones
+SPILL = 0.34  # part of the limit that is dealt to nodes of other zones
 ROUND_STEP = 0.618034  # golden section: any run of ranks rounds up in proportion
 MIN_SLOTS = 4  # a node holds at least this many slots, however thin its deal
 SLOW_FACTOR = 1.5  # latency against the fleet's at which a backend's own cap shrinks
@@ -101,7 +101,7 @@
 # Slow start: part of the stated budget that all nodes use together, the rest is
 # for views that differ and for requests heavier than the mean.
 COLD_SAFETY = 0.7
-COLD_LEVEL = 2
+COLD_LIMIT = 2
 
 INFINITE = float("inf")
 NEVER = 1 << 63
@@ -118,10 +118,10 @@
 
 class Backend:
     __slots__ = (
-        "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errs", "fulls",
-        "held", "id", "index", "kind", "lat", "lingering", "listed", "local", "offset", "rating",
-        "rest_until", "seen", "since", "state", "stalled", "takers", "trial", "zone", "down_until",
-        "strikes",
+        "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "ejected_until",
+        "errs", "fulls", "half_open", "held", "id", "index", "kind", "lat", "lingering", "listed",
+        "local", "offset", "rating", "rest_until", "seen", "since", "stalled", "state", "strikes",
+        "takers", "zone",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
@@ -138,7 +138,7 @@
         self.lingering: tuple[int, ...] = ()  # ends of what was given up and may be at work yet
         self.cap = 0
         self.deal = 0  # this node's place in the deal of this backend's slots
-        self.offset = 0.0  # where this backend's level rounds up
+        self.offset = 0.0  # where this backend's part of the limit rounds up
         self.bucket: list[Backend] | None = None
         self.index = 0
         self.lat = 1.0  # latency against the fleet's, slowly averaged
@@ -146,8 +146,8 @@
         self.seen = 0
         self.since = 0  # last answer, or first send after being idle
         self.stalled = False
-        self.trial = False
-        self.down_until = 0
+        self.half_open = False
+        self.ejected_until = 0
         self.backoff = BACKOFF
         self.strikes = 0
         self.errs = 0.0  # part of late answers that were errors
@@ -159,7 +159,7 @@
     def doubtful(self, now: int) -> bool:
         """Whether its last word, a moment ago, was bad, or it is being tried again."""
         bad = self.errs > DOUBT or self.strikes > 0
-        return self.trial or (bad and now - self.seen < DOUBT_FOR)
+        return self.half_open or (bad and now - self.seen < DOUBT_FOR)
 
 
 class Attempt:
@@ -323,7 +323,7 @@
         self.running = 0
         self.waiting = 0  # queued within quota
         self.waiting_over = 0
-        self.level = START_LEVEL
+        self.concurrency_limit = START_LIMIT
         self.pointer = 0
         self.left_in_turn = 0
         self.heap: list[tuple[int, int, Request | Backend]] = []
@@ -350,7 +350,7 @@
         self.sends = 0
         self.send_rate = 0.0  # a second, smoothed
         self.errs = 0.0  # part of all late answers that were errors
-        self.down = 0  # ready backends left alone
+        self.ejected = 0  # ready backends ejected
         self.ready = 0
         self.list_tries = 0
         self.asking = False
@@ -419,8 +419,8 @@
             if row.state != State.GONE and row.boot and row.boot != backend.boot:
                 backend.boot = row.boot
                 backend.cold_until = max(backend.cold_until, row.boot + self.settings.cold)
-                if backend.down_until:
-                    self.revive(backend)
+                if backend.ejected_until:
+                    self.reopen(backend)
             self.enter_state(backend, row.state)
             if row.state != State.GONE:
                 backend.rating = row.rating if row.rating > 0 else 1.0
@@ -452,14 +452,14 @@
             self.dispatch(now)
 
     def enter_state(self, b: Backend, state: State) -> None:
-        """Only ready backends count as left alone, against half of the ready ones."""
+        """Only ready backends count as ejected, against half of the ready ones."""
         b.listed = state
         if state == State.READY and b.id in self.banned:
             state = State.DRAINING
         b.state = state
-        if state != State.READY and b.down_until:
-            b.down_until = 0
-            self.down -= 1
+        if state != State.READY and b.ejected_until:
+            b.ejected_until = 0
+            self.ejected -= 1
 
     def retire(self, b: Backend) -> None:
         """Forget a backend that has gone, once its last attempt has its outcome.
@@ -492,7 +492,7 @@
             rows = sorted(zones[zone], key=lambda b: b.id)
             self.ready += len(rows)
             for rank, backend in enumerate(rows):
-                # Rounded up everywhere, a level just over 2 would deal three slots.
+                # Rounded up everywhere, a limit just over 2 would deal three slots.
                 backend.offset = rank * ROUND_STEP % 1.0
                 if backend.local:
                     backend.deal = (self.place_among - turn(rank, len(rows), self.peers)) % (
@@ -506,26 +506,26 @@
     def recap(self) -> None:
         settings = self.settings
         local = sum(1 for b in self.backends.values() if b.local and b.state == State.READY)
-        level = self.level
+        limit = self.concurrency_limit
         self.thin = MIN_SLOTS * self.peers >= THIN * local > 0
         if local:
-            level = max(level, MIN_SLOTS * self.peers / local)
-        spill = level * SPILL
+            limit = max(limit, MIN_SLOTS * self.peers / local)
+        spill = limit * SPILL
         others = max(1, settings.balancers - self.peers)
         many = settings.balancers > self.peers  # others than those that are near
         total = 0
         for backend in self.backends.values():
             if backend.state != State.READY:
                 continue
-            depth = level if backend.local else spill
+            depth = limit if backend.local else spill
             if backend.lat > SLOW_FACTOR:
                 depth = min(depth, max(1.0, depth / backend.lat))
             if backend.cold_until > self.now:
                 # At two slots for the whole slow start a rolling release left a
                 # zone of half-warm backends idle and its nodes short of slots.
-                depth = min(depth, max(COLD_LEVEL, depth * self.warmth(backend)))
+                depth = min(depth, max(COLD_LIMIT, depth * self.warmth(backend)))
             nodes = self.peers if backend.local else others
-            # Near and far nodes share one cold budget as they share the level.
+            # Near and far nodes share one cold budget as they share the limit.
             part = (1.0 if backend.local else SPILL) / (1.0 + SPILL) if many else 1.0
             backend.takers = max(1, min(int(depth + 1.0), nodes)) / part
             depth = int(depth + backend.offset)
@@ -543,9 +543,9 @@
             b.lingering = tuple(end for end in b.lingering if end > self.now)
         free = (
             b.state == State.READY
-            and b.held + len(b.lingering) < (min(b.cap, 1) if b.trial else b.cap)
+            and b.held + len(b.lingering) < (min(b.cap, 1) if b.half_open else b.cap)
             and not b.stalled
-            and not b.down_until
+            and not b.ejected_until
             and b.rest_until <= self.now
         )
         bucket = None
@@ -812,7 +812,7 @@
             b
             for b in self.backends.values()
             if b.state == State.READY
-            and not b.down_until
+            and not b.ejected_until
             and (b.zone == first.zone if zone else b.cell == first.cell)
         ]
         return min(free, key=lambda b: (b is first, b.held, b.id)) if free else None
@@ -838,11 +838,11 @@
             b.since = now
         b.held += 1
         if b.cold_until > now:
-            self.rest(now, b)
+            self.pace(now, b)
         self.settle(b)
         self.actions.send(r.id, b.id, limit)
 
-    def rest(self, now: int, b: Backend) -> None:
+    def pace(self, now: int, b: Backend) -> None:
         """Space out what a cold backend gets, to this node's part of its budget."""
         s = self.settings
         usual = self.send_rate * s.balancers / max(self.ready, 1)
@@ -956,7 +956,7 @@
         if b.stalled and not b.held:
             # All it held has ended without an answer: nothing else would let it back in.
             b.stalled = False
-            b.trial = True
+            b.half_open = True
         if outcome == OK:
             if not a.started:
                 self.answered(now, c, b, taken, load)
@@ -1011,7 +1011,7 @@
         b.stalled = False
         b.fulls = 0
         b.strikes = 0
-        b.trial = False
+        b.half_open = False
         b.errs -= ERR_GAIN * b.errs
         self.errs -= ERR_FLEET_GAIN * self.errs
         if b.errs < DOUBT:
@@ -1054,12 +1054,12 @@
             b.errs += ERR_GAIN * (1.0 - b.errs)
             self.errs += ERR_FLEET_GAIN * (1.0 - self.errs)
             if b.errs > (ERR_OUT if self.errs < ERR_FLEET else ERR_SURE):
-                self.suspend(now, b, "errors or breaks in a row")
+                self.eject(now, b, "errors or breaks in a row")
         elif outcome in (TIMEOUT, CONNECT_FAILED):
             b.cost = 6.0
             b.seen = now
             if outcome == TIMEOUT:
-                # Answers alone would make a jam look like light load: the level
+                # Answers alone would make a jam look like light load: the limit
                 # would stay up while most work is given up on.
                 self.timed(c, b, max(taken, c.aim))
                 # Learnt in a jam, the uncrowded latency is the jam's own, and only
@@ -1076,22 +1076,22 @@
             elif lost:
                 # One that has ended refuses the next too. Its own start, however short,
                 # comes with the list.
-                self.suspend(now, b, "connections failed", restarted=True)
+                self.eject(now, b, "connections failed", restarted=True)
             elif b.strikes >= STRIKES and now - b.since >= taken:
-                self.suspend(now, b, "no answer since the send")
+                self.eject(now, b, "no answer since the send")
 
-    def suspend(self, now: int, b: Backend, why: str, restarted: bool = False) -> None:
+    def eject(self, now: int, b: Backend, why: str, restarted: bool = False) -> None:
         """Leave a silent, failing or unreachable backend alone; never more than half of all."""
-        if b.state != State.READY or b.down_until or (self.down + 1) * 2 > self.ready:
+        if b.state != State.READY or b.ejected_until or (self.ejected + 1) * 2 > self.ready:
             return
-        b.down_until = now + b.backoff
+        b.ejected_until = now + b.backoff
         b.backoff = min(b.backoff * 2, BACKOFF_MAX)
         if restarted:
             # Its process may be replaced before the list says so.
-            b.cold_until = b.down_until + self.settings.cold
+            b.cold_until = b.ejected_until + self.settings.cold
         self.say(now, f"backend {b.id} out: {why}")
-        self.down += 1
-        self.remind(b.down_until, b)
+        self.ejected += 1
+        self.remind(b.ejected_until, b)
         self.settle(b)
 
     def say(self, now: int, text: str) -> None:
@@ -1100,11 +1100,11 @@
             self.quiet_until = now + SECOND
             self.actions.log(text)
 
-    def revive(self, b: Backend) -> None:
-        b.down_until = 0
+    def reopen(self, b: Backend) -> None:
+        b.ejected_until = 0
         b.stalled = False
-        b.trial = True
-        self.down -= 1
+        b.half_open = True
+        self.ejected -= 1
         self.settle(b)
 
     def on_started(self, now: int, request: int, attempt: int, taken: int) -> None:
@@ -1185,8 +1185,8 @@
         while heap and heap[0][0] <= now:
             item = heappop(heap)[2]
             if isinstance(item, Backend):
-                if item.down_until and item.down_until <= now:
-                    self.revive(item)
+                if item.ejected_until and item.ejected_until <= now:
+                    self.reopen(item)
                 else:
                     self.settle(item)
             elif item.queued and item.wait_by <= now:
@@ -1223,31 +1223,33 @@
             n = self.outcomes
             # Turned away though what is served is quick, attempts meet a limit on rates
             # or connections: fewer slots would not ease it. Cut for it all the same, the
-            # level fell to 2 and a fifth was refused with every backend idle.
+            # limit fell to 2 and a fifth was refused with every backend idle.
             full = self.fulls > FULL_SHARE * n
             # A jam that ends in time-outs is slow for all. Where the rest is quick they
             # are requests or answers that went astray: cut for one in twenty of these,
-            # the level fell from 4 to 1 and a third was refused beside idle servers.
+            # the limit fell from 4 to 1 and a third was refused beside idle servers.
             lost = self.lost > max(LOST_SHARE * n, 1) and slowest > LOST_SLOW
             if (
                 worst > HIGH_CROWDING
-                or (full and (worst > LOW_CROWDING or self.level > FULL_LEVEL))
+                or (full and (worst > LOW_CROWDING or self.concurrency_limit > FULL_LIMIT))
                 or lost
             ):
                 cut = True
                 deep = worst > 2.0 * HIGH_CROWDING
-                self.level = max(MIN_LEVEL, self.level * (CUT * CUT * CUT if deep else CUT))
+                self.concurrency_limit = max(
+                    MIN_LIMIT, self.concurrency_limit * (CUT * CUT * CUT if deep else CUT)
+                )
                 if deep:
-                    self.say(now, f"level down to {self.level:.1f}")
+                    self.say(now, f"concurrency limit down to {self.concurrency_limit:.1f}")
             elif self.pressed and judged and worst < LOW_CROWDING and not full:
-                self.level = min(MAX_LEVEL, self.level * GROW)
+                self.concurrency_limit = min(MAX_LIMIT, self.concurrency_limit * GROW)
         self.outcomes = self.fulls = self.lost = 0
         self.pressed = False
         for i, seen in enumerate(self.ratio_n):
             # Of many nodes each sees an answer or two a cycle: the worst class's
-            # mean over so few is mostly chance, and the level would sink on it.
+            # mean over so few is mostly chance, and the limit would sink on it.
             # Never past a cut: the same few answers of one jam, judged cycle after
-            # cycle, took the level from 9 to 1 at nodes of three slots.
+            # cycle, took the limit from 9 to 1 at nodes of three slots.
             carry = DECAY if seen < JUDGED and not cut else 0.0
             self.ratio_sum[i] *= carry
             self.ratio_n[i] *= carry
--- a/flinthatch/parts.py
+++ b/flinthatch/parts.py
@@ -42,41 +42,41 @@
     """Others find these out: each gets one request at a time until it has answered one of ours,
     unless it answered one within `fresh`. Returns how many that are so from now on.
 
-    One that is left alone already is not touched, and none is ever left alone by this.
+    One that is ejected already is not touched, and none is ever ejected by this.
     """
     balancer.now = now
     count = 0
     for number in servers:
         b = balancer.backends.get(number)
-        if b is None or b.state != State.READY or b.trial or b.down_until:
+        if b is None or b.state != State.READY or b.half_open or b.ejected_until:
             continue
         if b.seen and now - b.seen <= fresh and not b.errs and not b.strikes:
             continue
-        b.trial = True
+        b.half_open = True
         balancer.settle(b)
         count += 1
     return count
 
 
 def wait(balancer: Balancer, now: int, server: int, until: int) -> bool:
-    """Another tries this server, which is left alone here: stay away from it up to `until`.
-    False where it is not left alone, or for longer than that already."""
+    """Another tries this server, which is ejected here: stay away from it up to `until`.
+    False where it is not ejected, or for longer than that already."""
     b = balancer.backends.get(server)
-    if b is None or not b.down_until or b.down_until >= until:
+    if b is None or not b.ejected_until or b.ejected_until >= until:
         return False
-    b.down_until = until
+    b.ejected_until = until
     balancer.remind(until, b)
     return True
 
 
 def back(balancer: Balancer, now: int, server: int) -> bool:
     """Another's try was answered: try it here too, with one request at a time. False where it
-    was not left alone."""
+    was not ejected."""
     balancer.now = now
     b = balancer.backends.get(server)
-    if b is None or not b.down_until:
+    if b is None or not b.ejected_until:
         return False
-    balancer.revive(b)
+    balancer.reopen(b)
     balancer.dispatch(now)
     return True
 
@@ -86,9 +86,9 @@
     return {b.id: b.held + len(b.lingering) for b in balancer.backends.values()}
 
 
-def left_alone(balancer: Balancer) -> set[int]:
+def ejected(balancer: Balancer) -> set[int]:
     """Servers that this module leaves alone now."""
-    return {b.id for b in balancer.backends.values() if b.down_until}
+    return {b.id for b in balancer.backends.values() if b.ejected_until}
 
 
 def answered_lately(balancer: Balancer, now: int, within: int) -> dict[int, int]:
--- a/flinthatch/recall.py
+++ b/flinthatch/recall.py
@@ -2,7 +2,7 @@
 
 A node that starts knows nothing of its servers: it sends first attempts to the dead one
 again, and begins from guesses in the middle of an overload. What is recalled is never more
-than the module itself would have decided: servers are left alone by its own rule, at most
+than the module itself would have decided: servers are ejected by its own rule, at most
 half of them; a cold one stays cold; what does not fit or is too old is not believed.
 """
 
@@ -12,17 +12,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flinthatch.balancer import BACKOFF, BACKOFF_MAX, MAX_LEVEL, MIN_LEVEL, Backend, Balancer
+from flinthatch.balancer import BACKOFF, BACKOFF_MAX, MAX_LIMIT, MIN_LIMIT, Backend, Balancer
 from flinthatch.terms import MS, SECOND, State
 
 FORMAT = 1
-# Health and the level: longer than the longest time a server is left alone, so that a quick
-# restart forgets none; not much longer, since servers are replaced and loads change.
+# Health and the concurrency limit: longer than the longest time a server is ejected, so that a
+# quick restart forgets none; not much longer, since servers are replaced and loads change.
 HEALTH_AGE = 60 * SECOND
 # Latencies of classes change with the servers' work, over hours; they are corrected by the
 # first answers. Past this a guess is as good.
 LATENCY_AGE = 10 * 60 * SECOND
-LEAST_LEFT = 100 * MS  # of a time that is nearly over: it ends with a trial, as ever
+LEAST_EJECTED = 100 * MS  # of a time that is nearly over: it ends with a trial, as ever
 ANSWERS = 20.0  # that a recalled latency counts as: the next ones still move it
 
 
@@ -30,7 +30,7 @@
 class Recalled:
     """What came of a record; `why` says what was not believed, and is empty otherwise."""
 
-    left_alone: int = 0
+    ejected: int = 0
     latencies: int = 0
     why: str = ""
 
@@ -45,7 +45,7 @@
     return {
         "format": FORMAT,
         "saved": wall,
-        "level": balancer.level,
+        "level": balancer.concurrency_limit,
         "rate": balancer.send_rate,
         "classes": {
             c.spec.name: {"lat": c.lat, "base": c.base} for c in balancer.classes if c.lat_n
@@ -54,8 +54,8 @@
             str(b.id): {
                 "boot": b.boot + clock if b.boot else 0,
                 "lat": b.lat,
-                "down": max(b.down_until - now, 0) if b.down_until else 0,
-                "trial": b.trial,
+                "down": max(b.ejected_until - now, 0) if b.ejected_until else 0,
+                "trial": b.half_open,
                 "backoff": b.backoff,
                 "strikes": b.strikes,
                 "cold": max(b.cold_until - now, 0),
@@ -81,7 +81,9 @@
     if age > HEALTH_AGE:
         why = f"health is {age / SECOND:.0f} s old, {HEALTH_AGE // SECOND} at most"
         return Recalled(0, latencies, why)
-    balancer.level = max(MIN_LEVEL, min(number(record.get("level"), balancer.level), MAX_LEVEL))
+    balancer.concurrency_limit = max(
+        MIN_LIMIT, min(number(record.get("level"), balancer.concurrency_limit), MAX_LIMIT)
+    )
     # What a cold server may get hangs on the usual rate. Begun at 0, the few sends that allows
     # keep it low: after an upgrade amid a release a third was refused for 3 s.
     balancer.send_rate = max(0.0, number(record.get("rate"), 0.0))
@@ -115,7 +117,7 @@
 def recall_backends(
     balancer: Balancer, now: int, wall: int, age: int, rows: dict[str, object]
 ) -> int:
-    """Those left alone longest first: the module allows half of the ready ones."""
+    """Those ejected longest first: the module allows half of the ready ones."""
     known: list[tuple[float, Backend, dict[str, object]]] = []
     for b in balancer.backends.values():
         row = rows.get(str(b.id))
@@ -139,9 +141,9 @@
         backoff = min(max(int(number(row.get("backoff"), BACKOFF)), BACKOFF), BACKOFF_MAX)
         strikes = min(max(int(number(row.get("strikes"), 0.0)), 0), 100)
         if down > 0 or row.get("trial") is True:
-            b.backoff = min(max(int(down) - age, LEAST_LEFT), BACKOFF_MAX)
-            balancer.suspend(now, b, "left alone before the restart")
-            left += bool(b.down_until)
+            b.backoff = min(max(int(down) - age, LEAST_EJECTED), BACKOFF_MAX)
+            balancer.eject(now, b, "ejected before the restart")
+            left += bool(b.ejected_until)
             b.strikes = strikes
         b.backoff = backoff
         balancer.settle(b)
--- a/tansywood/fleet/signals.py
+++ b/tansywood/fleet/signals.py
@@ -23,7 +23,7 @@
 
 class Kind(IntEnum):
     GOOD = 0  # it has answered
-    OUT = 1  # left alone: errors in a row, no answer, no connection
+    OUT = 1  # ejected: errors in a row, no answer, no connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/tansywood/iso8583/mapping.py
+++ b/tansywood/iso8583/mapping.py
@@ -111,7 +111,7 @@
     they were sent; `written` tells of each whether its last byte may have left.
 
     One break is one piece of news of a server, however many it puts in doubt: told as many
-    breaks, five outstanding credits would have had the server left alone. The first is told as
+    breaks, five outstanding credits would have had the server ejected. The first is told as
     what it is, the others as given up: they may have run, and say nothing of the server.
     """
     found: list[Outcome] = []
--- a/tansywood/service/node.py
+++ b/tansywood/service/node.py
@@ -20,7 +20,7 @@
 from windrelay.__main__ import main as run_main
 
 KEY = b"health/1"
-SAVE_S = 2.0  # a quarter of the longest time that a server is left alone
+SAVE_S = 2.0  # a quarter of the longest time that a server is ejected
 
 
 class Keeper:
@@ -44,7 +44,7 @@
             return
         done = restore(balancer, now, now + self.clock, record)
         log(
-            f"recalled {done.left_alone} servers left alone, {done.latencies} latencies"
+            f"recalled {done.ejected} servers ejected, {done.latencies} latencies"
             + (f"; {done.why}" if done.why else "")
         )
 
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -169,7 +169,7 @@
         self.again(hosted)
 
     def _wait(self, hosted: Tenant, server: int, until: int) -> None:
-        """Leave the try to another; once for each time that the server is left alone, since one
+        """Leave the try to another; once for each time that the server is ejected, since one
         that is put off again and again would stay out."""
         node: Node = hosted.node
         b = node.balancer.backends.get(server)
@@ -211,7 +211,7 @@
         ready = max(sum(1 for b in balancer.backends.values() if b.state == 1), 1)
         waiting = balancer.waiting + balancer.waiting_over
         each = -(-int(HEADROOM * (balancer.running + waiting)) // ready) + 1 if busy else 0
-        away = module.left_alone(balancer)
+        away = module.ejected(balancer)
         good = module.answered_lately(balancer, now, SEEN)
         places, seen = {}, {}
         for name, number in numbers(hosted.settings).items():
--- a/tests/fleet/test_limits_lent.py
+++ b/tests/fleet/test_limits_lent.py
@@ -77,7 +77,7 @@
     assert b.instances == 4
     row = b.backends[1]
     row.cold_until = 8 * SECOND
-    b.rest(0, row)
+    b.pace(0, row)
     assert row.rest_until == 4 * b.settings.fall  # a quarter of what one alone would send
     parts.share(b, 0, None)
     assert b.retry_most == RETRY_BURST
@@ -96,10 +96,10 @@
 
 def test_a_try_is_left_to_another_and_taken_up_again() -> None:
     b, host = balancer([1, 2])
-    b.suspend(0, b.backends[1], "it is silent")
-    assert parts.left_alone(b) == {1}
-    until = b.backends[1].down_until + SECOND
-    assert parts.wait(b, 0, 1, until) and b.backends[1].down_until == until
+    b.eject(0, b.backends[1], "it is silent")
+    assert parts.ejected(b) == {1}
+    until = b.backends[1].ejected_until + SECOND
+    assert parts.wait(b, 0, 1, until) and b.backends[1].ejected_until == until
     assert not parts.wait(b, 0, 1, until - 1)
     assert not parts.wait(b, 0, 2, until)
     assert parts.back(b, 1, 1) and not parts.back(b, 1, 1)
--- a/tests/iso8583/test_sockets.py
+++ b/tests/iso8583/test_sockets.py
@@ -107,7 +107,7 @@
                 assert w.ledger.entries[rid].ends == [End.FAILED]
                 assert len(w.ledger.entries[rid].ran) == 1
             backends = w.node.balancer.backends.values()
-            assert not any(b.down_until for b in backends)
+            assert not any(b.ejected_until for b in backends)
             for task in asking:
                 task.cancel()
             await asyncio.gather(*asking, return_exceptions=True)
--- a/tests/mass/test_fleet.py
+++ b/tests/mass/test_fleet.py
@@ -112,7 +112,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     assert most_pushed(monkeypatch) < 0.9
-    monkeypatch.setattr(Balancer, "rest", lambda _self, _now, _backend: None)
+    monkeypatch.setattr(Balancer, "pace", lambda _self, _now, _backend: None)
     assert most_pushed(monkeypatch) > 1.0
 
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -97,14 +97,14 @@
     assert not host.named("fail") and not host.named("refuse") and balancer.running == 0
 
 
-def test_a_ban_of_a_backend_left_alone_keeps_the_count_of_those() -> None:
+def test_a_ban_of_a_backend_ejected_keeps_the_count_of_those() -> None:
     balancer, _ = built(count=4)
-    balancer.suspend(0, balancer.backends[100], "test")
-    assert balancer.down == 1
+    balancer.eject(0, balancer.backends[100], "test")
+    assert balancer.ejected == 1
     balancer.ban(0, 100)
-    assert balancer.down == 0
+    assert balancer.ejected == 0
     balancer.lift(0, 100)
-    assert balancer.down == 0 and balancer.backends[100].state == State.READY
+    assert balancer.ejected == 0 and balancer.backends[100].state == State.READY
 
 
 # ---- the words ----------------------------------------------------------
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -26,19 +26,19 @@
 
 
 def test_one_that_left_while_it_was_out_counts_no_more() -> None:
-    """Half of the fleet may be left alone: those that have gone must not use that up."""
+    """Half of the fleet may be ejected: those that have gone must not use that up."""
     balancer, host = build(count=6)
     for i in range(3):
         balancer.on_request(MS, i, 1, SECOND)
     for i in range(3):
         balancer.backends[int(str(host.named("send")[i][2]))].strikes = 1  # not the first
         balancer.on_outcome(2 * MS, i, 0, 5, MS, True)
-    out = [b.id for b in balancer.backends.values() if b.down_until]
-    assert len(out) == balancer.down == 3
+    out = [b.id for b in balancer.backends.values() if b.ejected_until]
+    assert len(out) == balancer.ejected == 3
     balancer.on_members(3 * MS, Update.DELTA, [Listing(b, State.GONE) for b in out])
-    assert balancer.down == 0
+    assert balancer.ejected == 0
     balancer.on_timer(20 * SECOND, TIMER_WAKE)
-    assert balancer.down == 0 and len(balancer.backends) == 3
+    assert balancer.ejected == 0 and len(balancer.backends) == 3
 
 
 def test_lines_drop_those_that_gave_up() -> None:
@@ -122,8 +122,8 @@
         balancer.on_outcome(now + 20 * MS, i, 0, code, 20 * MS, code == 1)
         if i in balancer.requests:
             balancer.on_outcome(now + 25 * MS, i, 1, 1, 5 * MS, True)
-    assert balancer.down == 0
-    assert not any(b.cold_until or b.down_until for b in balancer.backends.values())
+    assert balancer.ejected == 0
+    assert not any(b.cold_until or b.ejected_until for b in balancer.backends.values())
 
 
 def test_errors_of_the_whole_fleet_leave_nobody_out() -> None:
@@ -133,7 +133,7 @@
         balancer.on_request(now, i, 0, SECOND)
         code = 2 if i % 2 else 1
         balancer.on_outcome(now + 20 * MS, i, 0, code, 20 * MS, code == 1)
-    assert balancer.down <= 2
+    assert balancer.ejected <= 2
 
 
 def test_a_stalled_backend_whose_work_has_ended_is_tried_again() -> None:
@@ -152,7 +152,7 @@
     for i in [i for i, r in balancer.requests.items() if r.live]:
         balancer.on_outcome(SECOND, i, 0, 4, 195 * MS, True)
     assert not hung.stalled
-    assert hung.bucket is not None or hung.down_until
+    assert hung.bucket is not None or hung.ejected_until
 
 
 def test_backends_that_limit_rates_do_not_sink_the_level() -> None:
@@ -172,7 +172,7 @@
             if r.live:
                 balancer.on_outcome(now + 20 * MS, rid, len(r.attempts) - 1, 1, 20 * MS, True)
         balancer.on_timer(now + 400 * MS, 2)
-    assert balancer.level > 2.5
+    assert balancer.concurrency_limit > 2.5
 
 
 def test_a_wake_timer_that_comes_a_little_early_is_set_again() -> None:
@@ -193,17 +193,17 @@
     balancer.on_request(MS, 1, 0, SECOND)
     bad = balancer.backends[int(str(host.named("send")[0][2]))]
     balancer.on_outcome(2 * MS, 1, 0, 5, MS, True)
-    assert bad.bucket is None and not bad.down_until and not bad.cold_until
+    assert bad.bucket is None and not bad.ejected_until and not bad.cold_until
     back = bad.rest_until
     assert back == 2 * MS + DIAL_REST
     balancer.on_timer(back, TIMER_WAKE)
-    assert bad.bucket is not None and not balancer.down
+    assert bad.bucket is not None and not balancer.ejected
     balancer.on_members(back, Update.FULL, [Listing(bad.id, State.READY)])
     balancer.on_request(back, 2, 0, SECOND)
     assert host.named("send")[-1][2] == bad.id
     balancer.ready = 4  # the others are only out of this test's way
     balancer.on_outcome(back + MS, 2, 0, 5, MS, True)
-    assert bad.down_until and bad.cold_until
+    assert bad.ejected_until and bad.cold_until
 
 
 def test_an_answer_between_two_failed_dials_makes_each_a_lone_one() -> None:
@@ -217,5 +217,5 @@
         server = host.named("send")[-1][2]
         balancer.on_outcome(now + MS, i, 0, 1 if server in failed else 5, MS, True)
         failed ^= {server}
-        assert not balancer.down
+        assert not balancer.ejected
     assert len(host.named("send")) == 40
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -100,19 +100,19 @@
 def test_time_outs_cut_the_level() -> None:
     """Answers alone would make a jam look like light load."""
     balancer, host = build()
-    before = balancer.level
+    before = balancer.concurrency_limit
     for i in range(8):
         balancer.on_request(MS, i, 0, SECOND)
     for i in range(8):
         balancer.on_outcome(SECOND, i, 0, 4, 195 * MS, True)
     balancer.on_timer(SECOND, 2)
-    assert balancer.level < before
+    assert balancer.concurrency_limit < before
 
 
 def test_answers_that_go_astray_among_quick_ones_do_not_cut_the_level() -> None:
     """One in ten is never answered and the others are quick: fewer slots would lose more."""
     balancer, host = build(count=8)
-    before = balancer.level
+    before = balancer.concurrency_limit
     for cycle in range(1, 9):
         now = cycle * SECOND // 2
         for i in range(20):
@@ -125,27 +125,27 @@
                 balancer.on_outcome(now + 195 * MS, request, 0, 4, 195 * MS, True)
         balancer.on_timer(now + 400 * MS, 2)
     assert len(host.named("send")) == 160
-    assert balancer.level >= before
+    assert balancer.concurrency_limit >= before
 
 
 def test_hung_backends_do_not_cut_the_level() -> None:
     """One long time-out among answers is a matter of that backend's health."""
     slow = RequestClass("slow", 200 * MS, 6 * SECOND, Effect.SIDE_EFFECT, late_worth=0.3)
     balancer, host = build(Settings(classes=(slow,)))
-    before = balancer.level
+    before = balancer.concurrency_limit
     for i in range(10):
         balancer.on_request(MS, i, 0, 6 * SECOND)
     for i in range(9):
         balancer.on_outcome(40 * MS, i, 0, 1, 39 * MS, True)
     balancer.on_outcome(6 * SECOND, 9, 0, 4, 6 * SECOND, True)
     balancer.on_timer(6 * SECOND, 2)
-    assert balancer.level >= before
+    assert balancer.concurrency_limit >= before
 
 
 def test_a_class_near_its_aim_on_idle_backends_does_not_pin_the_level() -> None:
     """Only what crowding adds counts: some classes take half their aim anyway."""
     balancer, host = build()
-    before = balancer.level
+    before = balancer.concurrency_limit
     for k in range(8):
         now = k * SECOND // 2
         for i in range(30):
@@ -154,7 +154,7 @@
             balancer.on_outcome(now + 120 * MS, int(str(c[1])), 0, 1, 120 * MS, True)
         host.calls.clear()
         balancer.on_timer(now + 400 * MS, 2)
-    assert balancer.level > before
+    assert balancer.concurrency_limit > before
 
 
 def test_state_changes_are_logged_once_a_second() -> None:
@@ -165,7 +165,7 @@
         backend.strikes = 1  # a failed dial is not the first
     for i in range(3):
         balancer.on_outcome(2 * MS, i, 0, 5, MS, True)
-    assert balancer.down == 3 and len(host.named("log")) == 1
+    assert balancer.ejected == 3 and len(host.named("log")) == 1
 
 
 def test_time_unread_at_the_host_counts_against_the_aim_and_no_more() -> None:
@@ -189,7 +189,7 @@
         balancer.on_request(now, i, 1, SECOND)
         code = 6 if i % 20 < 2 and i % 40 < 20 else 1  # also two in a row
         balancer.on_outcome(now + 2 * MS, i, 0, code, 2 * MS, code == 1)
-    assert balancer.down <= 1
+    assert balancer.ejected <= 1
     assert not any(b.cold_until for b in balancer.backends.values())
 
 
@@ -200,9 +200,9 @@
         balancer.on_request(now, i, 1, SECOND)
         bad = host.named("send")[-1][2] == 100
         balancer.on_outcome(now + 2 * MS, i, 0, 6 if bad else 1, 2 * MS, not bad)
-        if balancer.backends[100].down_until:
+        if balancer.backends[100].ejected_until:
             break
-    assert balancer.backends[100].down_until
+    assert balancer.backends[100].ejected_until
 
 
 def test_a_single_time_out_leaves_a_backend_in() -> None:
@@ -217,10 +217,10 @@
                 code = 4 if c[2] == 100 else 1
                 balancer.on_outcome(at + 195 * MS, i, 0, code, 195 * MS, True)
         if backend.strikes in (1, 2):
-            assert not backend.down_until
+            assert not backend.ejected_until
         if backend.strikes == 3:
             break
-    assert backend.down_until
+    assert backend.ejected_until
 
 
 def test_worth_moves_shares_when_requests_are_refused() -> None:
@@ -294,7 +294,7 @@
     start = Listing(100, State.READY, boot=20 * SECOND)
     settings = Settings(classes=(PURE,), cold=10 * SECOND, cold_from=0.2)
     balancer, _ = build(settings, count=1)
-    balancer.level = 20.0
+    balancer.concurrency_limit = 20.0
     caps = []
     for after in (1, 5 * SECOND, 9 * SECOND):
         balancer.on_members(20 * SECOND + after, Update.DELTA, [start])
@@ -346,7 +346,7 @@
         start = cycle * 500 * MS
         if cycle == 3:  # enough seen for the jam's mean to have become the base
             assert balancer.classes[1].base > 100 * MS
-            before = balancer.level
+            before = balancer.concurrency_limit
         for i in range(20):
             balancer.on_request(start, cycle * 100 + i, 1, SECOND)
         for c in host.named("send"):
@@ -357,7 +357,7 @@
             balancer.on_outcome(start + taken, rid, 0, 4 if late else 1, taken, False)
         host.calls.clear()
         balancer.on_timer(start + 400 * MS, 2)
-    assert balancer.level < before
+    assert balancer.concurrency_limit < before
 
 
 def test_a_marked_client_retry_waits_behind_first_tries() -> None:
@@ -449,35 +449,35 @@
 def test_a_class_seen_too_little_does_not_sink_the_level() -> None:
     """Its uncrowded latency is not known yet: most of the aim may be usual."""
     balancer, host = build(count=20)
-    before = balancer.level
+    before = balancer.concurrency_limit
     for k in range(4):
         answers(balancer, host, k * SECOND // 2, 4, 150 * MS)
-    assert balancer.level >= before
+    assert balancer.concurrency_limit >= before
 
 
 def test_a_thin_class_is_judged_over_several_cycles() -> None:
     balancer, host = build(count=20)
     for k in range(8):
         answers(balancer, host, k * SECOND // 2, 5, 100 * MS)
-    before = balancer.level
+    before = balancer.concurrency_limit
     answers(balancer, host, 4 * SECOND, 3, 180 * MS)  # three answers are chance
-    assert balancer.level >= before
+    assert balancer.concurrency_limit >= before
     for k in range(9, 13):
         answers(balancer, host, k * SECOND // 2, 5, 180 * MS)
-    assert balancer.level < before
+    assert balancer.concurrency_limit < before
 
 
 def test_few_answers_of_one_jam_cut_the_level_once() -> None:
     balancer, host = build(count=20)
     for k in range(8):
         answers(balancer, host, k * SECOND // 2, 10, 60 * MS)
-    before = balancer.level
+    before = balancer.concurrency_limit
     answers(balancer, host, 4 * SECOND, 5, 190 * MS)
-    cut = balancer.level
+    cut = balancer.concurrency_limit
     assert cut < before
     for k in range(9, 13):  # one quick answer a cycle tells nothing of a jam
         answers(balancer, host, k * SECOND // 2, 1, 60 * MS)
-    assert balancer.level == cut
+    assert balancer.concurrency_limit == cut
 
 
 def test_a_class_turned_away_at_a_small_share_gets_out_of_it() -> None:
@@ -501,7 +501,7 @@
     """A level just over 2 must not put a third request on every backend."""
     balancer, host = build(count=20)
     for level, slots in ((1.0, 20), (2.0, 40), (2.1, 42), (2.5, 50)):
-        balancer.level = level
+        balancer.concurrency_limit = level
         balancer.recap()
         assert abs(balancer.total - slots) <= 1
 
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -17,8 +17,8 @@
 import pytest
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
-from flinthatch.balancer import MAX_LEVEL, TIMER_WAKE
-from flinthatch.recall import HEALTH_AGE, LATENCY_AGE, LEAST_LEFT, restore, save
+from flinthatch.balancer import MAX_LIMIT, TIMER_WAKE
+from flinthatch.recall import HEALTH_AGE, LATENCY_AGE, LEAST_EJECTED, restore, save
 from tansywood.service.node import KEY
 from tansywood.store import Store
 from windrelay.discovery import backend_id
@@ -36,7 +36,7 @@
     for backend in list(balancer.backends.values())[:down]:
         backend.strikes = 4
         backend.backoff = 4 * SECOND
-        balancer.suspend(10 * SECOND, backend, "test")
+        balancer.eject(10 * SECOND, backend, "test")
     return balancer
 
 
@@ -54,35 +54,35 @@
     return restore(balancer, LATER, WALL + 10 * SECOND + age, record)
 
 
-def test_a_server_left_alone_stays_so_for_the_rest_of_its_time() -> None:
+def test_a_server_ejected_stays_so_for_the_rest_of_its_time() -> None:
     saved = learnt()
     balancer, host = fresh()
     done = recalled(saved, balancer)
     b = balancer.backends[100]
-    assert done.left_alone == 1 and balancer.down == 1  # type: ignore[attr-defined]
-    assert b.down_until == LATER + 3 * SECOND and b.strikes == 4 and b.backoff == 8 * SECOND
+    assert done.ejected == 1 and balancer.ejected == 1  # type: ignore[attr-defined]
+    assert b.ejected_until == LATER + 3 * SECOND and b.strikes == 4 and b.backoff == 8 * SECOND
     for i in range(12):
         balancer.on_request(LATER, i, 0, SECOND)
     assert 100 not in [c[2] for c in host.named("send")]
     balancer.on_timer(LATER + 3 * SECOND, TIMER_WAKE)
-    assert b.trial and not b.down_until
+    assert b.half_open and not b.ejected_until
 
 
 def test_one_whose_time_has_passed_comes_back_by_a_trial() -> None:
     saved = learnt()
     balancer, _ = fresh()
     recalled(saved, balancer, age=20 * SECOND)
-    assert balancer.backends[100].down_until == LATER + LEAST_LEFT
+    assert balancer.backends[100].ejected_until == LATER + LEAST_EJECTED
 
 
-def test_no_more_are_left_alone_than_the_module_allows() -> None:
+def test_no_more_are_ejected_than_the_module_allows() -> None:
     saved = learnt(count=6, down=3)
     record = save(saved, 10 * SECOND, WALL + 10 * SECOND)
     for row in record["backends"].values():
         row["down"] = 5 * SECOND
     balancer, _ = fresh()
     done = restore(balancer, LATER, WALL + 11 * SECOND, record)
-    assert done.left_alone == balancer.down == 3
+    assert done.ejected == balancer.ejected == 3
 
 
 def test_a_server_that_started_since_is_cold_whatever_was_saved() -> None:
@@ -94,7 +94,7 @@
     balancer, _ = fresh(boots={100: boot})
     recalled(saved, balancer)
     b = balancer.backends[100]
-    assert not b.down_until and b.lat == 1.0 and b.cold_until == boot + 8 * SECOND
+    assert not b.ejected_until and b.lat == 1.0 and b.cold_until == boot + 8 * SECOND
     balancer.on_members(LATER, Update.DELTA, [Listing(999, State.READY, boot=boot)])
     assert balancer.backends[999].cold_until == boot + 8 * SECOND
 
@@ -141,10 +141,10 @@
 def test_what_is_too_old_or_from_the_future_is_not_believed(age: int, says: str) -> None:
     saved = learnt()
     balancer, _ = fresh()
-    before = balancer.level
+    before = balancer.concurrency_limit
     done = recalled(saved, balancer, age)
-    assert says in done.why and not balancer.down  # type: ignore[attr-defined]
-    assert balancer.level == before
+    assert says in done.why and not balancer.ejected  # type: ignore[attr-defined]
+    assert balancer.concurrency_limit == before
 
 
 @pytest.mark.parametrize(
@@ -162,7 +162,7 @@
 def test_a_record_of_another_format_is_not_believed(record: object) -> None:
     balancer, _ = fresh()
     assert restore(balancer, LATER, WALL, record).why
-    assert not balancer.down
+    assert not balancer.ejected
 
 
 def test_a_record_full_of_nonsense_changes_nothing_beyond_the_modules_bounds() -> None:
@@ -184,8 +184,8 @@
     }
     restore(balancer, LATER, WALL, record)
     b = balancer.backends[100]
-    assert balancer.level <= MAX_LEVEL and b.lat <= 10 and b.strikes >= 0
-    assert b.down_until <= LATER + 8 * SECOND and b.cold_until <= LATER + 8 * SECOND
+    assert balancer.concurrency_limit <= MAX_LIMIT and b.lat <= 10 and b.strikes >= 0
+    assert b.ejected_until <= LATER + 8 * SECOND and b.cold_until <= LATER + 8 * SECOND
 
 
 def test_latencies_of_classes_are_recalled_and_still_learnt() -> None:
@@ -266,7 +266,7 @@
 
 
 @pytest.mark.parametrize("killed", [False, True], ids=["stopped", "killed"])
-def test_a_node_started_again_sends_nothing_to_the_server_it_had_left_alone(
+def test_a_node_started_again_sends_nothing_to_the_server_it_had_ejected(
     tmp_path: Path, killed: bool
 ) -> None:
     """And one without the record does."""
@@ -292,7 +292,7 @@
         store.put(KEY, json.dumps(record).encode())
     with node(tmp_path, known, tmp_path / "store") as (port, log):
         before = dead.taken
-        assert "recalled 1 servers left alone" in log.read_text()
+        assert "recalled 1 servers ejected" in log.read_text()
         assert ask(port, 20) == 20
         assert dead.taken == before
     with node(tmp_path, known, tmp_path / "another") as (port, _):
