--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -18,11 +18,27 @@
 INJECT = Path(__file__).parent / "inject"
 
 
+_handed: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """A UDP port that nobody has now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A UDP port that nobody has now, and that no other rig gets while this process runs.
+
+    Between its closing here and an instance's opening it is nobody's, and rigs that start at once
+    were given one port twice. The TCP port of the same number is kept as the mark.
+    """
+    while True:
+        mark = socket.socket()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = int(sock.getsockname()[1])
+        try:
+            mark.bind(("127.0.0.1", port))
+        except OSError:
+            mark.close()
+            continue
+        _handed.append(mark)
+        return port
 
 
 class FleetInstance:
--- a/standins/mass/day.py
+++ b/standins/mass/day.py
@@ -51,6 +51,7 @@
     backoff: int = 120 * MS
     honour: float = 0.9  # of refused ones stay away as long as they are told
     restless: float = 0.0  # part of clients that come again at once, and once more
+    leaving: float = 0.0  # part of tries whose client closes its connection before its time
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,7 @@
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)  # from, to (seconds), times the rate
     lost_answers: float = 0.0  # part of answers that never arrive, within a cut
     resets: float = 0.0
+    leave_grace: int = 100 * MS  # after its client's leaving an attempt may still begin
     events: tuple[Event, ...] = field(default=())
 
     def capacity(self) -> float:
--- a/standins/mass/fleet.py
+++ b/standins/mass/fleet.py
@@ -56,6 +56,8 @@
         load: Sequence[float] = (),
     ) -> None: ...  # fmt: skip
     def on_gone(self, now: int, request: int) -> None: ...
+    def on_half_closed(self, now: int, request: int) -> None: ...
+    def may_begin(self, now: int, request: int, attempt: int) -> bool: ...
     def on_timer(self, now: int, token: int) -> None: ...
 
 
@@ -82,7 +84,10 @@
 class Asked:
     """One try at one node."""
 
-    __slots__ = ("attempts", "chain", "client_end", "ended", "id", "live", "node", "ran", "try_no")
+    __slots__ = (
+        "attempts", "chain", "client_end", "ended", "id", "left_at", "live", "node", "ran",
+        "try_no",
+    )  # fmt: skip
 
     def __init__(self, rid: int, chain: Chain, node: Host, try_no: int, client_end: int) -> None:
         self.id = rid
@@ -94,6 +99,7 @@
         self.live = 0
         self.ran = False
         self.ended = False
+        self.left_at = 0  # when its client closed its connection, 0 where it has not
 
     def traffic_unsafe(self) -> bool:
         """Whether it must never run twice."""
@@ -260,13 +266,22 @@
             server.open += 1
             t.connected = True
             fleet.handshakes += 1
-            self.arrive(t, server.build.handshake)
+            asked = t.asked
+            if self.policy.may_begin(fleet.clock.now, asked.id, asked.attempts.index(t)):
+                self.arrive(t, server.build.handshake)
+            else:
+                t.connected = False
+                self.idle.setdefault(server.number, []).append(fleet.clock.now)
+                self.conclude(t, int(Outcome.MOOT), self.life)
 
     def arrive(self, t: Try, extra: int) -> None:
         fleet = self.fleet
         if t.closed:
             return
         life = self.life
+        left = t.asked.left_at
+        if left and fleet.clock.now - left > fleet.day.leave_grace:
+            fleet.late_begins += 1
 
         def done(outcome: int) -> None:
             if outcome == OK and fleet.loses_answer(t.server):
@@ -452,6 +467,7 @@
         self.rng_front = Random(seed + "front")
         self.rng_net = Random(seed + "net")
         self.rng_events = Random(seed + "events")
+        self.rng_leave = Random(seed + "leave")
         self.servers: list[Server] = [
             Server(i, zone, build, self.clock, self.rng_servers)
             for i, (zone, build) in enumerate(day.servers)
@@ -468,6 +484,8 @@
         # Accounts.
         self.number = 0
         self.chains = 0
+        self.left = self.left_waiting = 0  # tries whose client closed, and had none out then
+        self.late_begins = 0  # attempts that began more than a moment after that
         self.last_id = 0
         self.offered = 0.0
         self.earned = 0.0
@@ -570,8 +588,19 @@
         host.open[asked.id] = asked
         host.asked += 1
         self.clock.at(end + self.day.settings.answer_slack + MS, self.overdue, asked)
+        if self.rng_leave.random() < self.day.clients.leaving:
+            self.clock.after(self.rng_leave.random() * (end - now), self.client_leaves, asked)
         host.policy.on_request(now, asked.id, chain.traffic, end - now)
 
+    def client_leaves(self, asked: Asked) -> None:
+        """Its client closes the connection; to the node that looks like a half-close."""
+        if asked.ended or not asked.node.alive:
+            return
+        asked.left_at = self.clock.now
+        self.left += 1
+        self.left_waiting += not asked.attempts
+        asked.node.policy.on_half_closed(self.clock.now, asked.id)
+
     def overdue(self, asked: Asked) -> None:
         if asked.ended:
             return
@@ -634,6 +663,9 @@
 
     def served(self, asked: Asked) -> None:
         chain = asked.chain
+        if asked.left_at:
+            self.fate(chain, "client left")
+            return
         took = self.clock.now + self.day.client - chain.began
         self.latencies.append(took)
         if took <= self.traffic_of(chain).spec.aim:
@@ -649,6 +681,9 @@
 
     def refused(self, asked: Asked, retry_after: int) -> None:
         chain = asked.chain
+        if asked.left_at:
+            self.fate(chain, "client left")
+            return
         zone = asked.node.zone
         idle = any(s.free() and s.state == "ready" and s.zone == zone for s in self.servers)
         place = idle or any(s.has_place() and s.state == "ready" for s in self.servers)
@@ -662,10 +697,16 @@
         self.again(chain, asked.try_no, why, retry_after, harmless=True)
 
     def failed(self, asked: Asked) -> None:
+        if asked.left_at:
+            self.fate(asked.chain, "client left")
+            return
         safe = not asked.traffic_unsafe()
         self.again(asked.chain, asked.try_no, "failed", 0, harmless=safe)
 
     def lost_with_node(self, asked: Asked) -> None:
+        if asked.left_at:
+            self.fate(asked.chain, "client left")
+            return
         safe = not asked.traffic_unsafe() or not (asked.ran or asked.live)
         self.again(asked.chain, asked.try_no, "node gone", 0, harmless=safe)
 
