--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -70,6 +70,10 @@
 PATIENCE_PART = 1.0  # ... and at least this part of its aim
 RETRY_PART = 0.1  # retries after time-outs allowed per first attempt
 RETRY_BURST = 10.0
+# Back-off of list calls, from half to one and a half of this, doubled with each failure. What
+# the list has counts as told 6 s later at the latest, whatever became of the calls.
+LIST_RETRY = 200 * MS
+LIST_RETRY_MOST = 1800 * MS
 # Health.
 FULL_REST_MAX = SECOND // 3  # longest rest of a backend that turned an attempt away
 DIAL_REST = 50 * MS  # after a lone dial that failed
@@ -377,8 +381,10 @@
             self.asking = False
             self.list_tries += 1
             self.say(now, "list call failed")
-            # What happened meanwhile may count as told: the first repeats come soon.
-            wait = min(SECOND // 2 << min(self.list_tries, 4), self.settings.ask_within // 2)
+            # What happened meanwhile may count as told: the first repeats come soon, and two
+            # calls that fail in turn leave time for a third that does not, see LIST_RETRY.
+            wait = LIST_RETRY << min(self.list_tries, 4)
+            wait = min(wait, LIST_RETRY_MOST, self.settings.ask_within // 2)
             if self.settings.ask:
                 due = now + wait // 2 + self.random.randrange(wait)
                 self.actions.set_timer(TIMER_LIST, due)
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -83,6 +83,10 @@
             port = await self.desk.listen(*self.config.mgmt)
             self.node.log(f"calls at {self.config.mgmt.host}:{port}")
         self.operated.serving = True
+        if not self.config.settings.ask:
+            # Lists are pushed to an agent on this machine, and what it has counts as told.
+            # Nobody decides when to ask it: the watch stands from start to end.
+            self.node.discovery.watch()
         # What stands now stands for good: later collections need not look at it.
         gc.collect()
         gc.freeze()
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -14,19 +14,8 @@
 
 from flinthatch import Listing, State, Update
 from windrelay.config import Address, Config, parse_address
+from windrelay.watching import AGENT_LEAST_MS, DIAL_S, FETCH_S, Watching
 
-# How long a watch may wait for news. A connection that is silently cut shows only
-# when that time is over, so it is short, and shorter after a call without an answer;
-# each call costs the service as much as some tens of lines, so it grows again.
-HOLD_MS = 4_000
-HOLD_LEAST_MS = 1_000
-HOLD_MOST_MS = 8_000
-# What happens during a watch counts as told 2 s after its wait is over, and the
-# next call must bring it before the grace for drains is over too.
-WATCH_S = 1.5  # for a watch's answer, beyond the time it may wait
-FETCH_S = 3.2  # for a whole list: calls are worked through in turn
-MOVE_TRIES = 5  # calls to a new address before the module's back-off begins
-MOVE_S = 0.2  # before the first repeat, then twice as long each time
 MAX_ANSWER = 2 << 20  # some thousands of backends
 OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
 SEEN = 8192  # ids ever listed that are remembered, so that a call can tell one that never was
@@ -211,7 +200,8 @@
     """One GET on a connection of its own; `done` gets the body, or None, once."""
 
     __slots__ = (
-        "_body", "_done", "_handle", "_head", "_parser", "_size", "_task", "_transport", "hung",
+        "_body", "_done", "_handle", "_head", "_parser", "_size", "_task", "_transport", "_wait",
+        "asked_at", "hung",
     )  # fmt: skip
 
     def __init__(self, address: Address, target: str, wait: float, done: Callable[..., None]):
@@ -222,8 +212,10 @@
         self._size = 0
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._wait = wait  # seconds from the connection's making on
+        self.asked_at = 0.0  # by the loop's clock, 0 for as long as there is no connection
         self.hung = False  # ended because nothing came in time
-        self._handle = loop.call_later(wait, self._expired)
+        self._handle = loop.call_later(min(DIAL_S, wait), self._expired)
         self._task = loop.create_task(self._connect(address))
 
     async def _connect(self, address: Address) -> None:
@@ -241,8 +233,12 @@
         self._transport = cast(asyncio.Transport, transport)
         if self._done is None:
             self._transport.abort()
-        else:
-            self._transport.write(self._head.encode())
+            return
+        loop = asyncio.get_running_loop()
+        self.asked_at = loop.time()
+        self._handle.cancel()
+        self._handle = loop.call_later(self._wait, self._expired)
+        self._transport.write(self._head.encode())
 
     def data_received(self, data: bytes) -> None:
         if self._parser is None:
@@ -294,8 +290,8 @@
     """Carries out watch and fetch; `told` gets each update and what it made stale."""
 
     __slots__ = (
-        "_address", "_calls", "_hold_ms", "_hung", "_moved", "_old", "_retry", "_told", "_tries",
-        "_watching", "log", "roster",
+        "_address", "_calls", "_old", "_retry", "_rev", "_told", "_watch", "_watching", "log",
+        "roster",
     )  # fmt: skip
 
     def __init__(
@@ -308,11 +304,10 @@
         self._told = told
         self._old = 0
         self._watching = False
-        self._hung = False  # the last watch brought nothing at all
-        self._moved = False  # no whole list from this address yet
-        self._tries = 0  # at it
+        grace_ms = config.settings.drain_grace // 1_000_000
+        self._watch = Watching(0 if config.settings.ask else max(grace_ms // 4, AGENT_LEAST_MS))
+        self._rev = 0  # in hand as the watch's last call was made
         self._retry: asyncio.TimerHandle | None = None
-        self._hold_ms = HOLD_MS
         self._calls: set[Call] = set()
         self.log = log
         self.roster = Roster(config)
@@ -335,7 +330,8 @@
         self._told(update, rows, stale)
 
     def watch(self) -> None:
-        """Ask for changes from the version in hand on; goes on until a call fails."""
+        """Ask for changes from the version in hand on; goes on until a call fails, and for good
+        where lists are pushed."""
         if self._watching:
             return
         self._watching = True
@@ -356,10 +352,8 @@
             return
         self._address = address
         self._drop_calls()
-        self._moved = True
-        self._hung = False
-        self._old = self._tries = 0
-        self._hold_ms = HOLD_MS
+        self._watch.begin()
+        self._old = 0
         self._watching = True
         self._next_watch()
 
@@ -386,41 +380,29 @@
 
     def _next_watch(self) -> None:
         self._retry = None
-        if self._moved:
-            self._call("/registry/instances", FETCH_S, self._watched)
-            return
-        # One that has lost its count can't tell what changed since a version of its past.
-        since = self.roster.rev if self._old < OLD_TRIES else 0
-        target = f"/registry/instances?from={since}&hold_ms={self._hold_ms}"
-        self._call(target, self._hold_ms / 1000 + WATCH_S, self._watched)
+        self._rev = self.roster.rev
+        ask = self._watch.ask(self._rev, in_doubt=self._old > 0)
+        target = "/registry/instances"
+        if ask.hold_ms is not None:
+            target += f"?from={ask.since}&hold_ms={ask.hold_ms}"
+        self._call(target, ask.wait, self._watched)
 
     def _watched(self, call: Call, body: bytes | None) -> None:
         if not self._watching:
             return
-        if body is None and self._moved and self._tries < MOVE_TRIES:
-            # It may not be up yet, and what it has to tell counts as told soon.
-            loop = asyncio.get_running_loop()
-            self._retry = loop.call_later(MOVE_S * 2**self._tries, self._next_watch)
-            self._tries += 1
-            return
-        if body is None and call.hung and not self._hung and not self._moved:
-            # The connection was cut silently, or the service hangs. What happened
-            # meanwhile counts as told already: ask again without a back-off, once.
-            self._hung = True
-            self._hold_ms = HOLD_LEAST_MS
-            self._next_watch()
-            return
-        self._hung = False
-        if body is None:
-            self._hold_ms = max(self._hold_ms // 2, HOLD_LEAST_MS)
+        after = self._watch.failed(call.hung) if body is None else None
+        if after is None or self._watch.agent_ms:
+            if self._take(body):
+                lasted = asyncio.get_running_loop().time() - call.asked_at
+                after = self._watch.answered(lasted, self.roster.rev != self._rev)
+            elif body is not None:
+                after = self._watch.unusable()
+        if after is None:
+            self._watching = False
+        elif after > 0:
+            self._retry = asyncio.get_running_loop().call_later(after, self._next_watch)
         else:
-            self._hold_ms = min(self._hold_ms * 5 // 4, HOLD_MOST_MS)
-        if self._take(body):
-            # At once: after 200 ms discovery would count it as a new watch, and
-            # what changed in between as told late.
             self._next_watch()
-        else:
-            self._watching = False
 
     def _fetched(self, _call: Call, body: bytes | None) -> None:
         self._take(body)
@@ -434,7 +416,7 @@
                 raise ListError("the call failed")
             update, rows, endpoints, bad = roster.read(raw)
             rev = raw["rev"]
-            if self._moved:
+            if self._watch.moved:
                 if update != Update.FULL:
                     raise ListError("the first list of a new service is not whole")
             elif rev < roster.rev:
@@ -451,7 +433,7 @@
         if bad:
             self.log(f"{bad} rows of a discovery answer can't be read")
         self._old = 0
-        self._moved = False
+        self._watch.moved = False
         rows += roster.taken_over(rows, endpoints)
         stale = roster.apply(rev, update, rows, endpoints)
         self._told(update, rows, stale)
--- /dev/null
+++ b/windrelay/watching.py
@@ -0,0 +1,117 @@
+"""How long each call of a watch waits, and what follows its end. Pure: it is told the time.
+
+A watch is one call after another, each open until there is news or its time is up. What the list
+has counts as told TOLD_S later, whatever became of the calls meanwhile. A connection that is
+silently cut shows only when a call's time is over, so that time, a failed call of another kind
+behind it, the module's first back-off and the next call come to less, by their sum:
+
+    HOLD_MS + WATCH_S    a watch that fell silent right after it was opened     4.0 s
+    DIAL_S               a dial behind it that is not answered either           1.1 s
+    the first back-off   of the module, 0.6 s at the most                       0.6 s
+    the next call        which brings all that is new                           what is left
+
+A service that answers late has more callers than it can bear: towards it watches are longer, as
+far as the older rule allows (2 s after a watch's own time), and shorter again once it keeps up.
+
+Lists that are pushed come to an agent on this machine. What it has counts as told, so its silence,
+which is that of the service behind it, is found out in half of the grace that drains have; calls
+to it cost nobody anything, and the watch on it never ends.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+TOLD_S = 6.0
+HOLD_MS = 2_500
+HOLD_LEAST_MS = 1_000  # behind a call without an answer
+HOLD_MOST_MS = 8_000
+LATE_S = 0.3  # beyond its time, for the answer of a service that keeps up
+WATCH_S = 1.5  # for a watch's answer, beyond the time it may wait
+FETCH_S = 3.2  # for a whole list: calls are worked through in turn
+DIAL_S = 1.1  # for a connection: one lost SYN is sent again after 1 s
+PACE_S = 0.1  # between calls that are answered at once with nothing new; 0.2 s end a watch
+MOVE_TRIES = 6  # calls to a new address before the module's back-off begins
+MOVE_S = 0.2  # before the first repeat, then twice as long each time, up to ...
+MOVE_MOST_S = 0.8
+AGENT_S = 0.2  # before a failed call to an agent is repeated
+AGENT_LEAST_MS = 100
+
+
+class Ask(NamedTuple):
+    """One call: what changed since this version, 0 for everything; `hold_ms` is how long it may
+    wait for news, None where it must not. It is given up after `wait` seconds."""
+
+    since: int
+    hold_ms: int | None
+    wait: float
+
+
+class Watching:
+    """The calls of one watch, in turn: `ask`, then `ended`.
+
+    `agent_ms` is how long calls to an agent of pushed lists wait, 0 where the list is asked.
+    """
+
+    __slots__ = ("_hold_ms", "_hung", "_short", "_tries", "agent_ms", "moved")
+
+    def __init__(self, agent_ms: int = 0) -> None:
+        self.agent_ms = agent_ms
+        self.begin(moved=False)
+
+    def begin(self, moved: bool = True) -> None:
+        """Go on at another address, whose versions mean nothing yet."""
+        self.moved = moved  # until the first whole list of it is taken
+        self._tries = 0  # failed calls to it
+        self._hold_ms = HOLD_MS
+        self._hung = False  # the last call brought nothing in its time
+        self._short = False  # the next one waits for a short time only
+
+    def ask(self, rev: int, in_doubt: bool) -> Ask:
+        """The next call, from the version in hand; `in_doubt` where the service's own is older,
+        so that it can't tell what changed since ours, and would wait for news of it in vain."""
+        if self.moved:
+            return Ask(0, None, FETCH_S)
+        since = 0 if in_doubt else rev
+        if self.agent_ms:
+            return Ask(since, self.agent_ms, 2 * self.agent_ms / 1000)
+        hold_ms = HOLD_LEAST_MS if self._short else self._hold_ms
+        return Ask(since, hold_ms, hold_ms / 1000 + WATCH_S)
+
+    def failed(self, hung: bool) -> float | None:
+        """A call brought nothing: seconds until the next, None where the module says when.
+
+        `hung` where its time ran out with no answer.
+        """
+        if self.moved and self._tries < MOVE_TRIES:
+            # It may not be up yet, and what it has to tell counts as told soon.
+            self._tries += 1
+            return min(MOVE_S * (1 << (self._tries - 1)), MOVE_MOST_S)
+        self._short = True
+        # A connection was cut silently, or the service hangs. What happened meanwhile counts
+        # as told already: ask again without a back-off, once.
+        self._hung = hung and not self._hung and not self.moved
+        if self._hung:
+            return 0.0
+        return AGENT_S if self.agent_ms else None
+
+    def unusable(self) -> float | None:
+        """An answer could not be used: as `failed`."""
+        self._short = self._hung = False
+        return AGENT_S if self.agent_ms else None
+
+    def answered(self, lasted: float, news: bool) -> float:
+        """A call was answered after so many seconds: seconds until the next.
+
+        At once, mostly: after 200 ms it would count as a new watch, and what changed in
+        between as told late.
+        """
+        self._hung = self._short = False
+        if news:
+            return 0.0
+        late = lasted - self._hold_ms / 1000
+        if late > LATE_S:
+            self._hold_ms = min(self._hold_ms * 5 // 4, HOLD_MOST_MS)
+        elif late > 0:
+            self._hold_ms = max(self._hold_ms * 4 // 5, HOLD_MS)
+        return PACE_S if lasted < PACE_S else 0.0
