Configuration distribution: replica, source and subscriber as pure cores, and on sockets

Two instances already miss 'in force everywhere within 4 s': each is told by its own API alone.

Nothing uses it yet.

--- /dev/null
+++ b/tansywood/distribution/client.py
@@ -0,0 +1,195 @@
+"""A subscriber on sockets: dials, timers, messages. Nothing is decided here."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tansywood.distribution.messages import Message, Refusal
+from tansywood.distribution.source import ProtocolError
+from tansywood.distribution.stream import Keys, SealedStream
+from tansywood.distribution.subscriber import (
+    Action,
+    Answer,
+    Apply,
+    Continued,
+    Dial,
+    HangUp,
+    HistoryChanged,
+    Link,
+    Send,
+    Subscriber,
+)
+from windrelay.config import parse_address
+
+Dialer = Callable[[str, Callable[[], SealedStream]], Coroutine[Any, Any, object]]
+Handler = Callable[[Action], None]
+
+
+async def dial(address: str, made: Callable[[], SealedStream]) -> object:
+    """Connect to IPv4:port. OSError where nobody is there."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_connection(made, *parse_address(address))
+
+
+class SubscriberClient:
+    """Keeps one subscriber connected. `handle` is given what it is to do beyond sockets: Apply,
+    Answer, Continued, HistoryChanged; `overheard` each message that was taken."""
+
+    def __init__(
+        self,
+        subscriber: Subscriber,
+        keys: Keys,
+        fleet: str,
+        handle: Handler,
+        overheard: Callable[[Message], None] | None = None,
+        dialer: Dialer = dial,
+    ) -> None:
+        self.subscriber = subscriber
+        self.refused: Counter[str] = Counter()
+        self._keys = keys
+        self._fleet = fleet
+        self._handle = handle
+        self._overheard = overheard
+        self._dialer = dialer
+        self._stream: SealedStream | None = None
+        self._attempts: dict[SealedStream, int] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._bytes_in = 0
+        self._bytes_out = 0
+        self._messages = 0
+
+    def start(self) -> None:
+        self._tick()
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for task in self._tasks:
+            task.cancel()
+        for stream in list(self._attempts):
+            stream.abort("this subscriber ends")
+
+    def applied(self, batch: int, refusals: tuple[Refusal, ...] = ()) -> None:
+        """What was to be put into force is, but for what is refused."""
+        self.subscriber.applied(batch, time.monotonic_ns(), refusals)
+        self.flush()
+
+    def lookup(self, aliases: list[str]) -> int:
+        question = self.subscriber.lookup(aliases, time.monotonic_ns())
+        self.flush()
+        return question
+
+    def give_up(self, uids: list[str]) -> None:
+        self.subscriber.give_up(uids, time.monotonic_ns())
+        self.flush()
+
+    def totals(self) -> tuple[int, int, int]:
+        """Bytes received and sent, and messages both ways, over all connections so far."""
+        streams = list(self._attempts)
+        return (
+            self._bytes_in + sum(s.bytes_in for s in streams),
+            self._bytes_out + sum(s.bytes_out for s in streams),
+            self._messages + sum(s.messages_in + s.messages_out for s in streams),
+        )
+
+    # ---- a stream's calls ------------------------------------------------------------------
+
+    def opened(self, stream: SealedStream) -> None:
+        attempt = self._attempts[stream]
+        if attempt != self.subscriber.attempt or self.subscriber.link is not Link.DIALING:
+            stream.abort("too late: another is tried by now")
+            return
+        self._stream = stream
+        self.subscriber.connected(attempt, time.monotonic_ns())
+        self.flush()
+
+    def received(self, stream: SealedStream, message: Message) -> None:
+        attempt = self._attempts.get(stream)
+        if attempt is None:
+            return
+        try:
+            self.subscriber.received(attempt, time.monotonic_ns(), message)
+        except ProtocolError as err:
+            self.refused["protocol"] += 1
+            stream.abort(str(err))
+            return
+        if self._overheard is not None:
+            self._overheard(message)
+        self.flush()
+
+    def writable(self, stream: SealedStream) -> None:
+        """What a subscriber says is bounded by itself: it does not wait for this."""
+
+    def closed(self, stream: SealedStream, why: str) -> None:
+        attempt = self._attempts.pop(stream, None)
+        self._bytes_in += stream.bytes_in
+        self._bytes_out += stream.bytes_out
+        self._messages += stream.messages_in + stream.messages_out
+        if stream is self._stream:
+            self._stream = None
+        if attempt is not None:
+            self.subscriber.disconnected(attempt, time.monotonic_ns(), why)
+            self.flush()
+
+    # ---- the parts -------------------------------------------------------------------------
+
+    def flush(self) -> None:
+        """Do what the subscriber wants done, and set the timer anew."""
+        while self.subscriber.actions:
+            actions, self.subscriber.actions = self.subscriber.actions, []
+            for action in actions:
+                self._do(action)
+        if self._timer is not None:
+            self._set_timer()
+
+    def _do(self, action: Action) -> None:
+        if isinstance(action, Send):
+            if self._stream is not None:
+                self._stream.send(action.message)
+        elif isinstance(action, Dial):
+            task = asyncio.get_running_loop().create_task(self._dial(action))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif isinstance(action, HangUp):
+            self._hang_up(action)
+        else:
+            assert isinstance(action, Apply | Answer | Continued | HistoryChanged)
+            self._handle(action)
+
+    async def _dial(self, action: Dial) -> None:
+        def made() -> SealedStream:
+            stream = SealedStream(self, self._keys, self._fleet, True, self.refused)
+            self._attempts[stream] = action.attempt
+            return stream
+
+        timeout = self.subscriber.terms.dial / 1e9
+        try:
+            await asyncio.wait_for(self._dialer(action.address, made), timeout)
+        except (OSError, TimeoutError) as err:
+            self.subscriber.disconnected(action.attempt, time.monotonic_ns(), str(err) or "late")
+            self.flush()
+
+    def _hang_up(self, action: HangUp) -> None:
+        for stream, attempt in list(self._attempts.items()):
+            if attempt == action.attempt:
+                if stream is self._stream:
+                    self._stream = None
+                stream.abort(action.why)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait = max((self.subscriber.next_due() - time.monotonic_ns()) / 1e9, 0.001)
+        self._timer = asyncio.get_running_loop().call_later(wait, self._tick)
+
+    def _tick(self) -> None:
+        self.subscriber.tick(time.monotonic_ns())
+        if self._timer is None:
+            self._set_timer()
+        self.flush()
--- /dev/null
+++ b/tansywood/distribution/replica.py
@@ -0,0 +1,194 @@
+"""State at a position of a history: resources by uid, whose aliases they have, recent changes.
+
+The publisher holds one (filled from its registry), a distributor one of everything, an instance one
+of what it subscribes to. No I/O and no clock. Rules that live here: an older state of a resource is
+never taken for a newer one, and which changes a reconnect at some position has missed.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from tansywood.distribution.messages import (
+    Epoch,
+    Kind,
+    Position,
+    Resource,
+    Version,
+    digest_of,
+)
+
+REMEMBERED_MOST = 50_000  # revisions of what is not held any more
+
+
+@dataclass(slots=True)
+class Entry:
+    """One resource that is held."""
+
+    revision: int
+    digest: bytes
+    body: bytes
+    aliases: tuple[str, ...] = ()
+
+
+class Replica:
+    """Resources at `epoch`, all of them as of `revision` or later.
+
+    `parent` is where this epoch began: whoever stood at or before it has the same history.
+    """
+
+    def __init__(self, window: int, epoch: Epoch | None = None, revision: int = 0) -> None:
+        """`window` is how many recent changes are remembered."""
+        self.epoch = epoch or Epoch()
+        self.revision = revision
+        self.parent = Position()
+        self.entries: dict[str, Entry] = {}
+        self.aliases: dict[str, str] = {}
+        self._window: deque[tuple[int, str]] = deque()
+        self._window_most = window
+        self._floor = revision  # the window knows of all changes behind this revision
+        self._gone: OrderedDict[str, int] = OrderedDict()  # the last revision known of each
+
+    @property
+    def position(self) -> Position:
+        return Position(self.epoch, self.revision)
+
+    # ---- reading ---------------------------------------------------------------------------
+
+    def resource(self, uid: str, with_aliases: bool = False) -> Resource:
+        """What a subscriber is told of it: removed, at our revision, where there is none."""
+        entry = self.entries.get(uid)
+        if entry is None:
+            return Resource(uid, max(self._gone.get(uid, 0), self.revision), Kind.REMOVED)
+        aliases = list(entry.aliases) if with_aliases else []
+        return Resource(uid, entry.revision, Kind.CONTENT, entry.body, aliases)
+
+    def versions(self) -> Iterator[Version]:
+        """What is held, for a source to compare."""
+        for uid, entry in self.entries.items():
+            yield Version(uid, entry.digest)
+
+    def owner(self, alias: str) -> str:
+        """The uid whose alias this is; empty where it is nobody's."""
+        return self.aliases.get(alias, "")
+
+    def covers(self, position: Position) -> bool:
+        """Whether `changes_behind` can tell all that was missed since a position.
+
+        Revision 0 is that of a subscriber that knows nothing, or not of what it still holds.
+        """
+        if position.revision < max(self._floor, 1):
+            return False
+        if position.epoch == self.epoch:
+            return True
+        return position.epoch == self.parent.epoch and position.revision <= self.parent.revision
+
+    def changes_behind(self, revision: int) -> list[tuple[int, str]]:
+        """Each resource that has changed behind a covered revision, once, in the order of its
+        last change."""
+        latest: dict[str, int] = {}
+        for changed, uid in reversed(self._window):
+            if changed <= revision:
+                break
+            latest.setdefault(uid, changed)
+        return [(changed, uid) for uid, changed in reversed(latest.items())]
+
+    # ---- changing --------------------------------------------------------------------------
+
+    def begin_epoch(self, epoch: Epoch, parent: Position) -> None:
+        """Go on in another epoch whose history begins with ours."""
+        self.epoch = epoch
+        self.parent = parent
+
+    def forget_history(self, epoch: Epoch) -> None:
+        """Go over to an epoch of another history: revisions of the old one say nothing in it.
+
+        What is held stays until a comparison has told which of it still holds.
+        """
+        self.epoch = epoch
+        self.parent = Position()
+        self.revision = 0
+        self._floor = 0
+        self._window.clear()
+        self._gone.clear()
+        for entry in self.entries.values():
+            entry.revision = 0
+
+    def take(self, resource: Resource) -> bool:
+        """Take a state of this epoch; False where ours is as new, so that nothing changes."""
+        entry = self.entries.get(resource.uid)
+        known = entry.revision if entry is not None else self._gone.get(resource.uid, -1)
+        if resource.kind is Kind.UNCHANGED:
+            if entry is not None:
+                entry.revision = max(entry.revision, resource.revision)
+            return False
+        if resource.revision <= known:
+            return False
+        if resource.kind is Kind.REMOVED:
+            if entry is None:
+                return False
+            self._drop(resource.uid, resource.revision)
+            return True
+        self._put(resource)
+        return True
+
+    def record(self, revision: int, uid: str) -> None:
+        """Remember a change, for those who resume behind it. Revisions only grow."""
+        self._window.append((revision, uid))
+        if len(self._window) > self._window_most:
+            self._floor, _ = self._window.popleft()
+
+    def commit(self, resource: Resource) -> None:
+        """A change of the publisher's own: take it, remember it, and stand there."""
+        self.take(resource)
+        self.record(resource.revision, resource.uid)
+        self.advance(resource.revision)
+
+    def set_floor(self, revision: int) -> None:
+        """Say from where on all changes have been recorded."""
+        self._floor = revision
+
+    def advance(self, revision: int) -> None:
+        """All that is held now holds up to there."""
+        self.revision = max(self.revision, revision)
+
+    def step_back(self, revision: int) -> None:
+        """Something was taken that holds only up to there: resume from there."""
+        self.revision = min(self.revision, revision)
+
+    def give_up(self, uid: str) -> None:
+        """Hold a resource no longer; how new it was stays known, so that an older state of it
+        is not taken when it is asked for again."""
+        entry = self.entries.get(uid)
+        if entry is not None:
+            self._drop(uid, entry.revision - 1)  # the same state again is as good
+
+    def load(self, resources: Iterable[Resource]) -> None:
+        """Fill an empty replica, in any order."""
+        for resource in resources:
+            self._put(resource)
+
+    def _put(self, resource: Resource) -> None:
+        old = self.entries.get(resource.uid)
+        if old is not None:
+            self._unbind(resource.uid, old)
+        self._gone.pop(resource.uid, None)
+        self.entries[resource.uid] = Entry(
+            resource.revision, digest_of(resource.body), resource.body, tuple(resource.aliases)
+        )
+        for alias in resource.aliases:
+            self.aliases[alias] = resource.uid
+
+    def _drop(self, uid: str, revision: int) -> None:
+        self._unbind(uid, self.entries.pop(uid))
+        self._gone[uid] = revision
+        self._gone.move_to_end(uid)
+        if len(self._gone) > REMEMBERED_MOST:
+            self._gone.popitem(last=False)
+
+    def _unbind(self, uid: str, entry: Entry) -> None:
+        for alias in entry.aliases:
+            if self.aliases.get(alias) == uid:  # it may be another's by now
+                del self.aliases[alias]
--- /dev/null
+++ b/tansywood/distribution/rollout.py
@@ -0,0 +1,116 @@
+"""How far each change has come over all instances: the publisher's sums of what distributors tell.
+
+Pure. A distributor counts its own instances; the publisher adds the counts up, and knows which
+distributors have not been heard of or lack the change themselves.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tansywood.distribution.messages import Rollout
+
+FOLLOWED = 512  # changes whose sums are kept
+NAMED = 20  # instances named of one change
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """One change over all distributors. `complete` where nobody is known to lack it."""
+
+    uid: str
+    revision: int
+    have: int
+    waiting: int
+    refused: int
+    lagging: tuple[str, ...]
+    refusing: tuple[tuple[str, str], ...]
+    distributors_have: int
+    distributors_waiting: tuple[str, ...]
+
+    @property
+    def complete(self) -> bool:
+        return not (self.waiting or self.refused or self.distributors_waiting)
+
+
+@dataclass(slots=True)
+class _Distributor:
+    connected: bool = True
+    applied: int = 0
+    rows: OrderedDict[tuple[str, int], Rollout] = field(default_factory=OrderedDict)
+
+
+class RolloutBoard:
+    """Sums by change; the latest of each tenant is what counts."""
+
+    def __init__(self) -> None:
+        self._distributors: dict[str, _Distributor] = {}
+        self._at: dict[str, str] = {}  # which distributor an instance came to last
+
+    def connected(self, distributor: str) -> None:
+        self._distributors.setdefault(distributor, _Distributor()).connected = True
+
+    def disconnected(self, distributor: str) -> None:
+        """Its last words stay: its instances may lack what comes now, until they are heard of."""
+        if distributor in self._distributors:
+            self._distributors[distributor].connected = False
+
+    def forget(self, distributor: str) -> None:
+        """It was taken out of service."""
+        self._distributors.pop(distributor, None)
+
+    def applied(self, distributor: str, revision: int) -> None:
+        self._distributors.setdefault(distributor, _Distributor()).applied = revision
+
+    def report(self, distributor: str, rows: Iterable[Rollout]) -> None:
+        known = self._distributors.setdefault(distributor, _Distributor())
+        for row in rows:
+            known.rows[row.uid, row.revision] = row
+            known.rows.move_to_end((row.uid, row.revision))
+        while len(known.rows) > FOLLOWED:
+            known.rows.popitem(last=False)
+
+    def joined(self, distributor: str, names: Iterable[str]) -> dict[str, list[str]]:
+        """Instances have come to a distributor; returns whom to tell that they left there."""
+        tell: dict[str, list[str]] = {}
+        for name in names:
+            before = self._at.get(name, distributor)
+            self._at[name] = distributor
+            if before != distributor:
+                tell.setdefault(before, []).append(name)
+        return tell
+
+    def summary(self, uid: str, revision: int) -> Summary:
+        """Of one change. A distributor that has gone counts as waiting while it was the last
+        that some instance came to."""
+        have = waiting = refused = has = 0
+        lagging: list[str] = []
+        refusing: list[tuple[str, str]] = []
+        late: list[str] = []
+        served = set(self._at.values())
+        for name, distributor in sorted(self._distributors.items()):
+            if distributor.applied < revision or not distributor.connected:
+                if distributor.connected or name in served:
+                    late.append(name)
+                continue
+            has += 1
+            row = distributor.rows.get((uid, revision))
+            if row is not None:
+                have += row.have
+                waiting += row.waiting
+                refused += row.refused
+                lagging += row.lagging
+                refusing += row.refusing
+        return Summary(
+            uid,
+            revision,
+            have,
+            waiting,
+            refused,
+            tuple(lagging[:NAMED]),
+            tuple(refusing[:NAMED]),
+            has,
+            tuple(late),
+        )
--- /dev/null
+++ b/tansywood/distribution/server.py
@@ -0,0 +1,137 @@
+"""A source on sockets: streams in, sessions out. Nothing is decided here."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from tansywood.distribution.messages import Message
+from tansywood.distribution.source import ProtocolError, Session, Source
+from tansywood.distribution.stream import Keys, SealedStream
+from windrelay.config import Address
+
+TICK_S = 0.1
+BACKLOG = 1024
+
+Overheard = Callable[[Session, Message], None]
+
+
+class SourceServer:
+    """Listens for subscribers of one source. `overheard` is told each message that was taken."""
+
+    def __init__(
+        self,
+        source: Source,
+        keys: Keys,
+        fleet: str,
+        overheard: Overheard | None = None,
+        on_close: Callable[[Session], None] | None = None,
+        log: Callable[[str], None] = lambda _text: None,
+    ) -> None:
+        self.source = source
+        self.refused: Counter[str] = Counter()
+        self._keys = keys
+        self._fleet = fleet
+        self._overheard = overheard
+        self._on_close = on_close
+        self._log = log
+        self._streams: dict[int, SealedStream] = {}
+        self._numbers: dict[SealedStream, int] = {}
+        self._server: asyncio.Server | None = None
+        self._ticking: asyncio.TimerHandle | None = None
+        self.bytes_out = 0  # of connections that have ended
+        self.bytes_in = 0
+
+    async def start(self, address: Address) -> Address:
+        """Listen; returns the address, with the port that was free where 0 was asked for."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._stream, *address, backlog=BACKLOG)
+        self._tick()
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    def stop(self) -> None:
+        if self._ticking is not None:
+            self._ticking.cancel()
+        if self._server is not None:
+            self._server.close()
+        for stream in list(self._streams.values()):
+            stream.close("this source ends")
+
+    def pump(self) -> None:
+        """Send what is ready; call it after anything was told to the source."""
+        for number in list(self.source.ready):
+            self._send_ready(number)
+
+    def totals(self) -> tuple[int, int]:
+        """Bytes received and sent, over all connections so far."""
+        streams = self._streams.values()
+        received = self.bytes_in + sum(stream.bytes_in for stream in streams)
+        return received, self.bytes_out + sum(stream.bytes_out for stream in streams)
+
+    # ---- a stream's calls ------------------------------------------------------------------
+
+    def opened(self, stream: SealedStream) -> None:
+        number = self.source.opened(time.monotonic_ns())
+        self._streams[number] = stream
+        self._numbers[stream] = number
+
+    def received(self, stream: SealedStream, message: Message) -> None:
+        number = self._numbers.get(stream)
+        if number is None:
+            return
+        try:
+            self.source.received(number, time.monotonic_ns(), message)
+        except ProtocolError as err:
+            self.refused["protocol"] += 1
+            stream.abort(str(err))
+            return
+        if self._overheard is not None:
+            self._overheard(self.source.sessions[number], message)
+        self.pump()
+
+    def writable(self, stream: SealedStream) -> None:
+        number = self._numbers.get(stream)
+        if number is not None:
+            self._send_ready(number)
+
+    def closed(self, stream: SealedStream, why: str) -> None:
+        number = self._numbers.pop(stream, None)
+        if number is None:
+            return
+        self._streams.pop(number, None)
+        self.bytes_in += stream.bytes_in
+        self.bytes_out += stream.bytes_out
+        session = self.source.sessions[number]
+        self.source.closed(number, time.monotonic_ns())
+        if session.name:
+            self._log(f"{session.name} is gone: {why}")
+        if self._on_close is not None:
+            self._on_close(session)
+
+    # ---- the parts -------------------------------------------------------------------------
+
+    def _stream(self) -> SealedStream:
+        return SealedStream(self, self._keys, self._fleet, False, self.refused)
+
+    def _send_ready(self, number: int) -> None:
+        stream = self._streams.get(number)
+        if stream is None:
+            self.source.ready.discard(number)
+            return
+        now = time.monotonic_ns()
+        while not stream.paused:
+            message = self.source.next_message(number, now)
+            if message is None:
+                break
+            stream.send(message)
+        if self.source.sessions[number].ends and not stream.paused:
+            stream.close("ended by this source")
+
+    def _tick(self) -> None:
+        self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+        for number in self.source.tick(time.monotonic_ns()):
+            self._streams[number].abort("silent")
+        self.pump()
--- /dev/null
+++ b/tansywood/distribution/source.py
@@ -0,0 +1,448 @@
+"""A source's side of distribution: sessions of subscribers over one replica. Pure.
+
+Publisher and distributors are both sources. Each session has a queue with one place for each
+resource that has changed since it was last sent, so it is bounded by what is subscribed to and a
+slow subscriber gets the latest state, not the history. The queue is in the order of the
+resources' last changes: a resource that changes again while it waits goes to the end. So all
+changes before the first one that waits have been sent, and a subscriber may resume from there.
+
+Whoever does I/O tells what happens, and takes messages with `next_message` only while a
+session's transport takes more, so nobody waits for anybody else.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tansywood.distribution.messages import (
+    Acknowledge,
+    Busy,
+    Changes,
+    Found,
+    Hello,
+    Kind,
+    Lookup,
+    Message,
+    Moved,
+    Position,
+    Progress,
+    Refusal,
+    Resource,
+    Rollout,
+    Rollouts,
+    Unsubscribe,
+    Versions,
+    Welcome,
+)
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.terms import MS, SECOND, Terms
+from tansywood.tenancy.limits import Bucket
+
+BATCH_MOST = 1_024  # resources in one message
+NAMED = 5  # instances that are named of those that lag or refuse
+NOT_READY_MS = 500
+OUTDATED_MS = 1_000
+REFUSALS_MOST = 1_024  # kept of one session
+RECENT = 256  # changes whose rollout is followed
+RECENT_FOR = 60 * SECOND
+
+
+class ProtocolError(ValueError):
+    """A subscriber said what it may not say now; its session ends."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """Why a resource waits: its last change, and whether the subscriber has that state."""
+
+    revision: int
+    unchanged: bool = False
+
+
+@dataclass(slots=True)
+class Session:
+    """One subscriber's connection."""
+
+    number: int
+    heard: int  # time
+    said: int  # time
+    name: str = ""
+    everything: bool = False
+    welcomed: bool = False
+    comparing: bool = False  # its versions are awaited
+    catching_up: bool = False  # what a comparison found has not all been sent
+    ahead: int = 0  # the revision it came with: it may know more than we do
+    progress: int = 0  # all up to there has been sent
+    applied: int = 0  # all up to there is in force there
+    subscriptions: set[str] = field(default_factory=set)
+    compared: set[str] = field(default_factory=set)
+    pending: OrderedDict[str, _Pending] = field(default_factory=OrderedDict)
+    refusals: OrderedDict[str, Refusal] = field(default_factory=OrderedDict)
+    control: deque[Message] = field(default_factory=deque)
+    lookups: Bucket | None = None
+    ends: bool = False  # closed once what it has to be told is sent
+
+    def has(self, uid: str, revision: int) -> bool:
+        """Whether a change is in force there."""
+        return self.applied >= revision and not self.refuses(uid, revision)
+
+    def refuses(self, uid: str, revision: int) -> bool:
+        refusal = self.refusals.get(uid)
+        return refusal is not None and refusal.revision >= revision
+
+
+@dataclass(frozen=True, slots=True)
+class _Away:
+    """An instance whose connection ended and that has not been heard of since."""
+
+    until: int
+    applied: int
+    subscriptions: frozenset[str]
+
+    def lacks(self, uid: str, revision: int) -> bool:
+        return self.applied < revision and uid in self.subscriptions
+
+
+class Source:
+    """Sessions over one replica; counters only grow."""
+
+    def __init__(self, replica: Replica, terms: Terms, now: int, is_publisher: bool) -> None:
+        self.replica = replica
+        self.terms = terms
+        self.is_publisher = is_publisher
+        self.serving = is_publisher
+        self.sessions: dict[int, Session] = {}
+        self.ready: set[int] = set()  # sessions that have something to be sent
+        self.heard_publisher = now
+        self.outdated_by: Position | None = None  # a subscriber knew a later history than ours
+        self.joined: list[str] = []  # instances since the last report upwards
+        self.messages_out = 0
+        self.messages_in = 0
+        self._subscribers: dict[str, set[int]] = {}
+        self._everything: set[int] = set()
+        self._by_name: dict[str, int] = {}
+        self._away: dict[str, _Away] = {}
+        self._recent: deque[tuple[int, int, str]] = deque(maxlen=RECENT)
+        self._unsettled: dict[str, int] = {}  # changes that are not in force everywhere here
+        self._reported: dict[str, Rollout] = {}
+        self._admission = Bucket(now, terms.admit_per_s, terms.admit_burst)
+        self._admission.fill()
+        self._next_number = 1
+
+    # ---- what happens ----------------------------------------------------------------------
+
+    def opened(self, now: int) -> int:
+        """A connection, by the number that names its session from now on."""
+        number = self._next_number
+        self._next_number += 1
+        self.sessions[number] = Session(number, heard=now, said=now)
+        return number
+
+    def closed(self, number: int, now: int) -> None:
+        """A connection has ended."""
+        session = self.sessions.pop(number, None)
+        if session is None:
+            return
+        self.ready.discard(number)
+        self._everything.discard(number)
+        for uid in session.subscriptions:
+            self._unsubscribe(session, uid)
+        if self._by_name.get(session.name) == number:
+            del self._by_name[session.name]
+            if not session.everything:
+                held = frozenset(session.subscriptions)
+                until = now + self.terms.away
+                self._away[session.name] = _Away(until, session.applied, held)
+
+    def received(self, number: int, now: int, message: Message) -> None:
+        """ProtocolError where the subscriber may not say this."""
+        session = self.sessions[number]
+        session.heard = now
+        self.messages_in += 1
+        if isinstance(message, Hello):
+            self._hello(session, now, message)
+        elif not session.welcomed:
+            raise ProtocolError(f"{type(message).__name__} before a welcome")
+        elif isinstance(message, Acknowledge):
+            self._acknowledged(session, message)
+        elif isinstance(message, Lookup):
+            self._looked_up(session, now, message)
+        elif isinstance(message, Unsubscribe):
+            for uid in message.uids:
+                self._drop_subscription(session, uid)
+        elif isinstance(message, Versions):
+            self._compare(session, message)
+        elif not isinstance(message, Rollouts):  # those are the publisher's own to sum up
+            raise ProtocolError(f"{type(message).__name__} is not for a source")
+
+    def changed(self, uid: str, revision: int, now: int) -> None:
+        """A resource of the replica is another; revisions only grow."""
+        self._recent.append((now, revision, uid))
+        self._unsettled[uid] = revision
+        for number in (*self._subscribers.get(uid, ()), *self._everything):
+            session = self.sessions[number]
+            session.pending.pop(uid, None)  # it goes to the end: see the module's text
+            session.pending[uid] = _Pending(revision)
+            self.ready.add(number)
+
+    def publisher_heard(self, at: int) -> None:
+        """When the publisher, or a source next to it, was heard last."""
+        self.heard_publisher = max(self.heard_publisher, at)
+
+    def epoch_continued(self, now: int) -> None:
+        """The replica went over to an epoch that continues its own history."""
+        parent = self.replica.parent
+        for session in self.sessions.values():
+            if not session.welcomed:
+                continue
+            session.comparing = max(session.ahead, session.progress) > parent.revision
+            session.control.append(
+                Welcome(self.replica.position, session.comparing, self._age_ms(now))
+            )
+            self.ready.add(session.number)
+
+    def stop_serving(self) -> None:
+        """The replica is about to change its history: everybody comes again afterwards."""
+        self.serving = False
+        for session in self.sessions.values():
+            self._end(session, Busy(NOT_READY_MS, "this source changes over to another history"))
+
+    def moved(self, names: Iterable[str]) -> None:
+        """These instances have come to another distributor."""
+        for name in names:
+            self._away.pop(name, None)
+
+    def tell_moved(self, distributor: str, names: list[str]) -> None:
+        """Tell a distributor so."""
+        number = self._by_name.get(distributor)
+        if number is not None and names:
+            self.sessions[number].control.append(Moved(names))
+            self.ready.add(number)
+
+    def tick(self, now: int) -> list[int]:
+        """Heartbeats that are due become ready. Returns sessions to be closed for silence."""
+        silent = []
+        for number, session in self.sessions.items():
+            if now - session.heard >= self.terms.silence:
+                silent.append(number)
+            elif session.welcomed and now - session.said >= self.terms.heartbeat:
+                self.ready.add(number)
+        for name in [name for name, away in self._away.items() if away.until <= now]:
+            del self._away[name]
+        return silent
+
+    # ---- what is to be sent ----------------------------------------------------------------
+
+    def next_message(self, number: int, now: int) -> Message | None:
+        """The next one of a session; None where it has nothing to be told now."""
+        session = self.sessions[number]
+        message = self._next(session, now)
+        if message is None:
+            self.ready.discard(number)
+            return None
+        session.said = now
+        self.messages_out += 1
+        return message
+
+    def _next(self, session: Session, now: int) -> Message | None:
+        if session.control:
+            return session.control.popleft()
+        if not session.welcomed or session.ends:
+            return None
+        if session.pending and not session.comparing:
+            return self._batch(session)
+        if now - session.said >= self.terms.heartbeat:
+            if not session.comparing:
+                session.catching_up = False
+                session.progress = self.replica.revision
+            return Progress(session.progress, self._age_ms(now))
+        return None
+
+    def _batch(self, session: Session) -> Changes:
+        resources: list[Resource] = []
+        size = 0
+        while session.pending and len(resources) < BATCH_MOST and size < self.terms.batch_bytes:
+            uid, pending = session.pending.popitem(last=False)
+            resource = self._resource(session, uid, pending)
+            if resource.kind is Kind.REMOVED:
+                self._drop_subscription(session, uid)
+            size += len(resource.body)
+            resources.append(resource)
+        if not session.pending:
+            session.catching_up = False
+            session.progress = self.replica.revision
+        elif not session.catching_up:
+            session.progress = next(iter(session.pending.values())).revision - 1
+        return Changes(resources, session.progress)
+
+    def _resource(self, session: Session, uid: str, pending: _Pending) -> Resource:
+        if pending.unchanged:
+            return Resource(uid, pending.revision, Kind.UNCHANGED)
+        resource = self.replica.resource(uid, with_aliases=session.everything)
+        if resource.kind is Kind.REMOVED:
+            return Resource(uid, pending.revision, Kind.REMOVED)
+        return resource
+
+    def _age_ms(self, now: int) -> int:
+        return 0 if self.is_publisher else max(now - self.heard_publisher, 0) // MS
+
+    # ---- a subscriber's messages -----------------------------------------------------------
+
+    def _hello(self, session: Session, now: int, hello: Hello) -> None:
+        if session.welcomed:
+            raise ProtocolError("a second hello")
+        theirs = hello.position.epoch
+        if theirs > self.replica.epoch and self.serving:
+            self.outdated_by = hello.position
+            self._end(session, Busy(OUTDATED_MS, "its history is later than this source's"))
+            return
+        if not self.serving:
+            self._end(session, Busy(NOT_READY_MS, "this source is not ready"))
+            return
+        wait = self._admission.take(now)
+        if wait:
+            self._end(session, Busy(wait // MS + 1, "too many at once"))
+            return
+        self._admit(session, now, hello)
+
+    def _admit(self, session: Session, now: int, hello: Hello) -> None:
+        session.name = hello.name
+        session.everything = hello.everything
+        session.welcomed = True
+        session.lookups = Bucket(now, self.terms.lookups_per_s, self.terms.lookups_per_s)
+        session.lookups.fill()
+        before = self._by_name.get(hello.name)
+        if before is not None:
+            self.sessions[before].ends = True  # its connection is dead, or its name is there twice
+            self.ready.add(before)
+        self._by_name[hello.name] = session.number
+        self._away.pop(hello.name, None)
+        if hello.everything:
+            self._everything.add(session.number)
+        else:
+            self.joined.append(hello.name)
+        for uid in hello.subscriptions:
+            self._subscribe(session, uid)
+        self._unsettled.update(
+            (uid, revision) for _, revision, uid in self._recent if uid in session.subscriptions
+        )
+        session.comparing = not self.replica.covers(hello.position)
+        if not session.comparing:
+            session.ahead = hello.position.revision
+            session.progress = min(hello.position.revision, self.replica.revision)
+            session.applied = session.progress
+            self._resume(session, hello.position.revision)
+        session.control.append(Welcome(self.replica.position, session.comparing, self._age_ms(now)))
+        self.ready.add(session.number)
+
+    def _resume(self, session: Session, revision: int) -> None:
+        for changed, uid in self.replica.changes_behind(revision):
+            if session.everything or uid in session.subscriptions:
+                session.pending[uid] = _Pending(changed)
+
+    def _compare(self, session: Session, versions: Versions) -> None:
+        if not session.comparing:
+            raise ProtocolError("versions that nobody asked for")
+        for row in versions.rows:
+            session.compared.add(row.uid)
+            if not session.everything:
+                self._subscribe(session, row.uid)
+            entry = self.replica.entries.get(row.uid)
+            if entry is None:
+                session.pending[row.uid] = _Pending(self.replica.revision)
+            else:
+                same = entry.digest == row.digest
+                session.pending[row.uid] = _Pending(entry.revision, unchanged=same)
+        if versions.last:
+            self._end_comparison(session)
+
+    def _end_comparison(self, session: Session) -> None:
+        """All that differs waits now: bring it into the order of the last changes.
+
+        Until all of it is sent no progress is claimed: what was compared has no place among the
+        recent changes, so a reconnect in between has to compare again.
+        """
+        if session.everything:
+            for uid, entry in self.replica.entries.items():
+                if uid not in session.compared:
+                    session.pending[uid] = _Pending(entry.revision)
+        in_order = sorted(session.pending.items(), key=lambda item: item[1].revision)
+        session.pending = OrderedDict(in_order)
+        session.compared.clear()
+        session.comparing = False
+        session.catching_up = True
+        self.ready.add(session.number)
+
+    def _looked_up(self, session: Session, now: int, lookup: Lookup) -> None:
+        assert session.lookups is not None
+        if session.lookups.take(now):
+            return  # it asks more often than its terms say; its own time limit answers it
+        uids = [self.replica.owner(alias) for alias in lookup.aliases]
+        resources = []
+        for uid in dict.fromkeys(uids):
+            if uid and uid not in session.subscriptions:
+                self._subscribe(session, uid)
+                resources.append(self.replica.resource(uid))
+        session.control.append(Found(lookup.question, uids, resources, self.replica.revision))
+        self.ready.add(session.number)
+
+    def _acknowledged(self, session: Session, acknowledge: Acknowledge) -> None:
+        session.applied = acknowledge.revision
+        for refusal in acknowledge.refusals:
+            session.refusals[refusal.uid] = refusal
+            session.refusals.move_to_end(refusal.uid)
+        while len(session.refusals) > REFUSALS_MOST:
+            session.refusals.popitem(last=False)
+
+    def _subscribe(self, session: Session, uid: str) -> None:
+        session.subscriptions.add(uid)
+        self._subscribers.setdefault(uid, set()).add(session.number)
+
+    def _drop_subscription(self, session: Session, uid: str) -> None:
+        session.subscriptions.discard(uid)
+        session.pending.pop(uid, None)
+        session.refusals.pop(uid, None)
+        self._unsubscribe(session, uid)
+
+    def _unsubscribe(self, session: Session, uid: str) -> None:
+        numbers = self._subscribers.get(uid)
+        if numbers is not None:
+            numbers.discard(session.number)
+            if not numbers:
+                del self._subscribers[uid]
+
+    def _end(self, session: Session, last: Busy) -> None:
+        session.control.append(last)
+        session.ends = True
+        self.ready.add(session.number)
+
+    # ---- how far changes have come ---------------------------------------------------------
+
+    def rollout(self, uid: str, revision: int) -> Rollout:
+        """How far a change has come among the instances here."""
+        sessions = [self.sessions[n] for n in sorted(self._subscribers.get(uid, ()))]
+        refusing = [s for s in sessions if s.refuses(uid, revision)]
+        lagging = [s.name for s in sessions if s.applied < revision and s not in refusing]
+        lagging += [name for name, away in self._away.items() if away.lacks(uid, revision)]
+        reasons = [(s.name, s.refusals[uid].reason) for s in refusing[:NAMED]]
+        have = sum(s.has(uid, revision) for s in sessions)
+        return Rollout(uid, revision, have, len(lagging), len(refusing), lagging[:NAMED], reasons)
+
+    def report(self, now: int) -> Rollouts | None:
+        """What is news of the rollouts of recent changes, for the source above."""
+        while self._recent and now - self._recent[0][0] > RECENT_FOR:
+            self._recent.popleft()
+        followed = {uid: revision for _, revision, uid in self._recent}
+        rows = []
+        for uid, revision in list(self._unsettled.items()):
+            row = self.rollout(uid, revision)
+            if self._reported.get(uid) != row:
+                rows.append(row)
+                self._reported[uid] = row
+            if not (row.waiting or row.refused) or uid not in followed:
+                del self._unsettled[uid]
+        self._reported = {uid: row for uid, row in self._reported.items() if uid in followed}
+        joined, self.joined = self.joined, []
+        return Rollouts(rows, joined) if rows or joined else None
--- /dev/null
+++ b/tansywood/distribution/stream.py
@@ -0,0 +1,176 @@
+"""Sealed messages on a stream: the fleet's seal, one life for each end of each connection.
+
+Each end begins with sixteen random bytes, its life on this connection. All that follows are frames:
+four bytes of length, big-endian, then a sealed message. Both lives are bound into every seal, so
+nothing that was recorded on one connection can be played into another, and whoever does not hold a
+key of the fleet is found out at the first frame. What is refused is counted by its reason.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import os
+import struct
+from collections import Counter
+from collections.abc import Sequence
+from typing import Protocol
+
+from tansywood.distribution.messages import MAX_FRAME, Message, MessageError, pack, unpack
+from tansywood.fleet.messages import LIFE
+from tansywood.fleet.seal import Seal, SealError
+
+LENGTH = struct.Struct(">I")
+MAX_SEALED = MAX_FRAME + 64
+HIGH_WATER = 256 << 10  # bytes that wait for a peer that does not read; more is not taken
+
+
+class Keys(Protocol):
+    """The fleet's keys, the first seals; read anew for each connection."""
+
+    def __call__(self) -> Sequence[bytes]: ...
+
+
+class Owner(Protocol):
+    """Who is told what happens on a stream."""
+
+    def opened(self, stream: SealedStream) -> None: ...
+
+    def received(self, stream: SealedStream, message: Message) -> None: ...
+
+    def writable(self, stream: SealedStream) -> None: ...
+
+    def closed(self, stream: SealedStream, why: str) -> None: ...
+
+
+class SealedStream(asyncio.Protocol):
+    """One connection. `refused` counts what is not taken, over all streams of a process."""
+
+    def __init__(
+        self, owner: Owner, keys: Keys, fleet: str, connector: bool, refused: Counter[str]
+    ) -> None:
+        """`connector` tells the two ends of a connection apart."""
+        self._owner = owner
+        self._keys = keys
+        self._fleet = fleet
+        self._connector = connector
+        self._refused = refused
+        self._life = os.urandom(LIFE)
+        self._seal: Seal | None = None
+        self._peer = b""
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._why = "closed by the other end"
+        self.paused = False
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.messages_in = 0
+        self.messages_out = 0
+
+    # ---- the transport's calls -------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER)
+        self._write(self._life)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._buffer:
+            self._refused["truncated"] += 1
+        if exc is not None:
+            self._why = str(exc)
+        self._transport = None
+        self._owner.closed(self, self._why)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self._owner.writable(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.bytes_in += len(data)
+        self._buffer += data
+        if self._seal is None and not self._begin():
+            return
+        while self._transport is not None and (frame := self._next_frame()) is not None:
+            self._open(frame)
+
+    # ---- sending and closing ---------------------------------------------------------------
+
+    def send(self, message: Message) -> None:
+        """Nothing where the connection is closed by now, or has not been opened."""
+        if self._seal is None or self._transport is None:
+            return
+        sealed = self._seal.seal(pack(message))
+        self.messages_out += 1
+        self._write(LENGTH.pack(len(sealed)) + sealed)
+
+    def close(self, why: str) -> None:
+        """Send what waits, then close."""
+        self._why = why
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self, why: str) -> None:
+        """Close now; what waits is dropped."""
+        self._why = why
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- the parts -------------------------------------------------------------------------
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self.bytes_out += len(data)
+            self._transport.write(data)
+
+    def _begin(self) -> bool:
+        if len(self._buffer) < LIFE:
+            return False
+        self._peer = bytes(self._buffer[:LIFE])
+        del self._buffer[:LIFE]
+        lives = (self._life, self._peer) if self._connector else (self._peer, self._life)
+        bound = hashlib.sha256(
+            b"\n".join([b"tansywood distribution 1", self._fleet.encode(), *lives])
+        ).digest()
+        self._seal = Seal(self._keys(), bound, self._life)
+        self._owner.opened(self)
+        return True
+
+    def _next_frame(self) -> bytes | None:
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > MAX_SEALED:
+            self._refuse("oversize", f"a frame of {length} bytes; {MAX_SEALED} at most")
+            return None
+        end = LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        frame = bytes(self._buffer[LENGTH.size : end])
+        del self._buffer[:end]
+        return frame
+
+    def _open(self, frame: bytes) -> None:
+        assert self._seal is not None
+        try:
+            life, body = self._seal.open(frame)
+            if life != self._peer:
+                raise SealError("forged")
+            message = unpack(body)
+        except SealError as err:
+            self._refuse(err.why, f"a message that is not sealed for us: {err.why}")
+            return
+        except MessageError as err:
+            self._refuse("message", f"no message of this protocol: {err}")
+            return
+        self.messages_in += 1
+        self._owner.received(self, message)
+
+    def _refuse(self, reason: str, why: str) -> None:
+        self._refused[reason] += 1
+        self._buffer.clear()
+        self.abort(why)
--- /dev/null
+++ b/tests/distribution/test_sockets.py
@@ -0,0 +1,163 @@
+"""Publisher, distributor and instance in one loop, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from random import Random
+
+from tansywood.distribution.client import SubscriberClient
+from tansywood.distribution.messages import Epoch, Kind, Position, Resource, alias_of_host
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.server import SourceServer
+from tansywood.distribution.source import Source
+from tansywood.distribution.subscriber import (
+    Action,
+    Answer,
+    Apply,
+    Continued,
+    HistoryChanged,
+    Subscriber,
+)
+from tansywood.distribution.terms import MS, Terms
+from windrelay.config import Address
+
+KEY = bytes(range(32))
+TERMS = Terms(heartbeat=50 * MS, silence=400 * MS, reconnect_first=20 * MS, reconnect_most=80 * MS)
+LOCAL = Address("127.0.0.1", 0)
+
+
+def keys() -> list[bytes]:
+    return [KEY]
+
+
+def resource(uid: str, revision: int, body: bytes) -> Resource:
+    return Resource(uid, revision, Kind.CONTENT, body, [alias_of_host(f"{uid}.example")])
+
+
+class Publisher:
+    """A source whose changes a test makes."""
+
+    def __init__(self, epoch: Epoch, parent: Position | None = None) -> None:
+        self.replica = Replica(TERMS.window, epoch)
+        if parent is not None:
+            self.replica.begin_epoch(epoch, parent)
+        self.source = Source(self.replica, TERMS, time.monotonic_ns(), is_publisher=True)
+        self.server = SourceServer(self.source, keys, "fleet")
+
+    def change(self, uid: str, revision: int, body: bytes) -> None:
+        self.replica.commit(resource(uid, revision, body))
+        self.source.changed(uid, revision, time.monotonic_ns())
+        self.server.pump()
+
+
+@dataclass
+class Follower:
+    """A subscriber that puts into force at once."""
+
+    client: SubscriberClient
+    answers: dict[int, tuple[str, ...] | None]
+
+    @property
+    def replica(self) -> Replica:
+        return self.client.subscriber.replica
+
+    def body(self, uid: str) -> bytes | None:
+        entry = self.replica.entries.get(uid)
+        return entry.body if entry is not None else None
+
+
+def instance(name: str, addresses: list[str]) -> Follower:
+    answers: dict[int, tuple[str, ...] | None] = {}
+
+    def handle(action: Action) -> None:
+        if isinstance(action, Apply):
+            client.applied(action.batch)
+        elif isinstance(action, Answer):
+            answers[action.question] = action.uids
+
+    replica = Replica(TERMS.window)
+    subscriber = Subscriber(name, addresses, replica, TERMS, Random(1), time.monotonic_ns())
+    client = SubscriberClient(subscriber, keys, "fleet", handle)
+    client.start()
+    return Follower(client, answers)
+
+
+class Distributor:
+    """A subscriber of everything and a source over one replica."""
+
+    def __init__(self, name: str, publisher: str) -> None:
+        now = time.monotonic_ns()
+        self.replica = Replica(TERMS.window)
+        self.source = Source(self.replica, TERMS, now, is_publisher=False)
+        self.server = SourceServer(self.source, keys, "fleet")
+        subscriber = Subscriber(
+            name, [publisher], self.replica, TERMS, Random(2), now, everything=True
+        )
+        self.client = SubscriberClient(
+            subscriber, keys, "fleet", self.handle, lambda _message: self.heard()
+        )
+
+    def handle(self, action: Action) -> None:
+        now = time.monotonic_ns()
+        if isinstance(action, Apply):
+            for uid in action.uids:
+                self.source.changed(uid, self.replica.resource(uid).revision, now)
+            self.client.applied(action.batch)
+        elif isinstance(action, Continued):
+            self.source.epoch_continued(now)
+        elif isinstance(action, HistoryChanged):
+            self.source.stop_serving()
+        self.server.pump()
+
+    def heard(self) -> None:
+        self.source.publisher_heard(time.monotonic_ns())
+        if self.replica.revision and not self.source.serving:
+            self.replica.set_floor(self.replica.revision)
+            self.source.serving = True
+        self.server.pump()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def served() -> AsyncIterator[tuple[Publisher, Distributor, Follower]]:
+    publisher = Publisher(Epoch(1, b"a"))
+    publisher.change("t1", 1, b"one")
+    publisher.change("t2", 2, b"two")
+    at = await publisher.server.start(LOCAL)
+    distributor = Distributor("d1", f"{at.host}:{at.port}")
+    below = await distributor.server.start(LOCAL)
+    distributor.client.start()
+    follower = instance("i1", [f"{below.host}:{below.port}"])
+    try:
+        yield publisher, distributor, follower
+    finally:
+        follower.client.stop()
+        distributor.client.stop()
+        distributor.server.stop()
+        publisher.server.stop()
+        await asyncio.sleep(0.02)
+
+
+def test_an_instance_holds_what_it_asked_for_and_hears_of_its_changes_alone() -> None:
+    async def story() -> None:
+        async with served() as (publisher, distributor, follower):
+            await until(lambda: len(distributor.replica.entries) == 2)
+            question = follower.client.lookup([alias_of_host("t1.example")])
+            await until(lambda: question in follower.answers)
+            assert follower.answers[question] == ("t1",)
+            publisher.change("t2", 3, b"other")
+            publisher.change("t1", 4, b"changed")
+            await until(lambda: follower.body("t1") == b"changed")
+            assert set(follower.replica.entries) == {"t1"}
+            await until(lambda: distributor.source.rollout("t1", 4).have == 1)
+
+    asyncio.run(story())
