Control machines by settings; the administration publishes and tells how far changes are

Configuration was told by each machine's own API alone.

[distribution] in the service's file gives a machine its part: publisher, distributor or node; which sections it then needs is checked with place and remedy. The administration of a publisher begins an epoch at each start, serves its registry to distributors and tells of each change how many nodes have it (GET /v1/tenants/T/rollout, /v1/rollouts/SEQ). A publisher takes 250,000 tenants; changes that may undo themselves have an index instead of a look at all tenants ten times a second. One machine with its own administration loads none of it.

--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -9,14 +9,20 @@
 import socket
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvicorn
 
 import tansywood.service.part as part
 from tansywood.admin.api import Api
-from tansywood.admin.core import Administration
+from tansywood.admin.core import Administration, now_ms
 from tansywood.store import Batch, Store, StoreError
 from tansywood.store.aio import AsyncStore
+from tansywood.tenancy.registry import MAX_PUBLISHED, Registry
+from windrelay.config import parse_address
+
+if TYPE_CHECKING:
+    from tansywood.admin.publisher import Publisher
 
 SECRET = b"meta/cursors"
 KEY_FILE = "operator.key"
@@ -34,6 +40,27 @@
     return str(path)
 
 
+async def publish(
+    store: AsyncStore, registry: Registry, options: argparse.Namespace
+) -> Publisher | None:
+    """Begin to publish where the settings say so. OSError where the address can't be had,
+    ValueError where the key file can't be used."""
+    if not options.publish:
+        return None
+    # Loaded only here: an administration of one machine needs neither seals nor sessions.
+    from tansywood.admin.publisher import Publisher, begin_epoch, replica_of
+    from tansywood.distribution.terms import Terms
+    from tansywood.fleet.keyfile import KeyFile
+
+    registry.most_tenants = MAX_PUBLISHED
+    keys = KeyFile(Path(options.key_file), lambda text: print(f"admin: {text}", file=sys.stderr))
+    history = await begin_epoch(store, registry.seq, now_ms())
+    terms = Terms()
+    publisher = Publisher(replica_of(registry, history, terms.window), keys, options.fleet, terms)
+    await publisher.start(parse_address(options.publish))
+    return publisher
+
+
 async def serve(loop: asyncio.AbstractEventLoop, options: argparse.Namespace) -> int:
     place = part.Place(options.run)
     Path(options.store).parent.mkdir(parents=True, exist_ok=True)
@@ -50,6 +77,7 @@
             options.rate,
             iso_listeners=options.iso_listener,
         )
+        admin.publisher = await publish(face, admin.registry, options)
         token = await admin.first_key()
         if token is not None:
             path = keep_first_key(options.run, token)
@@ -87,6 +115,8 @@
         undoing.cancel()
         failing.cancel()
         admin.feed.close()
+        if admin.publisher is not None:
+            admin.publisher.stop()
         return 1 if admin.failed.is_set() else 0
 
 
@@ -98,6 +128,10 @@
     parser.add_argument("rate", type=float, help="calls a second of one key")
     parser.add_argument("--listener", action="append", default=[])
     parser.add_argument("--iso-listener", action="append", default=[])
+    parser.add_argument("--publish", default="", help="IPv4:port for distributors")
+    parser.add_argument("--fleet", default="")
+    parser.add_argument("--instance", default="")
+    parser.add_argument("--key-file", default="")
     options = parser.parse_args()
 
     os.nice(NICE)
--- a/tansywood/admin/calls.py
+++ b/tansywood/admin/calls.py
@@ -15,6 +15,7 @@
 from starlette.responses import Response
 
 from tansywood.admin.core import Administration, new_id, new_secret
+from tansywood.distribution.rollout import Summary
 from tansywood.service.report import percentile
 from tansywood.tenancy import changes, schema
 from tansywood.tenancy.identity import Key
@@ -498,8 +499,51 @@
     }
     if feed.fleet is not None:
         told["fleet"] = feed.fleet
+    if call.admin.publisher is not None:
+        told["distribution"] = call.admin.publisher.status()
     return call.answer(told)
 
 
+async def rollout(call: Call) -> Response:
+    """How far a tenant's last change has come; who is behind is told operators alone."""
+    tenant = call.tenant()
+    publisher = call.admin.publisher
+    if publisher is None:
+        raise Refused("not-found", "This administration tells its own machine alone.")
+    summary = publisher.summary_of(tenant.uid)
+    return call.answer(_rollout(call, summary) | {"version": tenant.version})
+
+
+async def rollout_of_change(call: Call) -> Response:
+    """The same of any recent change, by its number in the trail."""
+    text = call.word("seq")
+    number = int(text) if text.isascii() and text.isdigit() and len(text) < 16 else -1
+    publisher = call.admin.publisher
+    summary = publisher.summary(number) if publisher is not None else None
+    if summary is None:
+        raise nothing()
+    return call.answer(_rollout(call, summary))
+
+
+def _rollout(call: Call, summary: Summary) -> dict[str, Any]:
+    told: dict[str, Any] = {
+        "complete": summary.complete,
+        "nodes": {
+            "have": summary.have,
+            "waiting": summary.waiting,
+            "refused": summary.refused,
+        },
+    }
+    if call.actor.role == "operator":
+        told["seq"] = summary.revision
+        told["lagging"] = list(summary.lagging)
+        told["refusing"] = [{"node": name, "why": why} for name, why in summary.refusing]
+        told["distributors"] = {
+            "have": summary.distributors_have,
+            "waiting": list(summary.distributors_waiting),
+        }
+    return told
+
+
 async def describe(call: Call) -> Response:
     return call.answer(call.admin.description)
--- a/tansywood/admin/core.py
+++ b/tansywood/admin/core.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from tansywood.admin.feed import Feed
 from tansywood.store import Batch, StoreError, StoreFull
@@ -22,6 +23,9 @@
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.registry import Actor, Change, Refused, Registry
 
+if TYPE_CHECKING:
+    from tansywood.admin.publisher import Publisher  # loaded only where it publishes
+
 LETTERS = string.ascii_lowercase + string.digits
 UNDO_S = 0.1
 IN_FORCE_S = 0.5
@@ -62,6 +66,7 @@
         self.feed = Feed(feed_path, self.views)
         self.feed.seq = self.registry.seq
         self.rate_per_s = rate_per_s
+        self.publisher: Publisher | None = None  # where other machines go by this registry
         self.failed = asyncio.Event()  # the store takes nothing any more
         self._one = asyncio.Lock()
         self._changed = asyncio.Event()
@@ -94,14 +99,27 @@
                 print(f"admin: {err}", file=sys.stderr, flush=True)
                 raise Refused("unavailable", "It could not be kept: read it again.") from None
             self.registry.apply(change)
-            if change.uid:
-                self.feed.publish(change.seq, change.uid, self.registry.view(change.uid))
+            self._tell(change)
             self._changed.set()
             self._changed = asyncio.Event()
             return change
 
+    def _tell(self, change: Change) -> None:
+        """Whoever follows is told of a change that is durable and applied."""
+        view = self.registry.view(change.uid) if change.uid else None
+        if change.uid:
+            self.feed.publish(change.seq, change.uid, view)
+        if self.publisher is None:
+            return
+        if change.uid:
+            self.publisher.publish(change.seq, change.uid, view)
+        else:
+            self.publisher.advance(change.seq)
+
     async def in_force(self, change: Change) -> bool:
         """Whether the whole traffic side goes by it; False where some part is late."""
+        if self.publisher is not None and not await self.publisher.in_force(change.seq, IN_FORCE_S):
+            return False
         return await self.feed.in_force(min(change.seq, self.feed.seq), IN_FORCE_S)
 
     async def changed(self, seconds: float) -> None:
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -214,6 +214,12 @@
         for name in names:
             self._away.pop(name, None)
 
+    def report_again(self) -> None:
+        """The source above knows nothing of before: the next report says all that is known."""
+        self._reported.clear()
+        self._unsettled.update((uid, revision) for _, revision, uid in self._recent)
+        self.joined = [s.name for s in self.sessions.values() if s.welcomed and not s.everything]
+
     def tell_moved(self, distributor: str, names: list[str]) -> None:
         """Tell a distributor so."""
         number = self._by_name.get(distributor)
--- a/tansywood/service/settings.py
+++ b/tansywood/service/settings.py
@@ -9,6 +9,8 @@
 
 from jsonschema import Draft202012Validator
 
+from tansywood.distribution import settings as distribution_settings
+from tansywood.distribution.settings import DistributionSettings, Role
 from tansywood.fleet import settings as fleet_settings
 from tansywood.fleet.settings import FleetSettings
 from tansywood.tenancy.checks import Fault, schema_faults
@@ -18,12 +20,12 @@
 SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
-    "required": ["service", "listeners", "admin"],
+    "required": ["service"],
     "properties": {
         "service": {
             "type": "object",
             "additionalProperties": False,
-            "required": ["run", "store"],
+            "required": ["run"],
             "properties": {
                 "run": {"type": "string", "description": "folder for the parts' sockets"},
                 "store": {"type": "string", "description": "the store's, on a disk that lasts"},
@@ -55,8 +57,22 @@
             },
         },
         "fleet": fleet_settings.SCHEMA,
+        "distribution": distribution_settings.SCHEMA,
     },
 }
+# Which sections a machine has to have, by its role: one with its own administration, None, has all.
+_SECTIONS: dict[Role | None, tuple[str, ...]] = {
+    None: ("service/store", "listeners", "admin"),
+    Role.PUBLISHER: ("service/store", "listeners", "admin"),
+    Role.DISTRIBUTOR: (),
+    Role.NODE: ("service/store", "listeners"),
+}
+_NOT_FOR: dict[Role | None, tuple[str, ...]] = {
+    None: (),
+    Role.PUBLISHER: ("fleet",),
+    Role.DISTRIBUTOR: ("listeners", "admin", "fleet"),
+    Role.NODE: ("admin",),
+}
 _VALIDATOR = Draft202012Validator(SCHEMA)
 LONGEST_SOCKET = 107  # bytes of a path in sockaddr_un (unix(7))
 
@@ -76,10 +92,16 @@
     store: Path
     workers: int
     listeners: dict[str, Address]
-    admin: Address
+    admin: Address | None  # None where there is no administration API here
     admin_rate_per_s: float
     iso_listeners: frozenset[str] = frozenset()
     fleet: FleetSettings | None = None  # None: one instance alone, nothing of a fleet is loaded
+    distribution: DistributionSettings | None = None  # None: its own administration tells it
+
+    @property
+    def role(self) -> Role | None:
+        """What it is to the distribution of configuration; None where it has no part in it."""
+        return self.distribution.role if self.distribution is not None else None
 
     @property
     def records(self) -> Path:
@@ -105,23 +127,27 @@
         raise SettingsError(path, found)
     folder = Path(path).parent
     service = raw["service"]
+    listeners = raw.get("listeners", ())
+    admin = raw.get("admin", {})
+    distribution = raw.get("distribution")
     return ServiceSettings(
         run=(folder / service["run"]).absolute(),
-        store=(folder / service["store"]).absolute(),
+        store=(folder / service.get("store", "state")).absolute(),
         workers=service.get("workers", 2),
-        listeners={row["name"]: parse_address(row["address"]) for row in raw["listeners"]},
-        admin=parse_address(raw["admin"]["address"]),
-        admin_rate_per_s=float(raw["admin"].get("rate_per_s", 50.0)),
+        listeners={row["name"]: parse_address(row["address"]) for row in listeners},
+        admin=parse_address(admin["address"]) if admin else None,
+        admin_rate_per_s=float(admin.get("rate_per_s", 50.0)),
         iso_listeners=frozenset(
-            row["name"] for row in raw["listeners"] if row.get("protocol") == "iso8583"
+            row["name"] for row in listeners if row.get("protocol") == "iso8583"
         ),
         fleet=fleet_settings.read(raw["fleet"], folder) if "fleet" in raw else None,
+        distribution=distribution_settings.read(distribution, folder) if distribution else None,
     )
 
 
 def faults(raw: dict[str, Any], folder: Path) -> list[Fault]:
     """Every fault of the file's words, with its place."""
-    found = schema_faults(_VALIDATOR, raw)
+    found = schema_faults(_VALIDATOR, raw) + _section_faults(raw)
     rows = raw.get("listeners")
     places: list[tuple[str, object]] = [
         (f"/listeners/{i}/address", row.get("address"))
@@ -130,6 +156,8 @@
     ]
     if isinstance(raw.get("admin"), dict):
         places.append(("/admin/address", raw["admin"].get("address")))
+    if isinstance(raw.get("distribution"), dict):
+        places.append(("/distribution/listen", raw["distribution"].get("listen")))
     seen: dict[Address, str] = {}
     for place, text in places:
         if not isinstance(text, str):
@@ -144,6 +172,8 @@
         seen[address] = place
     if isinstance(raw.get("fleet"), dict):
         found += fleet_settings.faults(raw["fleet"])
+    if isinstance(raw.get("distribution"), dict):
+        found += distribution_settings.faults(raw["distribution"])
     names = [row.get("name") for row in rows or () if isinstance(row, dict)] if rows else []
     for i, name in enumerate(names):
         if name in names[:i]:
@@ -154,3 +184,22 @@
         if len(longest.encode()) > LONGEST_SOCKET:
             found.append(Fault("/service/run", "is too long for a socket's path", "a shorter one"))
     return sorted(set(found), key=lambda fault: fault.path)
+
+
+def _section_faults(raw: dict[str, Any]) -> list[Fault]:
+    """Sections that a machine of this role lacks, or may not have."""
+    role = distribution_settings.role_of(raw)
+    words = "" if role is None else f" for a {role.value}"
+    found = []
+    for path in _SECTIONS[role]:
+        section, _, key = path.partition("/")
+        inside = raw.get(section)
+        absent = key not in inside if key and isinstance(inside, dict) else section not in raw
+        if absent and (not key or section in raw):
+            found.append(Fault(f"/{path}", "is missing"))
+    found += [
+        Fault(f"/{section}", f"is not{words}", "leave it out")
+        for section in _NOT_FOR[role]
+        if section in raw
+    ]
+    return found
--- a/tansywood/service/supervisor.py
+++ b/tansywood/service/supervisor.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tansywood.distribution.settings import DistributionSettings, Role
+from tansywood.fleet.settings import FleetSettings
 from tansywood.service.part import LIFELINE, READY
 from tansywood.service.settings import ServiceSettings, SettingsError, load
 from windrelay.config import Address
@@ -69,6 +71,7 @@
         self.ended: asyncio.Future[int] = loop.create_future()
         self.lifeline, self._held = os.pipe()
         self.sockets: dict[str, socket.socket] = {}
+        self.admin: socket.socket | None = None
         self.announced = False
 
     def log(self, text: str) -> None:
@@ -80,48 +83,92 @@
         s = self.settings
         s.run.mkdir(parents=True, exist_ok=True)
         s.run.chmod(0o700)
+        if s.role in (None, Role.PUBLISHER):
+            self.add_administration()
+        if s.role is Role.DISTRIBUTOR:
+            self.add_distributor()
+        if s.role is Role.NODE:
+            self.add_agent()
+        if s.role in (None, Role.NODE):
+            self.add_traffic_side()
+        self.loop.add_signal_handler(signal.SIGCHLD, self.children)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        for part in self.parts.values():
+            self.start(part)
+        code = await self.ended
+        for sock in self.sockets.values():
+            sock.close()
+        if self.admin is not None:
+            self.admin.close()
+        return code
+
+    # ---- which parts there are, by the machine's role ----
+
+    def add_administration(self) -> None:
+        """The API, its store and its feed; a publisher's speaks with distributors as well."""
+        s = self.settings
+        assert s.admin is not None
+        self.admin = bind(s.admin)
+        words = [str(s.run), str(s.store), str(self.admin.fileno()), str(s.admin_rate_per_s)]
+        words += [f"--listener={name}" for name in s.listeners]
+        words += self._iso()
+        if s.distribution is not None:
+            words += [f"--publish={s.distribution.listen}", *_identity(s.distribution)]
+        self.add("admin", ["tansywood.admin", *words], [self.admin.fileno()])
+
+    def add_distributor(self) -> None:
+        d = self.settings.distribution
+        assert d is not None
+        words = [str(self.settings.run), d.listen, *_identity(d)]
+        words += [f"--publisher={address}" for address in d.publisher]
+        self.add("distributor", ["tansywood.service.distributor", *words])
+
+    def add_agent(self) -> None:
+        """What follows a distributor in the place of an administration."""
+        s = self.settings
+        d = s.distribution
+        assert d is not None
+        words = [str(s.run), d.instance, d.fleet, str(d.key_file)]
+        words += [f"--control={address}" for address in d.control]
+        words += [f"--listener={name}" for name in s.listeners]
+        words += [f"--tenants={d.tenants}", f"--idle-s={d.idle_s}"]
+        self.add("agent", ["tansywood.service.agent", *words])
+
+    def add_traffic_side(self) -> None:
+        """Door and workers, and the fleet's process where there is a fleet."""
+        s = self.settings
         for name, address in s.listeners.items():
             self.sockets[name] = bind(address)
-        admin = bind(s.admin)
         workers = [f"worker-{i}" for i in range(s.workers)]
         run = str(s.run)
-        iso = [f"--iso-listener={name}" for name in sorted(s.iso_listeners)]
-        self.add(
-            "admin",
-            ["tansywood.admin", run, str(s.store), str(admin.fileno()), str(s.admin_rate_per_s)]
-            + [f"--listener={name}" for name in s.listeners]
-            + iso,
-            [admin.fileno()],
-        )
         fleet = []
         if s.fleet is not None:
-            f = s.fleet
-            words = [f.name, f.instance, f.address, str(f.key_file), f.zone]
-            firsts = [f"--first={address}" for address in f.first]
-            firsts += [f"--voter={name}" for name in f.voters]
-            leases = [f"--lease-ms={f.lease_ms}", f"--promises={s.promises}"]
-            leases += ["--hand-on"] if f.hand_on else []
-            self.add("fleet", ["tansywood.service.fleet", run, *words, *firsts, *leases])
-            fleet = [f"--fleet={len(f.first)}:{f.index}"]
+            self.add_fleet(s.fleet)
+            fleet = [f"--fleet={len(s.fleet.first)}:{s.fleet.index}"]
         for name in workers:
-            self.add(name, ["tansywood.service.worker", run, name, str(s.records), *iso, *fleet])
+            words = [run, name, str(s.records), *self._iso(), *fleet]
+            self.add(name, ["tansywood.service.worker", *words])
         self.add(
             "door",
             ["tansywood.service.door", run]
             + [f"--listener={name}={sock.fileno()}" for name, sock in self.sockets.items()]
             + [f"--worker={name}" for name in workers]
-            + iso,
+            + self._iso(),
             [sock.fileno() for sock in self.sockets.values()],
         )
-        self.loop.add_signal_handler(signal.SIGCHLD, self.children)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop)
-        for part in self.parts.values():
-            self.start(part)
-        code = await self.ended
-        for sock in (*self.sockets.values(), admin):
-            sock.close()
-        return code
+
+    def add_fleet(self, f: FleetSettings) -> None:
+        words = [f.name, f.instance, f.address, str(f.key_file), f.zone]
+        firsts = [f"--first={address}" for address in f.first]
+        firsts += [f"--voter={name}" for name in f.voters]
+        leases = [f"--lease-ms={f.lease_ms}", f"--promises={self.settings.promises}"]
+        leases += ["--hand-on"] if f.hand_on else []
+        run = str(self.settings.run)
+        self.add("fleet", ["tansywood.service.fleet", run, *words, *firsts, *leases])
+
+    def _iso(self) -> list[str]:
+        return [f"--iso-listener={name}" for name in sorted(self.settings.iso_listeners)]
 
     def add(self, name: str, arguments: Sequence[str], descriptors: Sequence[int] = ()) -> None:
         self.parts[name] = Part(name, arguments, descriptors)
@@ -152,10 +199,22 @@
         self.log(f"{part.name} is ready, process {part.process.pid if part.process else 0}")
         if not self.announced and all(p.ready for p in self.parts.values()):
             self.announced = True
+            self.log("; ".join(self.announcements()))
+
+    def announcements(self) -> list[str]:
+        """What this machine does now, and where, for its log."""
+        d = self.settings.distribution
+        words = []
+        if self.sockets:
             places = [f"{name} at {address_of(sock)}" for name, sock in self.sockets.items()]
-            admin = socket.socket(fileno=os.dup(self.parts["admin"].descriptors[0]))
-            self.log(f"serving {', '.join(places)}; administration at {address_of(admin)}")
-            admin.close()
+            words.append(f"serving {', '.join(places)}")
+        if d is not None and d.role is Role.NODE:
+            words.append(f"configuration from {len(d.control)} control addresses")
+        elif d is not None:
+            words.append(f"{d.role.value} at {d.listen}")
+        if self.admin is not None:
+            words.append(f"administration at {address_of(self.admin)}")
+        return words
 
     # ---- ends ----
 
@@ -176,7 +235,7 @@
             part.again = self.loop.call_later(wait, self.start, part)
 
     def stop(self) -> None:
-        """Door first, so that nothing new comes; then the workers; the administration last."""
+        """Door first, so that nothing new comes; then the workers; what tells them last."""
         if self.stopping:
             return
         self.stopping = True
@@ -189,12 +248,14 @@
     async def stop_all(self) -> None:
         workers = [name for name in self.parts if name.startswith("worker")]
         fleet = [name for name in self.parts if name == "fleet"]
+        control = [name for name in self.parts if name in ("admin", "agent", "distributor")]
+        door = [name for name in self.parts if name == "door"]
         clean = True
         for names, patience in (
-            (["door"], DOOR_S),
+            (door, DOOR_S),
             (workers, WORKER_S),
             (fleet, FLEET_S),  # behind the workers: what it gives back must not be in use
-            (["admin"], ADMIN_S),
+            (control, ADMIN_S),
         ):
             clean &= await self.stop_some([self.parts[name] for name in names], patience)
         self.ended.set_result(0 if clean else 1)
@@ -214,6 +275,15 @@
         return all(process.returncode == 0 for process in running)
 
 
+def _identity(distribution: DistributionSettings) -> list[str]:
+    """How a control machine's process is told who it is in the fleet."""
+    return [
+        f"--fleet={distribution.fleet}",
+        f"--instance={distribution.instance}",
+        f"--key-file={distribution.key_file}",
+    ]
+
+
 def address_of(sock: socket.socket) -> str:
     host, port = sock.getsockname()
     return f"{host}:{port}"
--- a/tansywood/tenancy/registry.py
+++ b/tansywood/tenancy/registry.py
@@ -32,7 +32,8 @@
 IDEMPOTENT_MS = 24 * 3600 * 1000  # a creation's answer is kept for its repeats
 CONFIRM_MOST_S = 3600
 OVERLAP_MOST_S = 7 * 24 * 3600
-MAX_TENANTS = 10_000
+MAX_TENANTS = 10_000  # where each process of the traffic side is told of all of them
+MAX_PUBLISHED = 250_000  # where instances hold what they serve alone
 MAX_KEYS = 50  # of one tenant
 
 MAY_ISSUE: dict[str, tuple[str, ...]] = {
@@ -117,7 +118,9 @@
         self.listeners = listeners
         self.iso_listeners = iso_listeners
         self.seq = 0
+        self.most_tenants = MAX_TENANTS
         self.tenants: dict[str, Tenant] = {}  # by uid
+        self.unconfirmed: set[str] = set()  # uids whose last change may undo itself
         self.names: dict[str, str] = {}
         self.keys: dict[str, Key] = {}
         self.keys_of: dict[str, set[str]] = {}  # by uid, "" for operators
@@ -194,6 +197,10 @@
             self._unbind(old)
         self.tenants[tenant.uid] = tenant
         self.names[tenant.name] = tenant.uid
+        if tenant.undo_ms:
+            self.unconfirmed.add(tenant.uid)
+        else:
+            self.unconfirmed.discard(tenant.uid)
         callers = tenant.document.get("callers", {})
         for host in callers.get("hosts", ()):
             self.hosts[host] = tenant.uid
@@ -212,6 +219,7 @@
         tenant = self.tenants.pop(uid, None)
         if tenant is not None:
             self._unbind(tenant)
+        self.unconfirmed.discard(uid)
         self.history.pop(uid, None)
         for key_id in self.keys_of.pop(uid, ()):
             self.keys.pop(key_id, None)
@@ -301,8 +309,8 @@
         self._check(document)
         if document["name"] in self.names:
             raise Refused("name-taken", f"There is a tenant {document['name']} already.")
-        if len(self.tenants) >= MAX_TENANTS:
-            raise Refused("too-many", f"A service has {MAX_TENANTS} tenants at most.")
+        if len(self.tenants) >= self.most_tenants:
+            raise Refused("too-many", f"A service has {self.most_tenants} tenants at most.")
         self._check_claims(document, "")
         since = {server_uid(s): actor.now_ms for s in document["servers"]}
         tenant = Tenant(
@@ -486,7 +494,8 @@
 
     def due(self, now_ms: int) -> list[Tenant]:
         """Tenants whose change was not confirmed in time."""
-        return [t for t in self.tenants.values() if t.undo_ms and t.undo_ms <= now_ms]
+        waiting = (self.tenants[uid] for uid in sorted(self.unconfirmed))
+        return [tenant for tenant in waiting if tenant.undo_ms <= now_ms]
 
     def undo(self, tenant: Tenant, now_ms: int) -> Change:
         """The document that stood before a change that nobody confirmed.
