The distributor is a process: follows the publisher, serves instances, writes counters

Need: the class lived in a test, so neither a control machine nor a rig could start it.

Change: tansywood/distribution/distributor.py has Distributor, run_distributor for whoever supervises it, and a main; it sends sums of rollouts upwards ten times a second in messages the protocol takes, and writes its counters once a second. SubscriberClient.send says something of one's own.

SealedStream asserted that its transport is an asyncio.Transport; those of uvloop, which the service's processes run on, are no subclass of it, so every connection ended in the assertion.

--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -89,6 +89,18 @@
         self.subscriber.give_up(uids, time.monotonic_ns())
         self.flush()
 
+    @property
+    def connected(self) -> bool:
+        """Whether a source has welcomed this subscriber."""
+        return self.subscriber.link is Link.UP
+
+    def send(self, message: Message) -> bool:
+        """Say something of one's own, such as sums of rollouts; False where nobody hears it."""
+        if self._stream is None or not self.connected:
+            return False
+        self._stream.send(message)
+        return True
+
     def totals(self) -> tuple[int, int, int]:
         """Bytes received and sent, and messages both ways, over all connections so far."""
         streams = list(self._attempts)
--- /dev/null
+++ b/tansywood/distribution/distributor.py
@@ -0,0 +1,293 @@
+"""A distributor: follows the publisher for everything, and serves it to instances.
+
+    python -m tansywood.distribution.distributor NAME LISTEN FLEET KEY_FILE
+        --publisher IPv4:port [--publisher ...] [--counters FILE]
+
+It keeps nothing on disk: started again, it fetches everything from a publisher. Until it has
+everything for the first time, subscribers are told to come again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+
+import uvloop
+
+from tansywood.distribution.client import SubscriberClient
+from tansywood.distribution.keyfile import KeyFile
+from tansywood.distribution.messages import Message, Moved, Rollouts
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.server import SourceServer
+from tansywood.distribution.source import Source
+from tansywood.distribution.stream import Keys
+from tansywood.distribution.subscriber import Action, Apply, Continued, HistoryChanged, Subscriber
+from tansywood.distribution.terms import Terms
+from tansywood.fleet.seal import KeyFileError
+from windrelay.config import Address, parse_address
+
+REPORT_S = 0.1  # between sums of rollouts that are sent upwards
+COUNTERS_S = 1.0  # between two writings of the counters
+ROWS_MOST = 1024  # of one message of rollouts: messages.Rollouts
+JOINED_MOST = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class DistributorSettings:
+    """What a distributor is told at its start."""
+
+    name: str
+    listen: Address
+    fleet: str
+    key_file: Path
+    publishers: tuple[str, ...]
+    counters: Path | None = None
+    terms: Terms = field(default_factory=Terms)
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """What a distributor has done so far, and where it stands. Upstream is the publisher."""
+
+    name: str
+    messages_in: int
+    messages_out: int
+    bytes_in: int
+    bytes_out: int
+    upstream_messages: int
+    upstream_bytes_in: int
+    upstream_bytes_out: int
+    upstream_connections: int
+    sessions: int
+    refused: dict[str, int]
+    entries: int
+    epoch: int
+    revision: int
+    serving: bool
+    publisher_age_ms: int | None
+
+
+class Distributor:
+    """A subscriber of everything and a source over one replica."""
+
+    def __init__(
+        self,
+        name: str,
+        publishers: tuple[str, ...],
+        keys: Keys,
+        fleet: str,
+        terms: Terms,
+        random: Random,
+        on_ready: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`on_ready` is called once, when everything is held for the first time."""
+        now = time.monotonic_ns()
+        self.name = name
+        self.replica = Replica(terms.window)
+        self.source = Source(self.replica, terms, now, is_publisher=False)
+        self.server = SourceServer(self.source, keys, fleet)
+        subscriber = Subscriber(name, publishers, self.replica, terms, random, now, everything=True)
+        self.client = SubscriberClient(subscriber, keys, fleet, self._handle, self._overheard)
+        self._on_ready: Callable[[], None] | None = on_ready
+
+    async def start(self, listen: Address) -> Address:
+        """Listen, and follow the publisher; returns the address that is listened at."""
+        address = await self.server.start(listen)
+        self.client.start()
+        return address
+
+    def stop(self) -> None:
+        self.client.stop()
+        self.server.stop()
+
+    def report(self) -> None:
+        """Send upwards what is news of rollouts; it waits while the publisher can't be told."""
+        if not self.client.connected:
+            return
+        news = self.source.report(time.monotonic_ns())
+        if news is not None:
+            for message in pieces(news):
+                self.client.send(message)
+
+    def counters(self) -> Counters:
+        bytes_in, bytes_out = self.server.totals()
+        upstream_in, upstream_out, upstream_messages = self.client.totals()
+        subscriber = self.client.subscriber
+        age = subscriber.publisher_age(time.monotonic_ns())
+        return Counters(
+            name=self.name,
+            messages_in=self.source.messages_in,
+            messages_out=self.source.messages_out,
+            bytes_in=bytes_in,
+            bytes_out=bytes_out,
+            upstream_messages=upstream_messages,
+            upstream_bytes_in=upstream_in,
+            upstream_bytes_out=upstream_out,
+            upstream_connections=subscriber.connections,
+            sessions=len(self.source.sessions),
+            refused=dict(self.server.refused + self.client.refused),
+            entries=len(self.replica.entries),
+            epoch=self.replica.epoch.number,
+            revision=self.replica.revision,
+            serving=self.source.serving,
+            publisher_age_ms=None if age is None else age // 1_000_000,
+        )
+
+    # ---- what the publisher says -----------------------------------------------------------
+
+    def _handle(self, action: Action) -> None:
+        now = time.monotonic_ns()
+        if isinstance(action, Apply):
+            if self.source.serving:  # before that there is nobody to be told
+                for uid in action.uids:
+                    self.source.changed(uid, self.replica.resource(uid).revision, now)
+            self.client.applied(action.batch)
+        elif isinstance(action, Continued):
+            self.source.epoch_continued(now)
+        elif isinstance(action, HistoryChanged):
+            self.source.stop_serving()
+
+    def _overheard(self, message: Message) -> None:
+        now = time.monotonic_ns()
+        if isinstance(message, Moved):
+            self.source.moved(message.names)
+        age = self.client.subscriber.publisher_age(now)
+        if age is not None:
+            self.source.publisher_heard(now - age)
+        self.client.flush()  # changes go into the sessions' queues before they are sent from
+        if self.replica.revision and not self.source.serving:
+            self._begin_serving()
+        self.server.pump()
+
+    def _begin_serving(self) -> None:
+        self.replica.set_floor(self.replica.revision)
+        self.source.serving = True
+        if self._on_ready is not None:
+            on_ready, self._on_ready = self._on_ready, None
+            on_ready()
+
+
+def pieces(news: Rollouts) -> Iterator[Rollouts]:
+    """A report as messages that are no longer than the protocol takes."""
+    rows, joined = news.rows, news.joined
+    while rows or joined:
+        yield Rollouts(rows[:ROWS_MOST], joined[:JOINED_MOST])
+        rows, joined = rows[ROWS_MOST:], joined[JOINED_MOST:]
+
+
+async def run_distributor(
+    settings: DistributorSettings, ended: asyncio.Future[int], on_ready: Callable[[], None]
+) -> int:
+    """Run until `ended` has a result, the exit code. KeyFileError and OSError at the start."""
+
+    def log(text: str) -> None:
+        print(f"distributor {settings.name}: {text}", file=sys.stderr, flush=True)
+
+    def ready() -> None:
+        log("ready")
+        on_ready()
+
+    distributor = Distributor(
+        settings.name,
+        settings.publishers,
+        KeyFile(settings.key_file, log),
+        settings.fleet,
+        settings.terms,
+        Random(),
+        ready,
+    )
+    address = await distributor.start(settings.listen)
+    log(f"listening at {address.host}:{address.port}")
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(_repeat(REPORT_S, distributor.report))]
+    if settings.counters is not None:
+        path = settings.counters
+        tasks.append(
+            loop.create_task(_repeat(COUNTERS_S, lambda: write_counters(path, distributor)))
+        )
+    for task in tasks:
+        task.add_done_callback(lambda task: _stop_on_failure(task, ended))
+    try:
+        return await ended
+    finally:
+        for task in tasks:
+            task.cancel()
+        distributor.stop()
+
+
+def write_counters(path: Path, distributor: Distributor) -> None:
+    """One line of JSON in place of the one before; whoever reads finds a whole one."""
+    fresh = path.with_name(f".{path.name}.{os.getpid()}")
+    fresh.write_text(json.dumps(asdict(distributor.counters())) + "\n")
+    fresh.replace(path)
+
+
+async def _repeat(seconds: float, work: Callable[[], None]) -> None:
+    while True:
+        await asyncio.sleep(seconds)
+        work()
+
+
+def _stop_on_failure(task: asyncio.Task[None], ended: asyncio.Future[int]) -> None:
+    """A fault in what is repeated ends the process, where it is started again and seen."""
+    if not task.cancelled() and task.exception() is not None and not ended.done():
+        ended.set_exception(task.exception() or RuntimeError("a task ended"))
+
+
+def parse_arguments(argv: list[str] | None = None) -> DistributorSettings:
+    parser = argparse.ArgumentParser(prog="python -m tansywood.distribution.distributor")
+    parser.add_argument("name")
+    parser.add_argument("listen", help="IPv4:port")
+    parser.add_argument("fleet", help="name of the fleet, part of every seal")
+    parser.add_argument("key_file", type=Path)
+    parser.add_argument("--publisher", action="append", required=True, help="IPv4:port")
+    parser.add_argument("--counters", type=Path, help="written once a second")
+    options = parser.parse_args(argv)
+    try:
+        listen = parse_address(options.listen)
+        for address in options.publisher:
+            parse_address(address)
+    except ValueError as err:
+        parser.error(str(err))
+    return DistributorSettings(
+        options.name,
+        listen,
+        options.fleet,
+        options.key_file,
+        tuple(options.publisher),
+        options.counters,
+    )
+
+
+async def _main(settings: DistributorSettings) -> int:
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[int] = loop.create_future()
+
+    def end() -> None:
+        if not ended.done():
+            ended.set_result(0)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end)
+    try:
+        return await run_distributor(settings, ended, lambda: None)
+    except (KeyFileError, OSError) as err:
+        print(f"distributor {settings.name}: {err}", file=sys.stderr, flush=True)
+        return 2
+
+
+def main(argv: list[str] | None = None) -> int:
+    return uvloop.run(_main(parse_arguments(argv)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tansywood/distribution/stream.py
+++ b/tansywood/distribution/stream.py
@@ -14,7 +14,7 @@
 import struct
 from collections import Counter
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Protocol, cast
 
 from tansywood.distribution.messages import MAX_FRAME, Message, MessageError, pack, unpack
 from tansywood.fleet.messages import LIFE
@@ -70,9 +70,9 @@
     # ---- the transport's calls -------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        transport.set_write_buffer_limits(high=HIGH_WATER)
+        # uvloop's transports are no subclass of asyncio.Transport, so that can't be asserted.
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=HIGH_WATER)
         self._write(self._life)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- /dev/null
+++ b/tests/distribution/test_distributor.py
@@ -0,0 +1,106 @@
+"""The distributor's process: its words at the start, its counters, its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from standins.process import ROOT
+from tansywood.distribution.distributor import parse_arguments, pieces
+from tansywood.distribution.keyfile import KeyFile
+from tansywood.distribution.messages import Epoch, Kind, Resource, Rollout, Rollouts
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.server import SourceServer
+from tansywood.distribution.source import Source
+from tansywood.distribution.terms import Terms
+from tansywood.fleet.seal import KeyFileError
+from windrelay.config import Address
+
+LIMIT_S = 20  # a hang, not a measure
+
+
+def key_file(folder: Path, byte: int = 7) -> Path:
+    path = folder / "fleet.key"
+    path.write_text(bytes([byte] * 32).hex() + "\n")
+    path.chmod(0o600)
+    return path
+
+
+def test_a_distributor_process_follows_the_publisher_and_ends_when_told(tmp_path: Path) -> None:
+    async def story() -> None:
+        keys = KeyFile(key_file(tmp_path))
+        replica = Replica(100, Epoch(1, b"a"))
+        source = Source(replica, Terms(), time.monotonic_ns(), is_publisher=True)
+        server = SourceServer(source, keys, "fleet")
+        for number in range(1, 4):
+            replica.commit(Resource(f"t{number}", number, Kind.CONTENT, b"body", []))
+        at = await server.start(Address("127.0.0.1", 0))
+        counters = tmp_path / "counters.json"
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "tansywood.distribution.distributor"),
+            *("d1", "127.0.0.1:0", "fleet", str(tmp_path / "fleet.key")),
+            *("--publisher", f"{at.host}:{at.port}", "--counters", str(counters)),
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                assert process.stderr is not None
+                first = await process.stderr.readline()
+                assert first.startswith(b"distributor d1: listening at 127.0.0.1:")
+                assert await process.stderr.readline() == b"distributor d1: ready\n"
+                while not counters.exists():
+                    await asyncio.sleep(0.02)
+                told = json.loads(counters.read_text())
+                assert (told["entries"], told["revision"], told["serving"]) == (3, 3, True)
+                process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            server.stop()
+
+    asyncio.run(story())
+
+
+def test_a_report_is_sent_in_messages_that_the_protocol_takes() -> None:
+    rows = [Rollout(f"t{n}", n, 1, 0) for n in range(2_500)]
+    names = [f"node-{n}" for n in range(5_000)]
+    sent = list(pieces(Rollouts(rows, names)))
+    assert [len(message.rows) for message in sent] == [1024, 1024, 452]
+    assert [row for message in sent for row in message.rows] == rows
+    assert [name for message in sent for name in message.joined] == names
+
+
+def test_keys_are_read_anew_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    told: list[str] = []
+    path = key_file(tmp_path)
+    keys = KeyFile(path, told.append)
+    assert keys() == [bytes([7] * 32)]
+    key_file(tmp_path, 8)
+    os.utime(path, ns=(1, 1))
+    assert keys() == [bytes([8] * 32)]
+    path.write_text("no key\n")
+    os.utime(path, ns=(2, 2))
+    assert keys() == [bytes([8] * 32)]
+    assert len(told) == 1
+    assert keys() == [bytes([8] * 32)]
+    assert len(told) == 1
+    with pytest.raises(KeyFileError):
+        KeyFile(path)
+
+
+def test_an_address_that_is_none_is_refused_at_the_start(tmp_path: Path) -> None:
+    words = ["d1", "127.0.0.1:0", "fleet", str(tmp_path / "key")]
+    with pytest.raises(SystemExit):
+        parse_arguments([*words, "--publisher", "nowhere"])
+    with pytest.raises(SystemExit):
+        parse_arguments(words)
--- a/tests/distribution/test_sockets.py
+++ b/tests/distribution/test_sockets.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from tansywood.distribution.client import SubscriberClient
+from tansywood.distribution.distributor import Distributor
 from tansywood.distribution.messages import Epoch, Kind, Position, Resource, alias_of_host
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import SourceServer
@@ -18,8 +19,6 @@
     Action,
     Answer,
     Apply,
-    Continued,
-    HistoryChanged,
     Subscriber,
 )
 from tansywood.distribution.terms import MS, Terms
@@ -86,41 +85,6 @@
     return Follower(client, answers)
 
 
-class Distributor:
-    """A subscriber of everything and a source over one replica."""
-
-    def __init__(self, name: str, publisher: str) -> None:
-        now = time.monotonic_ns()
-        self.replica = Replica(TERMS.window)
-        self.source = Source(self.replica, TERMS, now, is_publisher=False)
-        self.server = SourceServer(self.source, keys, "fleet")
-        subscriber = Subscriber(
-            name, [publisher], self.replica, TERMS, Random(2), now, everything=True
-        )
-        self.client = SubscriberClient(
-            subscriber, keys, "fleet", self.handle, lambda _message: self.heard()
-        )
-
-    def handle(self, action: Action) -> None:
-        now = time.monotonic_ns()
-        if isinstance(action, Apply):
-            for uid in action.uids:
-                self.source.changed(uid, self.replica.resource(uid).revision, now)
-            self.client.applied(action.batch)
-        elif isinstance(action, Continued):
-            self.source.epoch_continued(now)
-        elif isinstance(action, HistoryChanged):
-            self.source.stop_serving()
-        self.server.pump()
-
-    def heard(self) -> None:
-        self.source.publisher_heard(time.monotonic_ns())
-        if self.replica.revision and not self.source.serving:
-            self.replica.set_floor(self.replica.revision)
-            self.source.serving = True
-        self.server.pump()
-
-
 async def until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(10):
         while not condition():
@@ -133,16 +97,14 @@
     publisher.change("t1", 1, b"one")
     publisher.change("t2", 2, b"two")
     at = await publisher.server.start(LOCAL)
-    distributor = Distributor("d1", f"{at.host}:{at.port}")
-    below = await distributor.server.start(LOCAL)
-    distributor.client.start()
+    distributor = Distributor("d1", (f"{at.host}:{at.port}",), keys, "fleet", TERMS, Random(2))
+    below = await distributor.start(LOCAL)
     follower = instance("i1", [f"{below.host}:{below.port}"])
     try:
         yield publisher, distributor, follower
     finally:
         follower.client.stop()
-        distributor.client.stop()
-        distributor.server.stop()
+        distributor.stop()
         publisher.server.stop()
         await asyncio.sleep(0.02)
 
