A distributor is a part of a control machine; a tool tells how it stands

After a reconnect a distributor reports all that it knows again: a publisher that was restarted has lost its sums.

Measured: publisher and distributor started by hand from two files, welcomed, stopped with SIGTERM; tests/distribution, tests/admin/test_publisher.py and tests/service/test_roles.py pass.

--- a/tansywood/__main__.py
+++ b/tansywood/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Sequence
 
-from tansywood.service import fleettool, leasetool
+from tansywood.service import distributiontool, fleettool, leasetool
 from tansywood.store import tool as store_tool
 
 
@@ -25,6 +25,7 @@
     check.set_defaults(run=run_check)
     fleettool.add_to(verbs)
     leasetool.add_to(verbs)
+    distributiontool.add_to(verbs)
     options = parser.parse_args(arguments)
     return int(options.run(options))
 
--- a/tansywood/distribution/distributor.py
+++ b/tansywood/distribution/distributor.py
@@ -24,14 +24,14 @@
 import uvloop
 
 from tansywood.distribution.client import SubscriberClient
-from tansywood.distribution.keyfile import KeyFile
-from tansywood.distribution.messages import Message, Moved, Rollouts
+from tansywood.distribution.messages import Message, Moved, Rollouts, Welcome
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Source
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Apply, Continued, HistoryChanged, Subscriber
 from tansywood.distribution.terms import Terms
+from tansywood.fleet.keyfile import KeyFile
 from tansywood.fleet.seal import KeyFileError
 from windrelay.config import Address, parse_address
 
@@ -158,7 +158,9 @@
 
     def _overheard(self, message: Message) -> None:
         now = time.monotonic_ns()
-        if isinstance(message, Moved):
+        if isinstance(message, Welcome):
+            self.source.report_again()
+        elif isinstance(message, Moved):
             self.source.moved(message.names)
         age = self.client.subscriber.publisher_age(now)
         if age is not None:
@@ -185,9 +187,15 @@
 
 
 async def run_distributor(
-    settings: DistributorSettings, ended: asyncio.Future[int], on_ready: Callable[[], None]
+    settings: DistributorSettings,
+    ended: asyncio.Future[int],
+    on_ready: Callable[[], None],
+    on_start: Callable[[Distributor], None] = lambda _distributor: None,
 ) -> int:
-    """Run until `ended` has a result, the exit code. KeyFileError and OSError at the start."""
+    """Run until `ended` has a result, the exit code. KeyFileError and OSError at the start.
+
+    `on_start` is given the distributor once it listens, `on_ready` is called once it serves.
+    """
 
     def log(text: str) -> None:
         print(f"distributor {settings.name}: {text}", file=sys.stderr, flush=True)
@@ -207,6 +215,7 @@
     )
     address = await distributor.start(settings.listen)
     log(f"listening at {address.host}:{address.port}")
+    on_start(distributor)
     loop = asyncio.get_running_loop()
     tasks = [loop.create_task(_repeat(REPORT_S, distributor.report))]
     if settings.counters is not None:
--- a/tansywood/fleet/keyfile.py
+++ b/tansywood/fleet/keyfile.py
@@ -25,7 +25,6 @@
         if self._modified() not in (0, self._seen):
             try:
                 self._keys = self._read()
-                self._log("keys read anew")
             except KeyFileError as err:
                 self._log(f"{self.path}: {err}; the old keys stay in force")
                 self._seen = self._modified()
--- a/tests/distribution/test_distributor.py
+++ b/tests/distribution/test_distributor.py
@@ -14,12 +14,12 @@
 
 from standins.process import ROOT
 from tansywood.distribution.distributor import parse_arguments, pieces
-from tansywood.distribution.keyfile import KeyFile
 from tansywood.distribution.messages import Epoch, Kind, Resource, Rollout, Rollouts
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Source
 from tansywood.distribution.terms import Terms
+from tansywood.fleet.keyfile import KeyFile
 from tansywood.fleet.seal import KeyFileError
 from windrelay.config import Address
 
