--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -32,8 +32,8 @@
 from standins.fleet.simulated import World
 from standins.ledger import End
 from standins.service import cpu_s
+from tansywood.fleet.allocation import open_key, places_key, rate_key
 from tansywood.fleet.members import State
-from tansywood.fleet.parts import open_pot, place_pot, rate_pot
 from tansywood.fleet.share import Limits
 from tansywood.fleet.subsets import chosen, deterministic, rendezvous
 from tansywood.fleet.terms import SECOND
@@ -168,8 +168,8 @@
     for name in names:
         world.start(name)
         seat = world.seats[name]
-        seat.want = {rate_pot(TENANT): 60_000, open_pot(TENANT): 5}
-        seat.want |= {place_pot(TENANT, s): 1 for s in limits.servers}
+        seat.want = {rate_key(TENANT): 60_000, open_key(TENANT): 5}
+        seat.want |= {places_key(TENANT, s): 1 for s in limits.servers}
     known = 0
     while known < 60:
         world.run(1.0)
@@ -186,7 +186,7 @@
     alarms = sum(
         e.what == "lost" for s in world.seats.values() if s.instance for _, e in s.instance.events
     )
-    dealt = sum(world.amounts(rate_pot(TENANT)).values()) / limits.rate
+    dealt = sum(world.amounts(rate_key(TENANT)).values()) / limits.rate
     dead = names[-1]
     world.kill(dead)
     at = world.now
--- a/standins/fleet/inject/sitecustomize.py
+++ b/standins/fleet/inject/sitecustomize.py
@@ -82,11 +82,11 @@
 
 def parts(module: Any) -> None:
     if "start" in WITHOUT:
-        module.Home.ready = lambda self, pot, now: True
+        module.Allocator.ready = lambda self, key, now: True
     if "confirm" in WITHOUT:
 
-        def confirm(self: Any, now: int, pot: str, used: int, version: int) -> bool:
-            for held in self._held.get(pot, ()):
+        def confirm(self: Any, now: int, key: str, used: int, version: int) -> bool:
+            for held in self._held.get(key, ()):
                 held.applied = held.seq
             return True
 
@@ -116,7 +116,7 @@
 PATCHES = {
     "tansywood.service.endpoint": endpoint,
     "tansywood.store.files": files,
-    "tansywood.fleet.parts": parts,
+    "tansywood.fleet.allocation": parts,
     "tansywood.tenancy.limits": limits,
     "flinthatch.balancer": module,
     "flinthatch.parts": module_parts,
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -12,9 +12,9 @@
 from heapq import heappop, heappush
 from random import Random
 
+from tansywood.fleet.allocation import open_key, rate_key
 from tansywood.fleet.instance import Demand, Instance
 from tansywood.fleet.messages import Envelope
-from tansywood.fleet.parts import open_pot, rate_pot
 from tansywood.fleet.share import Limits
 from tansywood.fleet.terms import MS, SECOND, Terms
 
@@ -42,7 +42,7 @@
     instance: Instance | None = None
     paused: bool = False
     inbox: list[tuple[bytes, Envelope]] = field(default_factory=list)
-    want: dict[str, int] = field(default_factory=dict)  # need by pot
+    want: dict[str, int] = field(default_factory=dict)  # need by limit key
     told: dict[str, int] = field(default_factory=dict)  # what the workers go by
     until: int = 0  # by its own clock
     version: int = 0
@@ -58,15 +58,15 @@
     def __init__(
         self,
         names: list[str],
-        homes: int,
+        allocators: int,
         tenants: Mapping[str, Limits],
         seed: int,
         terms: Terms | None = None,
         clocks: Mapping[str, float] | None = None,
         hand_on: bool = False,
     ) -> None:
-        """`hand_on`: slices are dealt under leases, which `hand` moves at once: nothing passes
-        between the moment at which one may no longer deal and that at which the other may."""
+        """`hand_on`: slices are granted under leases, which `hand` moves at once: nothing passes
+        between the moment at which one may no longer grant and that at which the other may."""
         self.rng = Random(seed)
         self.terms = terms or Terms()
         self.tenants = dict(tenants)
@@ -78,11 +78,11 @@
         self.count = 0
         self.cut: set[tuple[str, str]] = set()
         self.sent: Counter[str] = Counter()
-        self.first = [f"10.0.0.{i + 1}:7946" for i in range(homes)]
+        self.first = [f"10.0.0.{i + 1}:7946" for i in range(allocators)]
         self.watch: Callable[[World], None] = lambda _world: None
-        self.dealer: dict[int, str] | None = None
+        self.granted_by: dict[int, str] | None = None
         if hand_on:
-            self.dealer = {n: names[n] for n in range(homes)}
+            self.granted_by = {n: names[n] for n in range(allocators)}
         for i, name in enumerate(names):
             address = f"10.0.{i // 250}.{i % 250 + 1}:7946"
             rate = (clocks or {}).get(name, 1.0)
@@ -129,23 +129,23 @@
             now,
         )
         made.set_tenants(now, self.tenants)
-        if self.dealer is not None:
-            dealer = self.dealer
-            made.hand_on(lambda index: dealer[index] == name)
-            for index in [i for i, who in dealer.items() if who == name]:
-                made.deal_for(now, index)
+        if self.granted_by is not None:
+            granted_by = self.granted_by
+            made.hand_on(lambda index: granted_by[index] == name)
+            for index in [i for i, who in granted_by.items() if who == name]:
+                made.start_allocating(now, index)
         self._wake(name, made)
         self._work(name, made)
 
     def hand(self, index: int, name: str) -> None:
-        """A home's slice is another's to deal from now on."""
-        assert self.dealer is not None
-        old, new = self.seats[self.dealer[index]], self.seats[name]
-        self.dealer[index] = name
+        """An allocator's slice is another's to grant from now on."""
+        assert self.granted_by is not None
+        old, new = self.seats[self.granted_by[index]], self.seats[name]
+        self.granted_by[index] = name
         if old.instance is not None and not old.paused:
-            old.instance.deal_no_more(index)
+            old.instance.stop_allocating(index)
         if new.instance is not None:
-            new.instance.deal_for(self.clock(new), index)
+            new.instance.start_allocating(self.clock(new), index)
 
     def kill(self, name: str) -> None:
         """The process and its workers end: nothing of theirs is in use."""
@@ -184,20 +184,20 @@
     def _act(self, seat: Seat) -> None:
         """Use as much as is wanted and allowed; what is in use beyond that ends by itself."""
         over = seat.bound and self.clock(seat) >= seat.until
-        for pot, need in seat.want.items():
-            part = seat.told.get(pot, 0)
+        for key, need in seat.want.items():
+            part = seat.told.get(key, 0)
             if over and seat.instance is not None:
-                part = seat.instance.floor(pot)
-            if pot.endswith("/rate"):
-                seat.used[pot] = min(need, part)
+                part = seat.instance.floor(key)
+            if key.endswith("/rate"):
+                seat.used[key] = min(need, part)
                 continue
             # A unit is taken under the part and is free again within its tail, whatever has
             # become of the part or of the process by then: the work is at a server.
-            tail = self.tenants[pot.partition("/")[0]].tail
-            rows = [end for end in seat.out.get(pot, ()) if end > self.now]
+            tail = self.tenants[key.partition("/")[0]].tail
+            rows = [end for end in seat.out.get(key, ()) if end > self.now]
             while len(rows) < min(need, part):
                 rows.append(self.now + int(self.rng.random() * tail / seat.rate))
-            seat.out[pot] = rows
+            seat.out[key] = rows
         self.watch(self)
 
     def _work(self, name: str, made: Instance) -> None:
@@ -208,16 +208,16 @@
         self._act(seat)
         hosted = {}
         busy = [p for p, need in seat.want.items() if need or any(seat.out.get(p, ()))]
-        for tenant in sorted({pot.partition("/")[0] for pot in busy}):
+        for tenant in sorted({key.partition("/")[0] for key in busy}):
             needs = {p: n for p, n in seat.want.items() if p.startswith(f"{tenant}/")}
             used = {p: len(seat.out.get(p, ())) for p in needs if not p.endswith("/rate")}
-            hosted[tenant] = Demand("w", now, needs.get(rate_pot(tenant), 0), needs, used)
+            hosted[tenant] = Demand("w", now, needs.get(rate_key(tenant), 0), needs, used)
         made.report(now, "w", seat.version, hosted, {})
-        told = made.parts(now, "w")
+        told = made.allocations(now, "w")
         seat.version = told["version"]
         for tenant, row in told["tenants"].items():
-            seat.told[rate_pot(tenant)] = row["rate"]
-            seat.told[open_pot(tenant)] = row["open"]
+            seat.told[rate_key(tenant)] = row["rate"]
+            seat.told[open_key(tenant)] = row["open"]
             for server, places in (row["places"] or {}).items():
                 seat.told[f"{tenant}/at/{server}"] = places
             seat.until = now + row["left"]
@@ -271,16 +271,16 @@
 
     # ---- what is looked at -----------------------------------------------------------------
 
-    def in_use(self, pot: str) -> int:
+    def in_use(self, key: str) -> int:
         """Over all instances, paused ones with what they had, and what dead ones left running."""
-        if pot.endswith("/rate"):
+        if key.endswith("/rate"):
             lives = [s for s in self.seats.values() if s.instance is not None and not s.paused]
-            return sum(s.used.get(pot, 0) for s in lives)
-        return sum(end > self.now for s in self.seats.values() for end in s.out.get(pot, ()))
+            return sum(s.used.get(key, 0) for s in lives)
+        return sum(end > self.now for s in self.seats.values() for end in s.out.get(key, ()))
 
-    def amounts(self, pot: str) -> dict[str, int]:
+    def amounts(self, key: str) -> dict[str, int]:
         return {
-            n: s.instance.amount(self.clock(s), pot)
+            n: s.instance.amount(self.clock(s), key)
             for n, s in self.seats.items()
             if s.instance is not None and not s.paused
         }
--- a/tansywood/fleet/instance.py
+++ b/tansywood/fleet/instance.py
@@ -1,4 +1,4 @@
-"""One instance of the fleet: members, home, holder, signals and turns put together. Pure.
+"""One instance of the fleet: members, allocator, holder, signals and turns put together. Pure.
 
 Told what comes and what time it is, it says what is to be sent (`sends`) and what happened
 (`events`); `agent` puts it on sockets, the rig on a simulated network. It never reads a clock.
@@ -14,6 +14,16 @@
 from zlib import crc32
 
 from tansywood.fleet import turns
+from tansywood.fleet.allocation import (
+    Allocator,
+    Holder,
+    floor_of,
+    open_key,
+    places_key,
+    rate_key,
+    slice_of,
+    tenant_of,
+)
 from tansywood.fleet.members import Event, Members, State
 from tansywood.fleet.messages import (
     Body,
@@ -22,21 +32,11 @@
     Envelope,
     Grant,
     Hello,
+    MemberUpdate,
     Return,
-    Rumour,
     Seen,
     Welcome,
 )
-from tansywood.fleet.parts import (
-    Holder,
-    Home,
-    floor_of,
-    open_pot,
-    place_pot,
-    rate_pot,
-    slice_of,
-    tenant_of,
-)
 from tansywood.fleet.share import Limits
 from tansywood.fleet.signals import Kind, Signals
 from tansywood.fleet.subsets import chosen, overlapped
@@ -45,8 +45,8 @@
 SILENT = SECOND  # a worker that says nothing for so long is not claimed for
 RESTING = SECOND  # within which every tenant at rest is claimed for once
 SOON = 20 * MS  # between two claims that were not due yet
-ROWS_BYTES = 800  # of pots and evidence in one claim
-ROW = 16  # bytes of a row besides its pot's name
+ROWS_BYTES = 800  # of limits and evidence in one claim
+ROW = 16  # bytes of a row besides its limit key
 EVENTS = 500  # that are remembered
 HELLO_AGAIN = 200 * MS
 WAITING = 16  # messages for one whose life is not known yet ...
@@ -54,7 +54,7 @@
 DOUBT_FOR = 2 * SECOND
 SWEEP = SECOND
 OVERLAP = SECOND  # both subsets are claimed for while one gives way to the other
-NEAR = 3  # instances that may have taken over a home's slice
+NEAR = 3  # instances that may have taken over an allocator's slice
 TOLD_PART = 0.2  # a tenant's rate that moves by less is no event
 
 
@@ -65,21 +65,22 @@
     worker: str
     at: int
     rate: int = 0
-    needs: dict[str, int] = field(default_factory=dict)  # by pot
+    needs: dict[str, int] = field(default_factory=dict)  # by limit key
     used: dict[str, int] = field(default_factory=dict)
 
 
-def home_lease(index: int) -> str:
-    """The lease under which a home's slice is dealt, where slices are handed on."""
+def allocator_lease(index: int) -> str:
+    """The lease under which an allocator's slice is granted, where slices are handed on."""
     return f"home-{index}"
 
 
-def split(need: int, homes: Sequence[int], home: int, name: str, pot: str) -> int:
-    """What of a need is asked of one home; the odd units of homes that differ by who asks."""
-    if home not in homes:
-        return -(-need // max(len(homes), 1))  # should it be back
-    place = (homes.index(home) - crc32(f"{name} {pot}".encode())) % len(homes)
-    return need // len(homes) + (place < need % len(homes))
+def split(need: int, allocators: Sequence[int], allocator: int, name: str, key: str) -> int:
+    """Units of a need that are asked of one allocator; which ones are asked for the odd units
+    differs by who asks."""
+    if allocator not in allocators:
+        return -(-need // max(len(allocators), 1))  # should it be back
+    place = (allocators.index(allocator) - crc32(f"{name} {key}".encode())) % len(allocators)
+    return need // len(allocators) + (place < need % len(allocators))
 
 
 class Instance:
@@ -89,7 +90,7 @@
         self,
         name: str,
         address: str,
-        homes: Sequence[str],
+        allocators: Sequence[str],
         terms: Terms,
         rng: Random,
         life: bytes,
@@ -98,12 +99,12 @@
         zone: str = "",
         version: str = "",
     ) -> None:
-        """`homes` are the first addresses, the same and in the same order everywhere; `life` is
-        16 random bytes of this start, `born` its time as far as this machine knows (milliseconds
+        """`allocators` are the first addresses, the same and in the same order everywhere; `life`
+        is 16 random bytes of this start, `born` its time as far as this machine knows (milliseconds
         of Unix time), which orders the lives of one name and nothing else."""
         self.name = name
         self.address = address
-        self.homes = tuple(homes)
+        self.allocator_addresses = tuple(allocators)
         self.terms = terms
         self.life = life
         self.sends: list[tuple[str, Envelope]] = []
@@ -113,20 +114,24 @@
         self.lives: dict[str, bytes] = {}  # by address, of those that have spoken to us
         self._hellos: dict[str, int] = {}
         self._waiting: dict[str, list[tuple[int, Body]]] = {}  # for a life to be known
-        own = Rumour(name, address, life, born, 0, State.ALIVE, False, version, zone)
-        self.members = Members(own, homes, rng, now, self._send)
-        self.index = self.homes.index(address) if address in self.homes else -1
-        self.deals: dict[int, Home] = {}  # the slices that we deal, by home
+        own = MemberUpdate(name, address, life, born, 0, State.ALIVE, False, version, zone)
+        self.members = Members(own, allocators, rng, now, self._send)
+        self.index = (
+            self.allocator_addresses.index(address) if address in self.allocator_addresses else -1
+        )
+        self.allocators: dict[int, Allocator] = {}  # those whose slices are granted here, by index
         if self.index >= 0:
-            self.deals[self.index] = Home(terms, len(homes), self.index, now)
-        # Where slices are handed on, whether we may deal one now; asked before every grant.
-        self.may_deal: Callable[[int], bool] | None = None
-        self.dealers: dict[int, str] = {}  # who answered last for a home that is handed on
-        self.holder = Holder(terms, len(homes))
+            self.allocators[self.index] = Allocator(terms, len(allocators), self.index, now)
+        # Where slices are handed on, whether we may grant of one now; asked before every grant.
+        self.may_grant: Callable[[int], bool] | None = None
+        self.answered_by: dict[int, str] = {}  # who answered last, by allocator
+        self.holder = Holder(terms, len(allocators))
         self.signals = Signals()
         self.tenants: dict[str, Limits] = {}
-        self.pots: dict[str, dict[str, tuple[int, int]]] = {}  # by tenant: whole and tail of each
-        self.floors: dict[str, int] = {}  # what we may use with nobody to ask, by pot
+        self.limit_keys: dict[
+            str, dict[str, tuple[int, int]]
+        ] = {}  # by tenant: whole and tail of each
+        self.floors: dict[str, int] = {}  # what we may use with nobody to ask, by limit key
         self.demands: dict[str, Demand] = {}
         self.seen: dict[str, tuple[Kind, int]] = {}
         self.doubts: dict[str, int] = {}  # server -> until when
@@ -137,8 +142,8 @@
         self._next_sweep = now + SWEEP
         self._resting: deque[str] = deque()
         self._left: dict[str, tuple[int, int]] = {}  # in use by dead workers' requests, until
-        self._answered: dict[int, int] = {}  # when each home did last
-        self._turn = 0  # of members that are asked whether they deal
+        self._answered: dict[int, int] = {}  # when each allocator did last
+        self._turn = 0  # of members that are asked whether they allocate
         self._known_rate: dict[str, int] = {}
         self._chosen: dict[str, tuple[object, list[str]]] = {}  # by what it was made of
         self._subsets: dict[str, tuple[list[str], list[str], int]] = {}
@@ -193,13 +198,13 @@
         elif isinstance(body, Grant):
             self._granted(now, address, body)
         elif isinstance(body, Return):
-            home = self.deals.get(self.index if body.home < 0 else body.home)
-            if home is not None:
-                home.give_back(now, life, body.seq)
+            allocator = self.allocators.get(self.index if body.allocator < 0 else body.allocator)
+            if allocator is not None:
+                allocator.give_back(now, life, body.seq)
         elif isinstance(body, Carried):
             self.carried.append((envelope.sender, life, body.data))
         elif isinstance(body, Welcome):
-            if address in self.homes:
+            if address in self.allocator_addresses:
                 self._soon(now)
             self._hellos.pop(address, None)
         else:
@@ -209,55 +214,55 @@
     # ---- what the workers and the settings say ----------------------------------------------
 
     def set_tenants(self, now: int, tenants: Mapping[str, Limits]) -> None:
-        """All tenants there are; a home deals by them, a holder claims by them."""
+        """All tenants there are; an allocator grants by them, a holder claims by them."""
         self._now = now
         self.tenants = dict(tenants)
-        self.pots = {tenant: limits.pots(tenant) for tenant, limits in tenants.items()}
-        pots = {pot: row for of_one in self.pots.values() for pot, row in of_one.items()}
+        self.limit_keys = {tenant: limits.by_key(tenant) for tenant, limits in tenants.items()}
+        keys = {key: row for of_one in self.limit_keys.values() for key, row in of_one.items()}
         if self.index >= 0:
             self.floors = {
-                pot: floor_of(slice_of(pot, whole, len(self.homes), self.index))
-                for pot, (whole, _) in pots.items()
+                key: floor_of(slice_of(key, whole, len(self.allocator_addresses), self.index))
+                for key, (whole, _) in keys.items()
             }
-        for home in self.deals.values():
-            for pot, (whole, tail) in pots.items():
-                home.set_whole(pot, whole, tail)
-            home.keep(pots, now)
+        for allocator in self.allocators.values():
+            for key, (whole, tail) in keys.items():
+                allocator.set_whole(key, whole, tail)
+            allocator.keep(keys, now)
         for tenant in [t for t in self.demands if t not in tenants]:
             del self.demands[tenant]
         self._resting = deque(sorted(tenants))
         self._soon(now)
 
-    def hand_on(self, may_deal: Callable[[int], bool]) -> None:
-        """Slices are dealt by whoever `may_deal` says may, and by nobody else from now on."""
-        self.may_deal = may_deal
-        self.deals.clear()
-
-    def deal_for(self, now: int, index: int) -> None:
-        """Deal a home's slice from now on, as a home does that has just started: whatever was
-        granted of it before is over first."""
-        home = Home(self.terms, len(self.homes), index, now)
-        for of_one in self.pots.values():
-            for pot, (whole, tail) in of_one.items():
-                home.set_whole(pot, whole, tail)
-        self.deals[index] = home
+    def hand_on(self, may_grant: Callable[[int], bool]) -> None:
+        """Slices are granted by whoever `may_grant` says may, and by nobody else from now on."""
+        self.may_grant = may_grant
+        self.allocators.clear()
+
+    def start_allocating(self, now: int, index: int) -> None:
+        """Grant of an allocator's slice from now on, as one does that has just started: whatever
+        was granted of it before is over first."""
+        allocator = Allocator(self.terms, len(self.allocator_addresses), index, now)
+        for of_one in self.limit_keys.values():
+            for key, (whole, tail) in of_one.items():
+                allocator.set_whole(key, whole, tail)
+        self.allocators[index] = allocator
         self.members.events.append(
-            Event(self.homes[index], "dealt", "its slice is dealt here from now on")
+            Event(self.allocator_addresses[index], "dealt", "its slice is dealt here from now on")
         )
         self._soon(now)
 
-    def deal_no_more(self, index: int) -> None:
+    def stop_allocating(self, index: int) -> None:
         """What is out ends by itself."""
-        if self.deals.pop(index, None) is not None:
+        if self.allocators.pop(index, None) is not None:
             self.members.events.append(
-                Event(self.homes[index], "dealt", "its slice is dealt here no more")
+                Event(self.allocator_addresses[index], "dealt", "its slice is dealt here no more")
             )
 
-    def _dealt_here(self, index: int) -> Home | None:
-        """The home whose slice we may deal now."""
-        if self.may_deal is not None and not self.may_deal(index):
+    def _active_allocator(self, index: int) -> Allocator | None:
+        """The allocator of this slice, where we may grant of it now."""
+        if self.may_grant is not None and not self.may_grant(index):
             return None
-        return self.deals.get(index)
+        return self.allocators.get(index)
 
     def report(
         self,
@@ -279,11 +284,11 @@
             if tenant not in self.tenants:
                 continue
             grown = known is None or any(
-                need > known.needs.get(pot, 0) for pot, need in demand.needs.items()
+                need > known.needs.get(key, 0) for key, need in demand.needs.items()
             )
             self.demands[tenant] = demand
-            for pot in self.pots[tenant]:
-                self._confirm(now, pot, demand.used.get(pot, 0), version)
+            for key in self.limit_keys[tenant]:
+                self._confirm(now, key, demand.used.get(key, 0), version)
             if grown:
                 self._soon(now)
         for server, (kind, _) in seen.items():
@@ -303,39 +308,39 @@
         for tenant in [t for t, d in self.demands.items() if d.worker == worker]:
             limits = self.tenants.get(tenant)
             if limits is not None:
-                for pot, used in self.demands[tenant].used.items():
+                for key, used in self.demands[tenant].used.items():
                     # Its last word may be a moment old, and what it might use it may have used.
-                    most = max(used, self.amount(now, pot))
-                    self._left[pot] = (most, now + limits.tail)
+                    most = max(used, self.amount(now, key))
+                    self._left[key] = (most, now + limits.tail)
             self._idle(now, tenant)
 
     def _idle(self, now: int, tenant: str) -> None:
         self.demands.pop(tenant, None)
-        for pot in self.pots.get(tenant, ()):
-            self._confirm(now, pot, 0, self.holder.changed(pot))
+        for key in self.limit_keys.get(tenant, ()):
+            self._confirm(now, key, 0, self.holder.changed(key))
 
-    def _confirm(self, now: int, pot: str, used: int, version: int) -> None:
+    def _confirm(self, now: int, key: str, used: int, version: int) -> None:
         """The workers go by this version and use so much; what dead ones left comes on top."""
-        left, until = self._left.get(pot, (0, 0))
+        left, until = self._left.get(key, (0, 0))
         if until and now >= until:
-            del self._left[pot]
+            del self._left[key]
         elif until:
             used += left
-        if self.holder.confirm(now, pot, used - self.floor(pot), version):
+        if self.holder.confirm(now, key, used - self.floor(key), version):
             self._soon(now)
 
     # ---- parts -------------------------------------------------------------------------------
 
-    def floor(self, pot: str) -> int:
+    def floor(self, key: str) -> int:
         """What we may use with nobody to ask."""
-        return self.floors.get(pot, 0)
+        return self.floors.get(key, 0)
 
-    def amount(self, now: int, pot: str) -> int:
+    def amount(self, now: int, key: str) -> int:
         """What we may use now, the floor included; not more than the whole."""
-        whole, _ = self.pots.get(tenant_of(pot), {}).get(pot, (0, 0))
-        return min(self.holder.amount(now, pot) + self.floor(pot), whole)
+        whole, _ = self.limit_keys.get(tenant_of(key), {}).get(key, (0, 0))
+        return min(self.holder.amount(now, key) + self.floor(key), whole)
 
-    def parts(self, now: int, worker: str) -> dict[str, Any]:
+    def allocations(self, now: int, worker: str) -> dict[str, Any]:
         """What a worker is told: amounts of the tenants that it has, and how long they hold."""
         told: dict[str, Any] = {}
         working = self.members.working()
@@ -343,13 +348,13 @@
             if demand.worker != worker:
                 continue
             limits = self.tenants[tenant]
-            pots = self.pots[tenant]
-            amounts = {pot: self.amount(now, pot) for pot in pots}
-            ends = [self.holder.until(now, pot) for pot in pots if self.holder.amount(now, pot)]
+            keys = self.limit_keys[tenant]
+            amounts = {key: self.amount(now, key) for key in keys}
+            ends = [self.holder.until(now, key) for key in keys if self.holder.amount(now, key)]
             told[tenant] = {
-                "rate": amounts[rate_pot(tenant)],
-                "open": amounts[open_pot(tenant)],
-                "places": {s: amounts[place_pot(tenant, s)] for s in limits.servers}
+                "rate": amounts[rate_key(tenant)],
+                "open": amounts[open_key(tenant)],
+                "places": {s: amounts[places_key(tenant, s)] for s in limits.servers}
                 if limits.places
                 else None,
                 "left": max(min(ends, default=now) - now, 0),
@@ -368,30 +373,30 @@
         }
 
     def _claimed(self, now: int, address: str, life: bytes, claim: Claim) -> None:
-        index = self.index if claim.home < 0 else claim.home
-        home = self._dealt_here(index)
-        if home is None:
+        index = self.index if claim.allocator < 0 else claim.allocator
+        allocator = self._active_allocator(index)
+        if allocator is None:
             return
         self.signals.hear(now, life, claim.seen)
-        given = home.claim(now, life, claim)
-        tenants = {tenant_of(row.pot) for row in given}
+        entries = allocator.claim(now, life, claim)
+        tenants = {tenant_of(row.key) for row in entries}
         self.counts["grants"] += 1
         doubted = self.signals.doubted(now, tenants)
         back = self.signals.back(now, claim.seen)
-        self._put(address, life, Grant(claim.seq, given, doubted[:64], back, index))
+        self._put(address, life, Grant(claim.seq, entries, doubted[:64], back, index))
 
     def _granted(self, now: int, address: str, grant: Grant) -> None:
-        if grant.home >= 0 and self.may_deal is not None:
-            home = grant.home
-        elif address in self.homes:
-            home = self.homes.index(address)
+        if grant.allocator >= 0 and self.may_grant is not None:
+            allocator = grant.allocator
+        elif address in self.allocator_addresses:
+            allocator = self.allocator_addresses.index(address)
         else:
             return
-        if home >= len(self.homes):
+        if allocator >= len(self.allocator_addresses):
             return
-        if self.holder.granted(now, home, grant):
-            self._answered[home] = now
-            self.dealers[home] = address
+        if self.holder.granted(now, allocator, grant):
+            self._answered[allocator] = now
+            self.answered_by[allocator] = address
         for server in grant.doubted:
             if self.doubts.get(server, 0) <= now:
                 why = f"{address} hears that several find it out"
@@ -399,35 +404,35 @@
             self.doubts[server] = now + DOUBT_FOR
         for server in grant.back:
             self.backs[server] = now + DOUBT_FOR // 4
-        self._confirm_idle(now, (row.pot for row in grant.given))
+        self._confirm_idle(now, (row.key for row in grant.entries))
 
-    def _confirm_idle(self, now: int, pots: Iterable[str]) -> None:
-        for pot in pots:
-            if tenant_of(pot) not in self.demands:
-                self._confirm(now, pot, 0, self.holder.changed(pot))
+    def _confirm_idle(self, now: int, keys: Iterable[str]) -> None:
+        for key in keys:
+            if tenant_of(key) not in self.demands:
+                self._confirm(now, key, 0, self.holder.changed(key))
 
     def _soon(self, now: int) -> None:
         self._next_claim = min(self._next_claim, max(now, self._last_claim + SOON))
 
     def _needs(self, now: int) -> dict[str, int]:
-        """Every pot to claim in this round."""
+        """Every limit to claim in this round, with the need in units."""
         needs: dict[str, int] = {}
         for tenant, demand in self.demands.items():
             if now - demand.at > SILENT:
                 continue  # stopped, perhaps: what it has ends by itself
             limits = self.tenants[tenant]
             ours = self.subset(now, tenant)
-            for pot in self.pots[tenant]:
-                needs[pot] = max(demand.needs.get(pot, 0) - self.floor(pot), 0)
+            for key in self.limit_keys[tenant]:
+                needs[key] = max(demand.needs.get(key, 0) - self.floor(key), 0)
             if limits.places:
                 # Places elsewhere are only taken where nobody else wants them.
-                needs |= {place_pot(tenant, s): 0 for s in limits.servers if s not in ours}
+                needs |= {places_key(tenant, s): 0 for s in limits.servers if s not in ours}
         count = -(-len(self._resting) * self.terms.round // RESTING)
         for _ in range(min(count, len(self._resting))):
             tenant = self._resting[0]
             self._resting.rotate(-1)
             if tenant not in self.demands and not self.members.own.drains:
-                needs |= {rate_pot(tenant): 0, open_pot(tenant): 0}
+                needs |= {rate_key(tenant): 0, open_key(tenant): 0}
         return needs
 
     def subset(self, now: int, tenant: str) -> list[str]:
@@ -447,7 +452,7 @@
         self._subsets[tenant] = (old, new, since)
         return overlapped(old, new, since, now, OVERLAP)
 
-    def _claims(self, now: int) -> None:
+    def _claim_all(self, now: int) -> None:
         self._last_claim = now
         self._next_claim = now + self.terms.round
         needs = list(self._needs(now).items())
@@ -456,59 +461,67 @@
             for server, (kind, at) in self.seen.items()
             if now - at <= 2 * SECOND
         ]
-        # A need is split over the homes that answer: each would give for the whole of it, and
-        # parts would not follow needs at all.
+        # A need is split over the allocators that answer: each would grant for the whole of it,
+        # and allocations would not follow needs at all.
         asked = [
             h
-            for h in range(len(self.homes))
+            for h in range(len(self.allocator_addresses))
             if now - self._answered.get(h, -self.terms.length) < self.terms.length
-        ] or list(range(len(self.homes)))
+        ] or list(range(len(self.allocator_addresses)))
         while needs or seen:
             row: dict[str, int] = {}
             size = 0
             while needs and len(row) < 64 and size < ROWS_BYTES:
-                pot, need = needs.pop()
-                row[pot] = need
-                size += len(pot) + ROW
+                key, need = needs.pop()
+                row[key] = need
+                size += len(key) + ROW
             some: list[Seen] = []
             while seen and len(some) < 64 and size < ROWS_BYTES:
                 some.append(seen.pop())
                 size += len(some[-1].server) + ROW
-            for home in range(len(self.homes)):
-                wants = {pot: split(need, asked, home, self.name, pot) for pot, need in row.items()}
-                self._claim(now, home, wants, some)
+            for allocator in range(len(self.allocator_addresses)):
+                wants = {
+                    key: split(need, asked, allocator, self.name, key) for key, need in row.items()
+                }
+                self._claim(now, allocator, wants, some)
 
-    def _dealers(self, now: int, index: int) -> list[str]:
-        """Whom to ask for a home's slice: the home, unless slices are handed on and another
+    def _addresses_to_ask(self, now: int, index: int) -> list[str]:
+        """Whom to ask for a slice: its allocator, unless slices are handed on and another
         answers for it. Where nobody does, whoever may have taken it over."""
-        if self.may_deal is None:
-            return [self.homes[index]]
+        if self.may_grant is None:
+            return [self.allocator_addresses[index]]
         if now - self._answered.get(index, -self.terms.length) < self.terms.length:
-            return [self.dealers[index]]
+            return [self.answered_by[index]]
         # The first few for its lease, as they ask for it; and all others in turn, for whoever has
         # another view of the members may hold it.
         rows = self.members.rows
-        ranked = turns.order(home_lease(index), self.members.working())
+        ranked = turns.order(allocator_lease(index), self.members.working())
         self._turn += 1
         some = [*ranked[:NEAR], ranked[self._turn % len(ranked)]] if ranked else []
-        return list(dict.fromkeys([self.homes[index], *(rows[n].rumour.address for n in some)]))
+        return list(
+            dict.fromkeys(
+                [self.allocator_addresses[index], *(rows[n].update.address for n in some)]
+            )
+        )
 
-    def _claim(self, now: int, home: int, row: dict[str, int], seen: list[Seen]) -> None:
+    def _claim(self, now: int, allocator: int, row: dict[str, int], seen: list[Seen]) -> None:
         claim: Claim | None = None
-        for address in self._dealers(now, home):
+        for address in self._addresses_to_ask(now, allocator):
             if address == self.address:
-                ours = self._dealt_here(home)
+                ours = self._active_allocator(allocator)
                 if ours is None:
                     continue
-                claim = claim or self.holder.claim(now, home, row, seen)
+                claim = claim or self.holder.claim(now, allocator, row, seen)
                 self.signals.hear(now, self.life, seen)
-                given = ours.claim(now, self.life, claim)
-                doubted = self.signals.doubted(now, {tenant_of(pot) for pot in row})
+                entries = ours.claim(now, self.life, claim)
+                doubted = self.signals.doubted(now, {tenant_of(key) for key in row})
                 back = self.signals.back(now, seen)
-                self._granted(now, address, Grant(claim.seq, given, doubted[:64], back, home))
+                self._granted(
+                    now, address, Grant(claim.seq, entries, doubted[:64], back, allocator)
+                )
             elif address in self.lives or address in self.members.lives:
                 self.counts["claims"] += 1
-                claim = claim or self.holder.claim(now, home, row, seen)
+                claim = claim or self.holder.claim(now, allocator, row, seen)
                 self._send(address, claim)
             else:
                 self._send(address, Hello())
@@ -524,7 +537,7 @@
         if now >= self.members.next_due():
             self.members.tick(now)
         if now >= self._next_claim and not self.members.left:
-            self._claims(now)
+            self._claim_all(now)
         if now >= self._next_sweep:
             self._sweep(now)
         self._collect(now)
@@ -539,20 +552,22 @@
             self._waiting[address] = [row for row in rows if now - row[0] <= WAITS]
             if not self._waiting[address]:
                 del self._waiting[address]
-        there = {m.rumour.address for m in self.members.rows.values()} | set(self.homes)
+        there = {m.update.address for m in self.members.rows.values()} | set(
+            self.allocator_addresses
+        )
         for address in [a for a in self.lives if a not in there]:
             del self.lives[address]
         for tenant, limits in self.tenants.items():
-            rate = self.amount(now, rate_pot(tenant))
+            rate = self.amount(now, rate_key(tenant))
             known = self._known_rate.get(tenant)
             if known is None or abs(rate - known) > TOLD_PART * max(limits.rate, 1):
                 self._known_rate[tenant] = rate
                 if known is not None:
                     what = f"{known / 1000:g} to {rate / 1000:g} of {limits.rate / 1000:g} a second"
                     self.members.events.append(Event(tenant, "share", what))
-        for pot in list(self.holder._held):
-            if tenant_of(pot) not in self.tenants:
-                self.holder.forget(now, pot)
+        for key in list(self.holder._held):
+            if tenant_of(key) not in self.tenants:
+                self.holder.forget(now, key)
 
     def _collect(self, now: int) -> None:
         for event in self.members.events:
@@ -569,15 +584,15 @@
         """At the end: what we hold is free at once, unless requests of a worker that died may
         still be at work at servers; then it ends by itself."""
         self._now = now
-        left = [pot for pot, (used, until) in self._left.items() if used and now < until]
-        for home, address in enumerate(self.homes):
-            self.holder.seqs[home] += 1
+        left = [key for key, (used, until) in self._left.items() if used and now < until]
+        for allocator, address in enumerate(self.allocator_addresses):
+            self.holder.seqs[allocator] += 1
             if address == self.address or left or self.demands:
                 continue
             for _ in range(2):  # nobody is there to send it again
-                to = self.dealers.get(home, address) if self.may_deal else address
-                self._send(to, Return(self.holder.seqs[home], home))
-                self.holder.seqs[home] += 1
+                to = self.answered_by.get(allocator, address) if self.may_grant else address
+                self._send(to, Return(self.holder.seqs[allocator], allocator))
+                self.holder.seqs[allocator] += 1
         self.members.leave(now)
         self._collect(now)
 
@@ -587,7 +602,7 @@
         """Of JSON's types."""
         members = []
         for name, m in sorted(self.members.rows.items()):
-            r = m.rumour
+            r = m.update
             members.append(
                 {
                     "name": name,
@@ -597,31 +612,35 @@
                     "incarnation": r.incarnation,
                     "zone": r.zone,
                     "version": r.version,
-                    "home": r.address in self.homes,
+                    "home": r.address in self.allocator_addresses,
                     "ours": name == self.name,
                 }
             )
         shares = {}
         for tenant, limits in sorted(self.tenants.items()):
-            rate = self.amount(now, rate_pot(tenant))
+            rate = self.amount(now, rate_key(tenant))
             row = {
                 "rate_per_s": rate / 1000,
                 "of_rate_per_s": limits.rate / 1000,
-                "open": self.amount(now, open_pot(tenant)),
+                "open": self.amount(now, open_key(tenant)),
                 "of_open": limits.open,
-                "floor_rate_per_s": self.floor(rate_pot(tenant)) / 1000,
+                "floor_rate_per_s": self.floor(rate_key(tenant)) / 1000,
                 "asked_per_s": self.demands[tenant].rate / 1000 if tenant in self.demands else 0.0,
                 "doubted": [s for s in limits.servers if self.doubts.get(f"{tenant}/{s}", 0) > now],
             }
             if limits.places:
-                row["places"] = {s: self.amount(now, place_pot(tenant, s)) for s in limits.servers}
+                row["places"] = {s: self.amount(now, places_key(tenant, s)) for s in limits.servers}
                 row["of_places"] = limits.places
             shares[tenant] = row
         return {
             "name": self.name,
             "address": self.address,
-            "homes": list(self.homes),
-            "deals": [self.homes[i] for i in sorted(self.deals) if self._dealt_here(i)],
+            "homes": list(self.allocator_addresses),
+            "deals": [
+                self.allocator_addresses[i]
+                for i in sorted(self.allocators)
+                if self._active_allocator(i)
+            ],
             "conflict": self.members.conflict,
             "members": members,
             "shares": shares,
--- a/tansywood/fleet/members.py
+++ b/tansywood/fleet/members.py
@@ -6,7 +6,7 @@
 suspicion that ends sooner the more suspect, and the word to the suspect first.
 
 What is known here is soft. It is good for choosing turns and for telling people; no limit is ever
-wider for it (see `parts`).
+wider for it (see `allocation`).
 
 A record is ordered by its life first (`born`, then the life's bytes), then by incarnation, then by
 state: alive, suspect, lost, left. So old news that comes after newer changes nothing, a member
@@ -24,7 +24,7 @@
 
 from msgspec.structs import replace
 
-from tansywood.fleet.messages import Ack, Body, Nack, Ping, PingFor, Rumour, Sync
+from tansywood.fleet.messages import Ack, Body, MemberUpdate, Nack, Ping, PingFor, Sync
 from tansywood.fleet.terms import MS, SECOND
 
 
@@ -43,8 +43,8 @@
 BETA = 6.0  # the longest, in shortest ones
 CONFIRMATIONS = 3  # by others, at which the shortest is reached
 HEALTH_MOST = 8
-SPREAD = 4  # times log10 of the fleet that a piece of news is told by each
-NEWS = 6  # pieces in one datagram
+SPREAD = 4  # times log10 of the fleet that an update is told by each
+NEWS = 6  # updates in one datagram
 SYNC = 10 * SECOND  # between two exchanges of all that is believed
 SYNC_NEW = 250 * MS  # while nobody has answered yet
 AGAIN = 5 * SECOND  # between two looks for somebody lost, or a first address not heard of
@@ -65,7 +65,7 @@
 class Member:
     """One as believed here."""
 
-    rumour: Rumour
+    update: MemberUpdate
     since: int
     ends: int = 0  # of its suspicion
     accusers: set[str] = field(default_factory=set)
@@ -73,11 +73,11 @@
 
     @property
     def state(self) -> State:
-        return State(self.rumour.state)
+        return State(self.update.state)
 
     @property
     def there(self) -> bool:
-        return self.rumour.state <= State.SUSPECT
+        return self.update.state <= State.SUSPECT
 
 
 @dataclass(slots=True)
@@ -102,9 +102,9 @@
     ends: int
 
 
-def rank(rumour: Rumour) -> tuple[int, bytes, int, int]:
+def rank(update: MemberUpdate) -> tuple[int, bytes, int, int]:
     """The order of two records of one name: the greater is the newer."""
-    return (rumour.born, rumour.life, rumour.incarnation, rumour.state)
+    return (update.born, update.life, update.incarnation, update.state)
 
 
 def longest(n: int) -> int:
@@ -123,7 +123,7 @@
     """The fleet as one instance believes it to be. `send(address, body)` is called within."""
 
     def __init__(
-        self, own: Rumour, first: Iterable[str], rng: Random, now: int, send: Send
+        self, own: MemberUpdate, first: Iterable[str], rng: Random, now: int, send: Send
     ) -> None:
         """`own` is this process: alive, incarnation 0. `first` are addresses to ask at first."""
         self.own = own
@@ -159,7 +159,7 @@
         return sorted(
             name
             for name, m in self.rows.items()
-            if m.rumour.state == State.ALIVE and not m.rumour.drains
+            if m.update.state == State.ALIVE and not m.update.drains
         )
 
     def next_due(self) -> int:
@@ -167,7 +167,7 @@
         if self._probe is not None:
             due.append(self._probe.ends if self._probe.helped else self._probe.indirect_at)
         due += [f.nack_at or f.ends for f in self._favours.values()]
-        due += [m.ends for m in self.rows.values() if m.rumour.state == State.SUSPECT]
+        due += [m.ends for m in self.rows.values() if m.update.state == State.SUSPECT]
         return min(due)
 
     # ---- our own doings -----------------------------------------------------------------------
@@ -190,7 +190,7 @@
         self.left = True
         self._renew(now, state=State.LEFT)
         for name in self._some(HELPERS + 2):
-            self.send(self.rows[name].rumour.address, Sync([self.own]))
+            self.send(self.rows[name].update.address, Sync([self.own]))
 
     def _renew(self, now: int, **over: object) -> None:
         self.own = replace(self.own, **({"incarnation": self.own.incarnation + 1} | over))
@@ -215,12 +215,12 @@
                 self._probe = None
                 self._missed(now, probe)
         for name, m in list(self.rows.items()):
-            if m.rumour.state == State.SUSPECT and now >= m.ends:
+            if m.update.state == State.SUSPECT and now >= m.ends:
                 why = f"no answer for {(now - m.begun) / SECOND:.1f} s, told by {len(m.accusers)}"
-                self._set(now, m.rumour, State.LOST, why)
-            elif m.rumour.state >= State.LOST and now - m.since > FORGET:
+                self._set(now, m.update, State.LOST, why)
+            elif m.update.state >= State.LOST and now - m.since > FORGET:
                 del self.rows[name]
-                self.lives.pop(m.rumour.address, None)
+                self.lives.pop(m.update.address, None)
                 self._news.pop(name, None)
         if now >= self._next_probe:
             self._next_probe = now + PERIOD * (self.health + 1)
@@ -242,7 +242,7 @@
         self._favours.clear()
         self.health = min(self.health + 1, HEALTH_MOST)
         for m in self.rows.values():
-            if m.rumour.state == State.SUSPECT:
+            if m.update.state == State.SUSPECT:
                 m.ends += gap
                 m.begun += gap
         self._next_probe = now + int(self.rng.random() * PERIOD)
@@ -256,8 +256,8 @@
         self._seq += 1
         slow = self.health + 1
         self._probe = _Probe(self._seq, target, now, now + TIMEOUT * slow, now + PERIOD * slow - MS)
-        rumour = self.rows[target].rumour
-        self.send(rumour.address, Ping(self._seq, target, self._gossip(target)))
+        update = self.rows[target].update
+        self.send(update.address, Ping(self._seq, target, self._gossip(target)))
 
     def _next_target(self) -> str | None:
         """Round robin over a shuffled list: each is asked once in a round, so detection has an
@@ -276,7 +276,7 @@
         for name in self._some(HELPERS, but=probe.target):
             probe.helpers += 1
             self.send(
-                self.rows[name].rumour.address, PingFor(probe.seq, probe.target, self._gossip(name))
+                self.rows[name].update.address, PingFor(probe.seq, probe.target, self._gossip(name))
             )
 
     def _missed(self, now: int, probe: _Probe) -> None:
@@ -284,8 +284,8 @@
         silent = probe.helpers - probe.nacks
         self.health = min(self.health + (silent if probe.helpers else 1), HEALTH_MOST)
         m = self.rows.get(probe.target)
-        if m is not None and m.rumour.state == State.ALIVE:
-            self._accuse(now, m.rumour, self.own.name, "it did not answer us")
+        if m is not None and m.update.state == State.ALIVE:
+            self._accuse(now, m.update, self.own.name, "it did not answer us")
 
     def _favours_due(self, now: int) -> None:
         for seq, favour in list(self._favours.items()):
@@ -293,7 +293,7 @@
                 favour.nack_at = 0
                 asker = self.rows.get(favour.asker)
                 if asker is not None:
-                    self.send(asker.rumour.address, Nack(favour.their_seq))
+                    self.send(asker.update.address, Nack(favour.their_seq))
             if now >= favour.ends:
                 del self._favours[seq]
 
@@ -304,7 +304,7 @@
             self._syncs += 1
             every = min(SYNC, SECOND << min(self._syncs, 5))
             self._next_sync = now + every // 2 + int(self.rng.random() * every)
-            self._tell_all(self.rows[self.rng.choice(known)].rumour.address, True)
+            self._tell_all(self.rows[self.rng.choice(known)].update.address, True)
             return
         self._next_sync = now + SYNC_NEW + int(self.rng.random() * SYNC_NEW)
         for address in self.first:
@@ -313,14 +313,14 @@
     def _look_again(self, now: int) -> None:
         """Heals a split: both sides took one another for lost, and nobody would ask again."""
         self._next_again = now + AGAIN // 2 + int(self.rng.random() * AGAIN)
-        known = {m.rumour.address for m in self.rows.values() if m.there}
-        gone = [m.rumour.address for m in self.rows.values() if m.rumour.state == State.LOST]
+        known = {m.update.address for m in self.rows.values() if m.there}
+        gone = [m.update.address for m in self.rows.values() if m.update.state == State.LOST]
         gone += [address for address in self.first if address not in known]
         if gone:
             self._tell_all(self.rng.choice(gone), True)
 
     def _tell_all(self, address: str, answer: bool) -> None:
-        rows = [m.rumour for m in self.rows.values() if m.rumour.name != self.own.name]
+        rows = [m.update for m in self.rows.values() if m.update.name != self.own.name]
         self.rng.shuffle(rows)
         rows.insert(0, self.own)
         for at in range(0, len(rows), SYNC_ROWS):
@@ -351,7 +351,7 @@
                     sender, body.seq, now + int(NACK_PART * TIMEOUT * slow), now + PERIOD * slow
                 )
                 ping = Ping(self._seq, body.target, self._gossip(body.target))
-                self.send(target.rumour.address, ping)
+                self.send(target.update.address, ping)
         elif isinstance(body, Ack):
             self._take_all(now, body.news, sender)
             self._acked(now, body.seq)
@@ -373,77 +373,77 @@
         if favour is not None:
             asker = self.rows.get(favour.asker)
             if asker is not None:
-                self.send(asker.rumour.address, Ack(favour.their_seq, self._gossip(favour.asker)))
+                self.send(asker.update.address, Ack(favour.their_seq, self._gossip(favour.asker)))
 
-    def _take_all(self, now: int, rumours: Iterable[Rumour], teller: str) -> None:
-        for rumour in rumours:
-            self.hear(now, rumour, teller)
+    def _take_all(self, now: int, updates: Iterable[MemberUpdate], teller: str) -> None:
+        for update in updates:
+            self.hear(now, update, teller)
 
-    def hear(self, now: int, rumour: Rumour, teller: str) -> None:
+    def hear(self, now: int, update: MemberUpdate, teller: str) -> None:
         """One record, of whatever age."""
-        if rumour.name == self.own.name:
-            self._of_us(now, rumour, teller)
+        if update.name == self.own.name:
+            self._of_us(now, update, teller)
             return
-        m = self.rows.get(rumour.name)
+        m = self.rows.get(update.name)
         if m is None:
-            if rumour.state <= State.SUSPECT:
-                self._set(now, rumour, State.ALIVE, f"told by {teller}", "joined")
-                if rumour.state == State.SUSPECT:
-                    self._accuse(now, rumour, rumour.accuser or teller, f"told by {teller}")
+            if update.state <= State.SUSPECT:
+                self._set(now, update, State.ALIVE, f"told by {teller}", "joined")
+                if update.state == State.SUSPECT:
+                    self._accuse(now, update, update.accuser or teller, f"told by {teller}")
             return
-        if rumour.state == State.SUSPECT and rank(rumour)[:3] == rank(m.rumour)[:3]:
-            if m.rumour.state <= State.SUSPECT:
-                self._accuse(now, rumour, rumour.accuser or teller, f"told by {teller}")
+        if update.state == State.SUSPECT and rank(update)[:3] == rank(m.update)[:3]:
+            if m.update.state <= State.SUSPECT:
+                self._accuse(now, update, update.accuser or teller, f"told by {teller}")
             return
-        if rank(rumour) <= rank(m.rumour):
+        if rank(update) <= rank(m.update):
             return
-        if rumour.life != m.rumour.life and rumour.address != m.rumour.address and m.there:
+        if update.life != m.update.life and update.address != m.update.address and m.there:
             # Another process under a name whose bearer is there: who was first keeps it. One
             # that moved to another machine is taken in once the one it was is lost or has left.
             return
-        if rumour.state == State.SUSPECT:
-            self._set(now, rumour, State.ALIVE, f"told by {teller}")
-            self._accuse(now, rumour, rumour.accuser or teller, f"told by {teller}")
+        if update.state == State.SUSPECT:
+            self._set(now, update, State.ALIVE, f"told by {teller}")
+            self._accuse(now, update, update.accuser or teller, f"told by {teller}")
         else:
-            self._set(now, rumour, State(rumour.state), f"told by {teller}")
+            self._set(now, update, State(update.state), f"told by {teller}")
 
-    def _of_us(self, now: int, rumour: Rumour, teller: str) -> None:
+    def _of_us(self, now: int, update: MemberUpdate, teller: str) -> None:
         own = self.own
-        if rumour.life != own.life:
-            if rumour.address != own.address and rumour.state <= State.SUSPECT:
+        if update.life != own.life:
+            if update.address != own.address and update.state <= State.SUSPECT:
                 # Somebody else has our name. Who was there first keeps it.
-                if rumour.born <= own.born and not self.conflict:
-                    self.conflict = rumour.address
+                if update.born <= own.born and not self.conflict:
+                    self.conflict = update.address
                     self.events.append(
-                        Event(own.name, "conflict", f"{rumour.address} has this name already")
+                        Event(own.name, "conflict", f"{update.address} has this name already")
                     )
                 return
-            if rumour.address != own.address and rumour.address == self.conflict:
+            if update.address != own.address and update.address == self.conflict:
                 self.conflict = ""  # it has gone
-            if rumour.born >= own.born:
+            if update.born >= own.born:
                 # What we were before this start, by a clock that was ahead.
-                self._renew(now, born=rumour.born + 1)
+                self._renew(now, born=update.born + 1)
             return
-        if rumour.state != State.ALIVE and rank(rumour)[2:] >= rank(own)[2:] and not self.left:
+        if update.state != State.ALIVE and rank(update)[2:] >= rank(own)[2:] and not self.left:
             # Taken for lost: the next incarnation says otherwise.
             self.health = min(self.health + 1, HEALTH_MOST)
-            self._renew(now, incarnation=rumour.incarnation + 1)
+            self._renew(now, incarnation=update.incarnation + 1)
             self.events.append(Event(own.name, "refuted", f"{teller} took us for lost"))
 
-    def _accuse(self, now: int, rumour: Rumour, accuser: str, why: str) -> None:
+    def _accuse(self, now: int, update: MemberUpdate, accuser: str, why: str) -> None:
         """`accuser` found it out itself. Whoever only passed it on is none: taken for one, a
         single lost answer became a loss as fast as gossip goes (27 of them in half a minute of
         200 instances at 5 % of loss)."""
-        m = self.rows[rumour.name]
-        if m.rumour.state != State.SUSPECT:
-            self._set(now, rumour, State.SUSPECT, why, accuser=accuser)
-            m = self.rows[rumour.name]
+        m = self.rows[update.name]
+        if m.update.state != State.SUSPECT:
+            self._set(now, update, State.SUSPECT, why, accuser=accuser)
+            m = self.rows[update.name]
             m.begun = now
             m.accusers = {accuser}
         elif accuser not in m.accusers and len(m.accusers) <= CONFIRMATIONS:
             m.accusers.add(accuser)
-            m.rumour = replace(m.rumour, accuser=accuser)
-            self._news[rumour.name] = 0  # confirmations are told on (Lifeguard, 4.2)
+            m.update = replace(m.update, accuser=accuser)
+            self._news[update.name] = 0  # confirmations are told on (Lifeguard, 4.2)
         n = len(self.live())
         least, most = shortest(n), longest(n)
         others = len(m.accusers) - 1
@@ -453,17 +453,17 @@
     def _set(
         self,
         now: int,
-        rumour: Rumour,
+        update: MemberUpdate,
         state: State,
         why: str,
         what: str = "",
         accuser: str = "",
     ) -> None:
-        old = self.rows.get(rumour.name)
-        made = replace(rumour, state=int(state), accuser=accuser)
-        self.rows[rumour.name] = Member(made, now)
+        old = self.rows.get(update.name)
+        made = replace(update, state=int(state), accuser=accuser)
+        self.rows[update.name] = Member(made, now)
         self.lives[made.address] = made.life
-        self._news[rumour.name] = 0
+        self._news[update.name] = 0
         if not what:
             before = old.state if old is not None else State.ALIVE
             if state == State.ALIVE and before == State.SUSPECT:
@@ -472,9 +472,9 @@
             if state == State.ALIVE and before >= State.LOST:
                 what = "back"
             elif state == State.ALIVE:
-                if old is not None and made.drains and not old.rumour.drains:
+                if old is not None and made.drains and not old.update.drains:
                     what = "drains"
-                elif old is not None and made.life != old.rumour.life:
+                elif old is not None and made.life != old.update.life:
                     what = "restarted"
                 else:
                     return
@@ -484,12 +484,12 @@
 
     # ---- gossip -------------------------------------------------------------------------------
 
-    def _gossip(self, to: str) -> list[Rumour]:
+    def _gossip(self, to: str) -> list[MemberUpdate]:
         """The least told news first; a suspect hears of its suspicion before anything else."""
         limit = SPREAD * math.ceil(math.log10(len(self.rows) + 1))
         picked = []
         suspect = self.rows.get(to)
-        if suspect is not None and suspect.rumour.state == State.SUSPECT:
+        if suspect is not None and suspect.update.state == State.SUSPECT:
             picked.append(to)
         for name in sorted(self._news, key=self._news.__getitem__):
             if len(picked) >= NEWS:
@@ -501,4 +501,4 @@
                 self._news[name] += 1
                 if self._news[name] >= limit:
                     del self._news[name]
-        return [self.rows[name].rumour for name in picked]
+        return [self.rows[name].update for name in picked]
--- a/tansywood/fleet/messages.py
+++ b/tansywood/fleet/messages.py
@@ -15,7 +15,7 @@
 Place = Annotated[str, Meta(max_length=21)]  # IPv4:port
 Key = Annotated[str, Meta(min_length=1, max_length=200)]
 Count = Annotated[int, Meta(ge=0, le=1 << 62)]
-Home = Annotated[int, Meta(ge=-1, le=63)]
+AllocatorIndex = Annotated[int, Meta(ge=-1, le=63)]
 LIFE = 16  # bytes
 Life = Annotated[bytes, Meta(min_length=LIFE, max_length=LIFE)]
 
@@ -24,8 +24,9 @@
     """Bytes that are no message of this protocol."""
 
 
-class Rumour(Struct, array_like=True, frozen=True):
-    """One member as its teller believes it to be."""
+class MemberUpdate(Struct, array_like=True, frozen=True):
+    """One member as its sender believes it to be. The greater of two, by life (`born`, then the
+    life's bytes), incarnation and state, is the newer."""
 
     name: Name
     address: Place
@@ -39,7 +40,7 @@
     accuser: Annotated[str, Meta(max_length=63)] = ""  # of a suspect: who found it out itself
 
 
-Rumours = Annotated[list[Rumour], Meta(max_length=64)]
+MemberUpdates = Annotated[list[MemberUpdate], Meta(max_length=64)]
 
 
 class Hello(Struct, array_like=True, frozen=True, tag="h"):
@@ -53,7 +54,7 @@
 class Ping(Struct, array_like=True, frozen=True, tag="p"):
     seq: Count
     target: Name
-    news: Rumours = []
+    news: MemberUpdates = []
 
 
 class PingFor(Struct, array_like=True, frozen=True, tag="q"):
@@ -61,12 +62,12 @@
 
     seq: Count
     target: Name
-    news: Rumours = []
+    news: MemberUpdates = []
 
 
 class Ack(Struct, array_like=True, frozen=True, tag="a"):
     seq: Count
-    news: Rumours = []
+    news: MemberUpdates = []
 
 
 class Nack(Struct, array_like=True, frozen=True, tag="n"):
@@ -78,14 +79,14 @@
 class Sync(Struct, array_like=True, frozen=True, tag="s"):
     """Members as I believe them to be, some of many; `answer` asks for yours."""
 
-    members: Rumours
+    members: MemberUpdates
     answer: bool = False
 
 
-class Want(Struct, array_like=True, frozen=True):
-    """One pot's row of a claim. `applied` is the claim whose grant the holder goes by."""
+class ClaimEntry(Struct, array_like=True, frozen=True):
+    """What is claimed of one limit. `applied` is the claim whose grant the holder goes by."""
 
-    pot: Key
+    key: Key
     need: Count
     applied: Count
 
@@ -99,30 +100,36 @@
 
 
 class Claim(Struct, array_like=True, frozen=True, tag="c"):
+    """A holder asks one allocator for units of limits, and tells what it saw of servers."""
+
     seq: Count
-    wants: Annotated[list[Want], Meta(max_length=64)]
+    entries: Annotated[list[ClaimEntry], Meta(max_length=64)]
     seen: Annotated[list[Seen], Meta(max_length=64)] = []
-    home: Home = -1  # whose slice is asked for; -1: of the one that is asked
+    allocator: AllocatorIndex = -1  # whose slice is asked for; -1: of the one that is asked
+
 
+class GrantEntry(Struct, array_like=True, frozen=True):
+    """What is granted of one limit, in units."""
 
-class Given(Struct, array_like=True, frozen=True):
-    pot: Key
+    key: Key
     amount: Count
 
 
 class Grant(Struct, array_like=True, frozen=True, tag="g"):
+    """The answer to a claim."""
+
     seq: Count  # of the claim
-    given: Annotated[list[Given], Meta(max_length=64)]
+    entries: Annotated[list[GrantEntry], Meta(max_length=64)]
     doubted: Annotated[list[Key], Meta(max_length=64)] = []
     back: Annotated[list[Key], Meta(max_length=64)] = []  # that the claim called out, and answer
-    home: Home = -1  # whose slice this is of; -1: the answerer's
+    allocator: AllocatorIndex = -1  # whose slice this is of; -1: the answerer's
 
 
 class Return(Struct, array_like=True, frozen=True, tag="r"):
     """I hold nothing of you any more: what drains says this at its end."""
 
     seq: Count
-    home: Home = -1
+    allocator: AllocatorIndex = -1
 
 
 class Carried(Struct, array_like=True, frozen=True, tag="x"):
--- a/tansywood/fleet/seal.py
+++ b/tansywood/fleet/seal.py
@@ -158,8 +158,9 @@
         return life, body
 
 
-def bound_to(fleet: str, homes: Sequence[str], hand_on: bool = False) -> bytes:
+def bound_to(fleet: str, first: Sequence[str], hand_on: bool = False) -> bytes:
     """What binds a datagram to a fleet: its name, its first addresses in order, and whether a
-    slice may be dealt by another than its home. Who disagrees on these must not be dealt to."""
-    rows = [fleet, *homes, *(["hand on"] if hand_on else [])]
+    slice may be granted by another than its allocator. Who disagrees on these must be granted
+    nothing."""
+    rows = [fleet, *first, *(["hand on"] if hand_on else [])]
     return hashlib.sha256("\n".join(rows).encode()).digest()
--- a/tansywood/fleet/settings.py
+++ b/tansywood/fleet/settings.py
@@ -13,7 +13,7 @@
 LEASE_MS = 4000
 LEAST_LEASE_MS = 400  # renewed every quarter of it
 LEAST_HAND_ON_MS = 3000
-MOST_HOMES = 9  # every instance claims from each: more homes, more datagrams
+MAX_ALLOCATORS = 9  # every instance claims from each: the more, the more datagrams
 
 SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -30,7 +30,7 @@
         "first": {
             "type": "array",
             "minItems": 1,
-            "maxItems": MOST_HOMES,
+            "maxItems": MAX_ALLOCATORS,
             "uniqueItems": True,
             "items": {"type": "string", "pattern": ADDRESS},
             "description": "the homes' addresses: the same, in this order, at every instance",
@@ -70,11 +70,11 @@
     zone: str = ""
     voters: tuple[str, ...] = ()  # none: no leases
     lease_ms: int = LEASE_MS
-    hand_on: bool = False  # a home that is away hands its slice on
+    hand_on: bool = False  # slices are granted under leases, by others while an allocator is away
 
     @property
     def index(self) -> int:
-        """Which home this one is; -1 where it is none."""
+        """Which allocator this one is; -1 where it is none."""
         return self.first.index(self.address) if self.address in self.first else -1
 
 
--- a/tansywood/fleet/share.py
+++ b/tansywood/fleet/share.py
@@ -1,10 +1,10 @@
-"""What is shared of a tenant's document, and the pots that it makes. Pure."""
+"""What is shared of a tenant's document, and the limit keys that it makes. Pure."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from tansywood.fleet.parts import open_pot, place_pot, rate_pot
+from tansywood.fleet.allocation import open_key, places_key, rate_key
 from tansywood.fleet.terms import MS
 from tansywood.tenancy.settings import TenantSettings
 
@@ -19,15 +19,15 @@
     servers: tuple[str, ...]
     tail: int  # nanoseconds after which a request taken now is over
 
-    def pots(self, tenant: str) -> dict[str, tuple[int, int]]:
-        """Each pot's whole and tail."""
+    def by_key(self, tenant: str) -> dict[str, tuple[int, int]]:
+        """By limit key: all there is of it, in units, and its tail in nanoseconds."""
         made = {
-            rate_pot(tenant): (self.rate, 0),
-            open_pot(tenant): (self.open, self.tail),
+            rate_key(tenant): (self.rate, 0),
+            open_key(tenant): (self.open, self.tail),
         }
         if self.places:
             for server in self.servers:
-                made[place_pot(tenant, server)] = (self.places, self.tail)
+                made[places_key(tenant, server)] = (self.places, self.tail)
         return made
 
 
--- a/tansywood/fleet/signals.py
+++ b/tansywood/fleet/signals.py
@@ -1,6 +1,6 @@
 """What others saw of a server: evidence with age and source, and what may follow from it. Pure.
 
-Only what an instance saw itself is ever told, with its age, and never told on: a rumour can't feed
+Only what an instance saw itself is ever told, with its age, and never told on: hearsay can't feed
 itself, and old news can't come after newer (each source's is taken by its own time). The verdict
 is "doubted": the decision module then tries the server with one request at a time until it has
 answered one. Nothing here takes a server away, and one that only others have named is not used.
@@ -33,7 +33,7 @@
 
 
 class Signals:
-    """Evidence of all sources, at a home. Servers are named `tenant/server`."""
+    """Evidence of all sources, at an allocator. Servers are named `tenant/server`."""
 
     def __init__(self) -> None:
         self._words: dict[str, dict[bytes, _Word]] = {}
--- a/tansywood/fleet/terms.py
+++ b/tansywood/fleet/terms.py
@@ -12,7 +12,7 @@
 class Terms:
     """Of one fleet; every instance must have the same."""
 
-    length: int = 2 * SECOND  # of a grant, by the home's clock
+    length: int = 2 * SECOND  # of a grant, by the allocator's clock
     skew: float = 0.1  # by which the rates of two clocks may differ
     round: int = 250 * MS  # between two claims: eight tries before a grant is over
     spare: int = 400 * MS  # a grant with less than this left is no longer counted on
@@ -26,10 +26,15 @@
             raise ValueError("the spare time has to be under half of a grant")
 
     def after(self, tail: int) -> int:
-        """The home's wait beyond a grant's length for a request taken under it, which is over
+        """The allocator's wait beyond a grant's length for a request taken under it, which is over
         after `tail` by its holder's clock."""
         return int(tail / (1.0 - self.skew))
 
+    def outlast(self, tail: int) -> int:
+        """How long after its answer an allocator counts a grant as in use: its length, and a
+        request taken at its end."""
+        return self.length + self.after(tail)
+
     @property
     def used(self) -> int:
         """How long a holder may use a grant, by its own clock from the sending of its claim."""
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -17,9 +17,9 @@
 from random import Random
 from typing import Any
 
-from tansywood.fleet.instance import Demand, Instance, home_lease
+from tansywood.fleet.allocation import open_key, places_key, rate_key
+from tansywood.fleet.instance import Demand, Instance, allocator_lease
 from tansywood.fleet.messages import MessageError, pack, unpack
-from tansywood.fleet.parts import open_pot, place_pot, rate_pot
 from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
 from tansywood.fleet.settings import LEASE_MS, FleetSettings
 from tansywood.fleet.share import Limits, limits_of
@@ -78,7 +78,7 @@
                 loop, clock, settings, life, promises, self.carry, self.wake, self.log
             )
         if settings.hand_on and self.leases is not None:
-            self.instance.hand_on(self.may_deal)
+            self.instance.hand_on(self.may_grant)
         self.refused = dict.fromkeys((*WHYS, "message"), 0)
         self.too_long = 0
         self.follower = Follower(place.feed, "fleet", self.changed)
@@ -173,23 +173,23 @@
 
     # ---- slices under leases -----------------------------------------------------------
 
-    def may_deal(self, index: int) -> bool:
+    def may_grant(self, index: int) -> bool:
         assert self.leases is not None
-        return self.leases.side.may(self.clock.now(), home_lease(index)) != 0
+        return self.leases.side.may(self.clock.now(), allocator_lease(index)) != 0
 
-    async def deal(self, leases: Leases, index: int) -> None:
-        """Deal a home's slice whenever that is ours to do. Cut off half way it ends with the
-        lease: what is granted by then is over before whoever follows grants anything."""
-        name = home_lease(index)
+    async def keep_allocating(self, leases: Leases, index: int) -> None:
+        """Grant of an allocator's slice whenever we hold its lease. Cut off half way it ends with
+        the lease: what is granted by then is over before whoever follows grants anything."""
+        name = allocator_lease(index)
         leases.side.prefers[name] = self.settings.first[index]
         while True:
             with contextlib.suppress(LeaseLost):
                 async with leases.lease(name, everybody=True):
-                    self.instance.deal_for(self.clock.now(), index)
+                    self.instance.start_allocating(self.clock.now(), index)
                     try:
                         await asyncio.Event().wait()
                     finally:
-                        self.instance.deal_no_more(index)
+                        self.instance.stop_allocating(index)
 
     def flush(self) -> None:
         """Send what is to be sent, tell workers what is new, print what happened."""
@@ -236,7 +236,7 @@
     # ---- workers and people ----------------------------------------------------------
 
     def tell(self, worker: str) -> None:
-        told = self.instance.parts(self.clock.now(), worker)
+        told = self.instance.allocations(self.clock.now(), worker)
         for row in told["tenants"].values():
             # The machine's own clock, which its workers share: a message may lie for long.
             row["until"] = self.clock.real(row.pop("left"))
@@ -254,11 +254,11 @@
             # Of the rate nothing beyond what is asked. What all leave over is dealt out evenly
             # anyway, and more is kept from those that go short: with 1.3 times eight instances of
             # unlike traffic served 0.794 of what one that sees all did, with 1.05 0.887.
-            needs = {rate_pot(tenant): rate, open_pot(tenant): int(row["open"])}
-            used = {open_pot(tenant): int(row["used"])}
+            needs = {rate_key(tenant): rate, open_key(tenant): int(row["open"])}
+            used = {open_key(tenant): int(row["used"])}
             for server, (need, held) in row["places"].items():
-                needs[place_pot(tenant, server)] = int(need)
-                used[place_pot(tenant, server)] = int(held)
+                needs[places_key(tenant, server)] = int(need)
+                used[places_key(tenant, server)] = int(held)
             hosted[tenant] = Demand(worker, now, rate, needs, used)
             for server, (kind, age) in row["seen"].items():
                 seen[f"{tenant}/{server}"] = (Kind(kind), now - int(age))
@@ -349,7 +349,7 @@
             self.leases.start()
             if self.settings.hand_on:
                 for index in range(len(self.settings.first)):
-                    task = self.loop.create_task(self.deal(self.leases, index))
+                    task = self.loop.create_task(self.keep_allocating(self.leases, index))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
         self.tick()
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -186,7 +186,7 @@
         self._knew = now
         peers: dict[str, Peer] = {}
         for name, m in members.rows.items():
-            r = m.rumour
+            r = m.update
             works = m.there and not r.drains
             peers[name] = Peer(name, r.address, r.life, m.since, works, m.state == State.ALIVE)
         self.side.know(now, peers, members.own.drains)
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -13,7 +13,7 @@
 
 from flinthatch import parts as module
 from flinthatch.balancer import NEVER
-from tansywood.fleet.parts import floor_of, open_pot, place_pot, rate_pot, slice_of
+from tansywood.fleet.allocation import floor_of, open_key, places_key, rate_key, slice_of
 from tansywood.fleet.share import Limits, limits_of
 from tansywood.fleet.signals import Kind
 from tansywood.fleet.terms import SECOND
@@ -33,16 +33,16 @@
 REST = 2 * SECOND  # without a request, after which no places are asked for
 
 
-def floor(limits: Limits, tenant: str, homes: int, index: int) -> Amounts:
-    """What a home's own workers may always use; nothing where this instance is no home."""
+def floor(limits: Limits, tenant: str, allocators: int, index: int) -> Amounts:
+    """What an allocator's own workers may always use; nothing where this instance is none."""
 
-    def kept(pot: str, whole: int) -> int:
-        return floor_of(slice_of(pot, whole, homes, index)) if index >= 0 else 0
+    def kept(key: str, whole: int) -> int:
+        return floor_of(slice_of(key, whole, allocators, index)) if index >= 0 else 0
 
     return Amounts(
-        kept(rate_pot(tenant), limits.rate),
-        kept(open_pot(tenant), limits.open),
-        {s: kept(place_pot(tenant, s), limits.places) for s in limits.servers}
+        kept(rate_key(tenant), limits.rate),
+        kept(open_key(tenant), limits.open),
+        {s: kept(places_key(tenant, s), limits.places) for s in limits.servers}
         if limits.places
         else None,
     )
@@ -91,14 +91,14 @@
         loop: asyncio.AbstractEventLoop,
         path: str,
         worker: str,
-        homes: int,
+        allocators: int,
         index: int,
         hosted: Callable[[], Mapping[str, Tenant]],
     ) -> None:
         self.loop = loop
         self.path = path
         self.worker = worker
-        self.homes = homes
+        self.allocators = allocators
         self.index = index
         self.hosted = hosted
         self.version = 0
@@ -124,7 +124,7 @@
     def again(self, hosted: Tenant) -> None:
         """Another version of its document: what was told holds within that."""
         limits = limits_of(hosted.settings)
-        least = floor(limits, hosted.settings.name, self.homes, self.index)
+        least = floor(limits, hosted.settings.name, self.allocators, self.index)
         told = self.told.get(hosted.settings.name)
         if told is not None and told["until"] > time.monotonic_ns():
             apply(hosted, within(told, limits), told["until"], least, self.instances)
--- a/tests/fleet/test_conserved.py
+++ b/tests/fleet/test_conserved.py
@@ -8,9 +8,16 @@
 import pytest
 
 from standins.fleet.simulated import World
+from tansywood.fleet.allocation import (
+    Allocator,
+    Holder,
+    _LimitSlice,
+    open_key,
+    places_key,
+    rate_key,
+)
 from tansywood.fleet.instance import Instance
-from tansywood.fleet.messages import Claim, Grant, Want
-from tansywood.fleet.parts import Holder, Home, _Pot, open_pot, place_pot, rate_pot
+from tansywood.fleet.messages import Claim, ClaimEntry, Grant
 from tansywood.fleet.terms import SECOND, Terms
 from tests.fleet.worlds import LIMITS, TENANT, WHOLES, Broken, history, settle, want, world
 
@@ -27,9 +34,9 @@
     return made
 
 
-def loaded(names: list[str], homes: int, seed: int, units: int, seconds: float) -> World:
+def loaded(names: list[str], allocators: int, seed: int, units: int, seconds: float) -> World:
     """Everybody wants more than there is, and has what it gets of it."""
-    made = world(names, homes, seed)
+    made = world(names, allocators, seed)
     for name in names:
         want(made, name, 400, units)
     made.run(seconds)
@@ -50,10 +57,10 @@
     made = play(seed)
     settle(made)
     # All of it is dealt again, and everybody has some.
-    for pot, whole in WHOLES.items():
-        amounts = made.amounts(pot)
+    for key, whole in WHOLES.items():
+        amounts = made.amounts(key)
         assert sum(amounts.values()) <= whole
-        if pot == rate_pot(TENANT):
+        if key == rate_key(TENANT):
             assert sum(amounts.values()) >= 0.97 * whole
             assert min(amounts.values()) > 0
 
@@ -71,14 +78,14 @@
 def test_slices_that_others_deal_are_not_exceeded_and_not_lost(seed: int) -> None:
     made = handed(seed)
     settle(made)
-    amounts = made.amounts(rate_pot(TENANT))
-    assert 0.97 * WHOLES[rate_pot(TENANT)] <= sum(amounts.values()) <= WHOLES[rate_pot(TENANT)]
+    amounts = made.amounts(rate_key(TENANT))
+    assert 0.97 * WHOLES[rate_key(TENANT)] <= sum(amounts.values()) <= WHOLES[rate_key(TENANT)]
 
 
 def test_without_the_wait_of_who_takes_a_slice_over_it_breaks(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(Home, "ready", lambda self, pot, now: True)
+    monkeypatch.setattr(Allocator, "ready", lambda self, key, now: True)
     with pytest.raises(Broken):
         for seed in range(20):
             handed(seed)
@@ -93,7 +100,7 @@
     made.run(0.5)
     made.hand(0, "d")  # as a lease does, once a's is over
     made.run(7.0)
-    assert sum(made.amounts(rate_pot(TENANT)).values()) >= 0.97 * WHOLES[rate_pot(TENANT)]
+    assert sum(made.amounts(rate_key(TENANT)).values()) >= 0.97 * WHOLES[rate_key(TENANT)]
 
 
 def test_without_the_margin_between_two_clocks_it_breaks() -> None:
@@ -102,15 +109,15 @@
 
 
 def test_without_the_wait_of_a_home_that_starts_it_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Home, "ready", lambda self, pot, now: True)
+    monkeypatch.setattr(Allocator, "ready", lambda self, key, now: True)
     assert breaks()
 
 
 def test_without_the_workers_word_that_less_is_in_use_it_breaks(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def confirm(self: Holder, now: int, pot: str, used: int, version: int) -> bool:
-        for held in self._held.get(pot, ()):
+    def confirm(self: Holder, now: int, key: str, used: int, version: int) -> bool:
+        for held in self._held.get(key, ()):
             held.applied = held.seq
         return True
 
@@ -146,10 +153,10 @@
 def test_without_the_order_of_answers_it_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
     granted = Holder.granted
 
-    def anyhow(self: Holder, now: int, home: int, grant: Grant) -> bool:
+    def anyhow(self: Holder, now: int, allocator: int, grant: Grant) -> bool:
         for rows in self._held.values():
-            rows[home].seq = min(rows[home].seq, grant.seq - 1)
-        return granted(self, now, home, grant)
+            rows[allocator].seq = min(rows[allocator].seq, grant.seq - 1)
+        return granted(self, now, allocator, grant)
 
     monkeypatch.setattr(Holder, "granted", anyhow)
     assert breaks()
@@ -158,45 +165,45 @@
 def test_without_the_count_of_what_may_still_be_out_it_breaks(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    recount: Callable[..., None] = _Pot.recount
+    recount: Callable[..., None] = _LimitSlice.recount
 
-    def forgetful(self: _Pot, who: bytes, c: Any, now: int) -> None:
-        c.out = c.out[-1:]  # the last grant alone, heard of or not
-        recount(self, who, c, now)
+    def forgetful(self: _LimitSlice, life: bytes, c: Any, now: int) -> None:
+        c.grants = c.grants[-1:]  # the last grant alone, heard of or not
+        recount(self, life, c, now)
 
-    monkeypatch.setattr(_Pot, "recount", forgetful)
+    monkeypatch.setattr(_LimitSlice, "recount", forgetful)
     assert breaks()
 
 
 def test_a_limit_that_is_taken_out_and_put_back_waits_for_what_was_granted() -> None:
-    home = Home(Terms(), 1, 0, 0)
-    pot = rate_pot(TENANT)
-    home.set_whole(pot, 1000, 0)
-    home.keep([], 50 * SECOND)
-    home.set_whole(pot, 1000, 0)
-    assert not home.ready(pot, 51 * SECOND)
-    assert home.ready(pot, 52 * SECOND)
-    longer = open_pot(TENANT)
-    home.set_whole(longer, 40, 9 * SECOND)
-    home.keep([pot], 60 * SECOND)
-    home.set_whole(longer, 40, SECOND)  # back with a shorter deadline than what is out had
-    assert not home.ready(longer, 71 * SECOND)
-    assert home.ready(longer, 72 * SECOND)
-    home.keep([pot], 80 * SECOND)
-    home.keep([pot], 95 * SECOND)
-    assert not home._dropped  # nothing is kept for ever
+    allocator = Allocator(Terms(), 1, 0, 0)
+    key = rate_key(TENANT)
+    allocator.set_whole(key, 1000, 0)
+    allocator.keep([], 50 * SECOND)
+    allocator.set_whole(key, 1000, 0)
+    assert not allocator.ready(key, 51 * SECOND)
+    assert allocator.ready(key, 52 * SECOND)
+    longer = open_key(TENANT)
+    allocator.set_whole(longer, 40, 9 * SECOND)
+    allocator.keep([key], 60 * SECOND)
+    allocator.set_whole(longer, 40, SECOND)  # back with a shorter deadline than what is out had
+    assert not allocator.ready(longer, 71 * SECOND)
+    assert allocator.ready(longer, 72 * SECOND)
+    allocator.keep([key], 80 * SECOND)
+    allocator.keep([key], 95 * SECOND)
+    assert not allocator._dropped  # nothing is kept for ever
 
 
 def test_a_longer_deadline_binds_what_is_granted_already() -> None:
-    home = Home(Terms(), 1, 0, 0)
-    pot, who, other = open_pot(TENANT), b"a" * 16, b"b" * 16
-    home.set_whole(pot, 100, SECOND)
+    allocator = Allocator(Terms(), 1, 0, 0)
+    key, who, other = open_key(TENANT), b"a" * 16, b"b" * 16
+    allocator.set_whole(key, 100, SECOND)
     start = 10 * SECOND
-    (given,) = home.claim(start, who, Claim(1, [Want(pot, 100, 0)]))
-    home.set_whole(pot, 100, 20 * SECOND)
-    (none,) = home.claim(start + 5 * SECOND, other, Claim(1, [Want(pot, 100, 0)]))
+    (given,) = allocator.claim(start, who, Claim(1, [ClaimEntry(key, 100, 0)]))
+    allocator.set_whole(key, 100, 20 * SECOND)
+    (none,) = allocator.claim(start + 5 * SECOND, other, Claim(1, [ClaimEntry(key, 100, 0)]))
     assert given.amount > 90 and none.amount + given.amount <= 100
-    (some,) = home.claim(start + 30 * SECOND, other, Claim(2, [Want(pot, 100, 1)]))
+    (some,) = allocator.claim(start + 30 * SECOND, other, Claim(2, [ClaimEntry(key, 100, 1)]))
     assert some.amount > 90
 
 
@@ -206,11 +213,11 @@
     want(made, "b", 5, 1)
     want(made, "c", 5, 1)
     made.run(8.0)
-    assert made.amounts(rate_pot(TENANT))["a"] > 0.85 * LIMITS.rate
+    assert made.amounts(rate_key(TENANT))["a"] > 0.85 * LIMITS.rate
     want(made, "a", 5, 1)
     want(made, "b", 400, 30)
     made.run(6 * made.terms.round / SECOND)  # rounds
-    assert made.amounts(rate_pot(TENANT))["b"] > 0.85 * LIMITS.rate
+    assert made.amounts(rate_key(TENANT))["b"] > 0.85 * LIMITS.rate
 
 
 def test_fewer_places_than_instances_go_round() -> None:
@@ -223,7 +230,7 @@
     for _ in range(240):
         made.run(0.25)
         for server in LIMITS.servers:
-            for name, amount in made.amounts(place_pot(TENANT, server)).items():
+            for name, amount in made.amounts(places_key(TENANT, server)).items():
                 had[name] += amount
     assert all(had.values()), had  # ten places, 24 that want one: nobody starves
 
@@ -239,32 +246,32 @@
     for name in names[1:]:
         made.start(name)
         made.run(0.5)
-    amounts = made.amounts(rate_pot(TENANT))
+    amounts = made.amounts(rate_key(TENANT))
     assert len(amounts) == 40 and sum(amounts.values()) > 0.9 * LIMITS.rate
     for name in reversed(names[1:]):
         made.kill(name)
         made.run(0.7)
     made.run(4.0)
     # What two homes that are away deal rests; what the fortieth had of the first's is back.
-    left = made.amounts(rate_pot(TENANT))["i00"]
+    left = made.amounts(rate_key(TENANT))["i00"]
     assert 0.97 * LIMITS.rate / 3 < left <= LIMITS.rate / 3
 
 
 def test_a_lost_instances_part_comes_back_and_not_before_its_end() -> None:
     made = loaded(["a", "b", "c", "d"], 2, 4, 9, 6.0)
-    before = sum(a for n, a in made.amounts(rate_pot(TENANT)).items() if n != "d")
+    before = sum(a for n, a in made.amounts(rate_key(TENANT)).items() if n != "d")
     made.pause("d")
     made.run(1.0)
-    assert sum(a for n, a in made.amounts(rate_pot(TENANT)).items()) <= before * 1.01
+    assert sum(a for n, a in made.amounts(rate_key(TENANT)).items()) <= before * 1.01
     made.run(made.terms.length / SECOND)
-    assert sum(a for n, a in made.amounts(rate_pot(TENANT)).items()) > 0.97 * LIMITS.rate
+    assert sum(a for n, a in made.amounts(rate_key(TENANT)).items()) > 0.97 * LIMITS.rate
 
 
 def test_an_instance_cut_off_goes_on_with_its_own_slice_alone() -> None:
     made = loaded(["a", "b", "c"], 3, 6, 9, 6.0)
     made.split(["a"])
     made.run(6.0)
-    amounts = made.amounts(rate_pot(TENANT))
+    amounts = made.amounts(rate_key(TENANT))
     assert 0.3 * LIMITS.rate < amounts["a"] <= LIMITS.rate // 3
     assert amounts["a"] + amounts["b"] + amounts["c"] <= LIMITS.rate
 
@@ -286,7 +293,7 @@
     # The worker's last word: all has ended.
     end_in_order(made, "d", lambda d, now: d.report(now, "w", d.holder.version, {}, {}))
     made.run(3 * made.terms.round / SECOND)
-    assert sum(made.amounts(open_pot(TENANT)).values()) > 0.9 * LIMITS.open
+    assert sum(made.amounts(open_key(TENANT)).values()) > 0.9 * LIMITS.open
 
 
 def test_one_whose_worker_died_gives_nothing_back_before_its_requests_are_over() -> None:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -8,7 +8,7 @@
 
 from standins.fleet.simulated import World
 from tansywood.fleet.members import Members, State, longest, shortest
-from tansywood.fleet.messages import Rumour
+from tansywood.fleet.messages import MemberUpdate
 from tansywood.fleet.terms import SECOND
 from tests.fleet.worlds import world
 
@@ -99,61 +99,61 @@
     assert everybody(made)
 
 
-def rumour(name: str, life: int, incarnation: int, state: State, born: int = 5) -> Rumour:
-    return Rumour(name, f"10.0.0.9:{life}", bytes([life]) * 16, born, incarnation, state)
+def update(name: str, life: int, incarnation: int, state: State, born: int = 5) -> MemberUpdate:
+    return MemberUpdate(name, f"10.0.0.9:{life}", bytes([life]) * 16, born, incarnation, state)
 
 
 def alone() -> Members:
-    own = rumour("a", 1, 0, State.ALIVE)
+    own = update("a", 1, 0, State.ALIVE)
     return Members(own, [], Random(1), 0, lambda _address, _body: None)
 
 
 def test_old_news_after_newer_changes_nothing() -> None:
     m = alone()
-    m.hear(1, rumour("b", 2, 3, State.ALIVE), "c")
-    m.hear(2, rumour("b", 2, 2, State.LOST), "c")
+    m.hear(1, update("b", 2, 3, State.ALIVE), "c")
+    m.hear(2, update("b", 2, 2, State.LOST), "c")
     assert m.rows["b"].state.name == "ALIVE"
-    m.hear(3, rumour("b", 2, 3, State.LOST), "c")
+    m.hear(3, update("b", 2, 3, State.LOST), "c")
     assert m.rows["b"].state.name == "LOST"
-    m.hear(4, rumour("b", 2, 3, State.ALIVE), "c")  # what it was before
-    m.hear(5, rumour("b", 2, 3, State.SUSPECT), "c")
+    m.hear(4, update("b", 2, 3, State.ALIVE), "c")  # what it was before
+    m.hear(5, update("b", 2, 3, State.SUSPECT), "c")
     assert m.rows["b"].state.name == "LOST"
-    m.hear(6, rumour("b", 2, 4, State.ALIVE), "c")
+    m.hear(6, update("b", 2, 4, State.ALIVE), "c")
     assert m.rows["b"].state.name == "ALIVE"
 
 
 def test_a_start_by_a_clock_a_day_behind_goes_before_the_life_it_was() -> None:
     m = alone()
-    m.hear(1, Rumour("a", m.own.address, b"\7" * 16, 86_400_000, 9, State.ALIVE), "c")
+    m.hear(1, MemberUpdate("a", m.own.address, b"\7" * 16, 86_400_000, 9, State.ALIVE), "c")
     assert m.own.born > 86_400_000
     assert not m.conflict
 
 
 def test_a_second_of_our_name_is_told_and_kept_out() -> None:
     m = alone()
-    m.hear(1, rumour("a", 9, 0, State.ALIVE, born=3), "c")
+    m.hear(1, update("a", 9, 0, State.ALIVE, born=3), "c")
     assert m.conflict == "10.0.0.9:9"
     assert [e.what for e in m.events] == ["conflict"]
 
 
 def test_who_was_first_keeps_a_name_until_it_is_lost() -> None:
     m = alone()
-    first, second = rumour("b", 2, 0, State.ALIVE), rumour("b", 3, 0, State.ALIVE, born=9)
+    first, second = update("b", 2, 0, State.ALIVE), update("b", 3, 0, State.ALIVE, born=9)
     m.hear(1, first, "c")
     m.hear(2, second, "c")
-    assert m.rows["b"].rumour.address == first.address
-    m.hear(3, rumour("b", 2, 0, State.LOST), "c")
+    assert m.rows["b"].update.address == first.address
+    m.hear(3, update("b", 2, 0, State.LOST), "c")
     m.hear(4, second, "c")
-    assert m.rows["b"].rumour.address == second.address
+    assert m.rows["b"].update.address == second.address
 
 
 def test_the_more_accuse_the_sooner_it_is_lost() -> None:
     m = alone()
     for n in range(20):
-        m.hear(0, rumour(f"m{n:02}", 20 + n, 0, State.ALIVE), "c")
+        m.hear(0, update(f"m{n:02}", 20 + n, 0, State.ALIVE), "c")
     ends = []
     for accuser in ("c", "d", "e", "f", "g"):
-        one = msgspec.structs.replace(rumour("m01", 21, 0, State.SUSPECT), accuser=accuser)
+        one = msgspec.structs.replace(update("m01", 21, 0, State.SUSPECT), accuser=accuser)
         for teller in ("x", "y", "z"):  # told on by others it is still one accusation
             m.hear(1, one, teller)
         ends.append(m.rows["m01"].ends)
@@ -166,7 +166,7 @@
 
 def test_who_is_taken_for_lost_says_otherwise() -> None:
     m = alone()
-    m.hear(1, Rumour("a", m.own.address, m.own.life, 5, 0, State.LOST), "c")
+    m.hear(1, MemberUpdate("a", m.own.address, m.own.life, 5, 0, State.LOST), "c")
     assert (m.own.incarnation, m.own.state) == (1, State.ALIVE)
     assert m.health == 1
 
--- a/tests/fleet/test_rules.py
+++ b/tests/fleet/test_rules.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from tansywood.fleet import turns
-from tansywood.fleet.deal import deal, level
+from tansywood.fleet.allocation import floor_of, slice_of
+from tansywood.fleet.maxmin import allocate, max_min_shares
 from tansywood.fleet.messages import Seen
-from tansywood.fleet.parts import floor_of, slice_of
 from tansywood.fleet.settings import faults
 from tansywood.fleet.signals import FRESH, Kind, Signals
 from tansywood.fleet.subsets import chosen, deterministic, overlapped, rendezvous
@@ -25,14 +25,14 @@
     credit: dict[int, float] = {}
     had: dict[int, int] = {}
     for _ in range(3):
-        had = deal(total, needs, credit, had)
+        had = allocate(total, needs, credit, had)
         assert sum(had.values()) == total
         assert min(had.values()) >= 0
 
 
 @given(NEEDS, st.integers(1, 20_000))
 def test_nobody_has_more_than_another_that_goes_short(needs: dict[int, int], total: int) -> None:
-    parts = level(total, needs)
+    parts = max_min_shares(total, needs)
     for k in needs:
         for other in needs:
             if parts[k] < needs[k] - 1e-6:
@@ -45,7 +45,7 @@
     total: Counter[str] = Counter()
     moves = 0
     for _ in range(200):
-        new = deal(1, {"a": 1, "b": 1, "c": 1}, credit, had)
+        new = allocate(1, {"a": 1, "b": 1, "c": 1}, credit, had)
         moves += new != had
         had = new
         total.update(new)
@@ -54,8 +54,8 @@
 
 
 @given(st.integers(0, 10_000), st.integers(1, 9), st.text(max_size=20))
-def test_slices_sum_to_the_whole(whole: int, homes: int, pot: str) -> None:
-    slices = [slice_of(pot, whole, homes, i) for i in range(homes)]
+def test_slices_sum_to_the_whole(whole: int, allocators: int, key: str) -> None:
+    slices = [slice_of(key, whole, allocators, i) for i in range(allocators)]
     assert sum(slices) == whole
     assert max(slices) - min(slices) <= 1
     assert all(floor_of(s) <= s for s in slices)
--- a/tests/fleet/test_seal.py
+++ b/tests/fleet/test_seal.py
@@ -7,11 +7,11 @@
 
 from tansywood.fleet.messages import (
     Claim,
+    ClaimEntry,
     Envelope,
     Hello,
     MessageError,
     Ping,
-    Want,
     Welcome,
     pack,
     unpack,
@@ -100,7 +100,7 @@
         with pytest.raises(MessageError):
             unpack(good[:size])
     too_long = Envelope("a" * 64, "10.0.0.1:1", b"", Hello())
-    negative = Envelope("a", "10.0.0.1:1", b"", Claim(1, [Want("x/rate", -1, 0)]))
+    negative = Envelope("a", "10.0.0.1:1", b"", Claim(1, [ClaimEntry("x/rate", -1, 0)]))
     for bad in (too_long, negative):
         with pytest.raises(MessageError):
             unpack(pack(bad))
@@ -112,21 +112,21 @@
     new = [*old, True, "9", "east", "", "a field of the next version"]
     for row in (old, new):
         data = msgspec.msgpack.encode(["b", "10.0.0.2:1", b"1" * 16, ["s", [row], False]])
-        (rumour,) = unpack(data).body.members  # type: ignore[union-attr]
-        assert rumour.name == "b" and rumour.drains is (row is new)
+        (update,) = unpack(data).body.members  # type: ignore[union-attr]
+        assert update.name == "b" and update.drains is (row is new)
     claim = msgspec.msgpack.encode(["b", "10.0.0.2:1", b"1" * 16, ["c", 7, [["x/rate", 1, 0]]]])
-    assert unpack(claim).body == Claim(7, [Want("x/rate", 1, 0)])
+    assert unpack(claim).body == Claim(7, [ClaimEntry("x/rate", 1, 0)])
 
 
 def test_what_was_said_to_an_earlier_life_changes_nothing() -> None:
     made = world(["a", "b"], 2, watched=False)
     made.run(3.0)
     a, b = (made.seats[n].instance for n in "ab")
-    assert a is not None and b is not None and b.deals
-    before = b.deals[b.index].out("cork/rate", made.clock(made.seats["b"]))
+    assert a is not None and b is not None and b.allocators
+    before = b.allocators[b.index].outstanding("cork/rate", made.clock(made.seats["b"]))
     now = made.clock(made.seats["b"])
-    claim = Claim(10_000, [Want("cork/rate", 150_000, 0)])
+    claim = Claim(10_000, [ClaimEntry("cork/rate", 150_000, 0)])
     b.sends.clear()
     b.receive(now, a.life, Envelope("a", a.address, b"\0" * 16, claim))
     assert [e.body for _, e in b.sends] == [Welcome()]  # who is here now, and no more
-    assert b.deals[b.index].out("cork/rate", now) == before
+    assert b.allocators[b.index].outstanding("cork/rate", now) == before
--- a/tests/fleet/worlds.py
+++ b/tests/fleet/worlds.py
@@ -6,17 +6,17 @@
 from random import Random
 
 from standins.fleet.simulated import World
-from tansywood.fleet.parts import open_pot, place_pot, rate_pot
+from tansywood.fleet.allocation import open_key, places_key, rate_key
 from tansywood.fleet.share import Limits
 from tansywood.fleet.terms import SECOND, Terms
 
 TENANT = "cork"
 LIMITS = Limits(150_000, 40, 5, ("s-0", "s-1"), SECOND)
 WHOLES = {
-    rate_pot(TENANT): LIMITS.rate,
-    open_pot(TENANT): LIMITS.open,
-    place_pot(TENANT, "s-0"): LIMITS.places,
-    place_pot(TENANT, "s-1"): LIMITS.places,
+    rate_key(TENANT): LIMITS.rate,
+    open_key(TENANT): LIMITS.open,
+    places_key(TENANT, "s-0"): LIMITS.places,
+    places_key(TENANT, "s-1"): LIMITS.places,
 }
 
 
@@ -25,21 +25,21 @@
 
 
 def conserved(world: World) -> None:
-    for pot, whole in WHOLES.items():
-        if world.in_use(pot) > whole:
-            raise Broken(f"{pot}: {world.in_use(pot)} of {whole} at {world.now / SECOND:.3f} s")
+    for key, whole in WHOLES.items():
+        if world.in_use(key) > whole:
+            raise Broken(f"{key}: {world.in_use(key)} of {whole} at {world.now / SECOND:.3f} s")
 
 
 def world(
     names: list[str],
-    homes: int = 3,
+    allocators: int = 3,
     seed: int = 1,
     clocks: Mapping[str, float] | None = None,
     terms: Terms | None = None,
     watched: bool = True,
     hand_on: bool = False,
 ) -> World:
-    made = World(names, homes, {TENANT: LIMITS}, seed, terms, clocks, hand_on)
+    made = World(names, allocators, {TENANT: LIMITS}, seed, terms, clocks, hand_on)
     if watched:
         made.watch = conserved
     for name in names:
@@ -49,7 +49,7 @@
 
 def want(made: World, name: str, rate: int, units: int = 3) -> None:
     """What an instance's callers ask for: requests a second, and units of all else."""
-    made.seats[name].want = {pot: rate * 1000 if pot.endswith("/rate") else units for pot in WHOLES}
+    made.seats[name].want = {key: rate * 1000 if key.endswith("/rate") else units for key in WHOLES}
 
 
 def history(made: World, seed: int, steps: int = 14) -> None:
@@ -80,7 +80,7 @@
                 made.go_on(other)
             elif seat.instance is None and rng.random() < 0.5:
                 made.start(other)
-        if made.dealer is not None and rng.random() < 0.5:
+        if made.granted_by is not None and rng.random() < 0.5:
             here = [n for n in names if made.seats[n].instance and not made.seats[n].paused]
             made.hand(rng.randrange(len(made.first)), rng.choice(here or names))
         made.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
