--- a/standins/service.py
+++ b/standins/service.py
@@ -97,10 +97,15 @@
         iso: Sequence[str] = (),
         more: str = "",
         environ: Mapping[str, str] | None = None,
+        administration: bool = True,
+        traffic: bool = True,
     ) -> None:
         """`iso` are those of the listeners whose callers speak ISO 8583; `more` goes into its
-        file as it is, `environ` on top of ours."""
+        file as it is, `environ` on top of ours. A node of a larger service has no
+        `administration`; a control machine serves no `traffic`, so it announces no listener."""
         self.more = more
+        self.administration = administration
+        self.traffic = traffic
         self.environ = environ or {}
         self.folder = folder
         self.workers = workers
@@ -118,16 +123,7 @@
 
     def start(self) -> None:
         """Until it serves; RuntimeError with its log where it does not come to that."""
-        rows = "".join(
-            f'[[listeners]]\nname = "{name}"\naddress = "127.0.0.1:{self.ports.get(name, 0)}"\n'
-            + ('protocol = "iso8583"\n' if name in self.iso else "")
-            for name in self.listeners
-        )
-        (self.folder / "service.toml").write_text(
-            f'[service]\nrun = "run"\nstore = "state"\nworkers = {self.workers}\n{rows}'
-            f'[admin]\naddress = "127.0.0.1:{self.admin_port}"\nrate_per_s = {self.rate_per_s}\n'
-            f"{self.more}"
-        )
+        (self.folder / "service.toml").write_text(self.settings())
         begin = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -148,17 +144,42 @@
         end = time.monotonic() + LIMIT_S
         while time.monotonic() < end and self.process.poll() is None:
             for line in self.text()[begin:].splitlines(keepends=True):
-                if "service: serving" in line and line.endswith("\n"):
+                if line.startswith(self._announcement) and line.endswith("\n"):
                     self._read(line)
                     return
             time.sleep(0.01)
         self.kill()
         raise RuntimeError(f"the service did not start: {self.text()[-3000:]}")
 
+    def settings(self) -> str:
+        """The text of its file. Ports that it was given once are kept."""
+        rows = "".join(
+            f'[[listeners]]\nname = "{name}"\naddress = "127.0.0.1:{self.ports.get(name, 0)}"\n'
+            + ('protocol = "iso8583"\n' if name in self.iso else "")
+            for name in self.listeners
+        )
+        admin = (
+            f'[admin]\naddress = "127.0.0.1:{self.admin_port}"\nrate_per_s = {self.rate_per_s}\n'
+        )
+        return (
+            f'[service]\nrun = "run"\nstore = "state"\nworkers = {self.workers}\n{rows}'
+            f"{admin if self.administration else ''}{self.more}"
+        )
+
+    @property
+    def _announcement(self) -> str:
+        """How the line begins that says that it does its work."""
+        return "service: serving" if self.traffic else "service: publisher"
+
     def _read(self, line: str) -> None:
-        places, _, admin = line.partition("; administration at ")
-        self.admin_port = int(admin.rpartition(":")[2])
-        for place in places.partition("serving ")[2].split(", "):
+        for words in line.removeprefix("service: ").strip().split("; "):
+            if words.startswith("administration at "):
+                self.admin_port = int(words.rpartition(":")[2])
+            elif words.startswith("serving "):
+                self._read_listeners(words.removeprefix("serving "))
+
+    def _read_listeners(self, words: str) -> None:
+        for place in words.split(", "):
             name, _, address = place.partition(" at ")
             self.ports[name] = int(address.rpartition(":")[2])
 
--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -57,7 +57,8 @@
     history = await begin_epoch(store, registry.seq, now_ms())
     terms = Terms()
     publisher = Publisher(replica_of(registry, history, terms.window), keys, options.fleet, terms)
-    await publisher.start(parse_address(options.publish))
+    host, port = await publisher.start(parse_address(options.publish))
+    print(f"admin: publishing at {host}:{port}", file=sys.stderr, flush=True)
     return publisher
 
 
--- /dev/null
+++ b/tests/distribution/test_whole.py
@@ -0,0 +1,235 @@
+"""Whole nodes, distributors and a publisher as processes, with faults between them.
+
+A change is seen to be in force at a node by what it does: its requests are run by the server that
+the change names. How long that takes is measured by benchmarks/distribution.py; here it has to
+come, no request may be lost and none run twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from standins.distributed import Distributed, distributed
+from standins.ledger import End
+from standins.servers import Behaviour
+from standins.service import Operator, document
+
+from ..service.world import PATIENCE_MS, PATIENT, WIDE, Side
+
+LIMIT_S = 30.0  # a hang, not a measure
+TENANT = "cork"
+
+
+class Story:
+    """Three nodes and two distributors; a tenant whose callers ask at every node all the time."""
+
+    def __init__(self, machines: Distributed) -> None:
+        self.machines = machines
+        self.side = Side(TENANT, Random(7))
+        self.operator: Operator = machines.publisher.operator()
+        self.asking: list[asyncio.Task[None]] = []
+        self.document: dict[str, Any] = {}
+        self.last_ran: dict[str, str] = {}  # by node, the server of its last answer
+
+    async def begin(self) -> None:
+        await self.side.add_servers(4, Behaviour(work_s=0.002))
+        self.document = document(TENANT, self.side.listed[:1], classes=PATIENT, limits=WIDE)
+        self.document["servers"][0]["started_ms"] = 1
+        await self.call("POST", "/v1/tenants", self.document)
+        key = await self.call("POST", f"/v1/tenants/{TENANT}/keys", {"role": "caller"})
+        self.side.token = key["token"]
+        for name in self.machines.nodes:
+            self.asking.append(asyncio.create_task(self.ask_for_ever(name)))
+        await self.served_by("s-0")
+
+    async def call(self, method: str, path: str, body: object = None) -> Any:
+        return (await asyncio.to_thread(self.operator.must, method, path, body)).body
+
+    async def ask_for_ever(self, node: str) -> None:
+        life = 0
+        while True:
+            life += 1
+            port = self.machines.nodes[node].port
+            caller = self.side.caller(port, f"{node}.{life}", timeout_ms=PATIENCE_MS)
+            for _ in range(20):
+                end = await caller.ask()
+                if end is End.SERVED:
+                    entry = self.side.ledger.entries[f"{caller.name}-{caller.count}"]
+                    self.last_ran[node] = entry.ran[-1]
+                await asyncio.sleep(0.01)
+            caller.drop()
+
+    async def change_to(self, index: int) -> None:
+        """Its one server is another now."""
+        name, port = self.side.listed[index]
+        row = {"name": name, "address": f"127.0.0.1:{port}", "started_ms": 1}
+        self.document = self.document | {"servers": [row]}
+        await self.call("PUT", f"/v1/tenants/{TENANT}", self.document)
+
+    async def served_by(self, server: str) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while any(self.last_ran.get(node) != server for node in self.machines.nodes):
+                await asyncio.sleep(0.01)
+
+    async def complete(self) -> dict[str, Any]:
+        """Until the API knows of nobody who lacks the last change."""
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                told: dict[str, Any] = await self.call("GET", f"/v1/tenants/{TENANT}/rollout")
+                if told["complete"]:
+                    return told
+                await asyncio.sleep(0.05)
+
+    async def end(self) -> None:
+        for task in self.asking:
+            task.cancel()
+        await asyncio.gather(*self.asking, return_exceptions=True)
+
+    def check(self) -> None:
+        ledger = self.side.ledger
+        for entry in ledger.entries.values():
+            if not entry.ends:
+                entry.ends.append(End.LEFT)  # under way when the story ended
+        assert not ledger.problems(breaks=False)
+        assert not [e for e in ledger.entries.values() if End.FAILED in e.ends]
+
+
+@asynccontextmanager
+async def story(folder: Path) -> AsyncIterator[Story]:
+    async with distributed(folder) as machines:
+        told = Story(machines)
+        try:
+            await told.begin()
+            yield told
+        finally:
+            await told.end()
+            for server in told.side.servers:
+                server.kill()
+
+
+Fault = Callable[[Distributed, str], Awaitable[None]]
+
+
+async def kill(machines: Distributed, name: str) -> None:
+    await asyncio.to_thread(machines.distributors[name].kill)
+
+
+async def stop(machines: Distributed, name: str) -> None:
+    machines.distributors[name].stop_all()
+
+
+async def cut(machines: Distributed, name: str) -> None:
+    for (_, distributor), relay in machines.ways.items():
+        if distributor == name:
+            relay.cut()
+
+
+async def cut_upward(machines: Distributed, name: str) -> None:
+    machines.upward[name].cut()
+
+
+@pytest.mark.parametrize("fault", [kill, stop, cut, cut_upward])
+def test_a_change_gets_through_while_a_nodes_distributor_is_away(
+    tmp_path: Path, fault: Fault
+) -> None:
+    async def main() -> None:
+        async with story(tmp_path) as told:
+            name = await asyncio.to_thread(told.machines.distributor_of, "n0")
+            assert name
+            await fault(told.machines, name)
+            await told.change_to(1)
+            await told.served_by("s-1")
+        told.check()
+
+    asyncio.run(main())
+
+
+def test_the_api_says_that_all_nodes_have_a_change(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with story(tmp_path) as told:
+            await told.change_to(1)
+            rollout = await told.complete()
+            assert rollout["nodes"] == {"have": 3, "waiting": 0, "refused": 0}
+            assert rollout["distributors"] == {"have": 2, "waiting": []}
+            await told.served_by("s-1")
+        told.check()
+
+    asyncio.run(main())
+
+
+def test_nodes_serve_on_while_all_control_is_away_and_take_up_what_they_missed(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with story(tmp_path) as told:
+            machines = told.machines
+            for name in machines.distributors:
+                await kill(machines, name)
+            served = len(told.side.ledger.entries)
+            await told.change_to(1)
+            async with asyncio.timeout(LIMIT_S):
+                while len(told.side.ledger.entries) < served + 200:
+                    await asyncio.sleep(0.02)
+            status = await asyncio.to_thread(machines.nodes["n0"].status)
+            assert status["publisher_age_ms"] > 0
+            assert set(told.last_ran.values()) == {"s-0"}
+            for name in machines.distributors:
+                await machines.start_distributor(name)
+            await told.served_by("s-1")
+        told.check()
+
+    asyncio.run(main())
+
+
+def test_a_publisher_started_again_goes_on_and_a_node_started_again_asks_anew(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with story(tmp_path) as told:
+            machines = told.machines
+            await asyncio.to_thread(machines.publisher.kill)
+            await machines.start_publisher()
+            told.operator = machines.publisher.operator()
+            await told.change_to(1)
+            await told.served_by("s-1")
+            await told.end()
+            await asyncio.to_thread(machines.nodes["n1"].stop)
+            await asyncio.to_thread(machines.nodes["n1"].start)
+            caller = told.side.caller(machines.nodes["n1"].port, "after")
+            assert await caller.ask("balance") is End.SERVED
+            await told.change_to(2)
+            rollout = await told.complete()
+            assert rollout["nodes"]["have"] == 3
+        told.check()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("part", ["agent", "door", "worker-0"])
+def test_a_part_of_a_node_is_killed_and_its_tenant_is_served_on(tmp_path: Path, part: str) -> None:
+    """What was under way in a worker that is killed is its callers' to ask again."""
+
+    async def main() -> None:
+        async with story(tmp_path) as told:
+            node = told.machines.nodes["n0"]
+            before = node.pid(part)
+            os.kill(before, signal.SIGKILL)
+            await asyncio.to_thread(node.until_ready_again, part, before)
+            await told.change_to(1)
+            await told.served_by("s-1")
+        ledger = told.side.ledger
+        for entry in ledger.entries.values():
+            if not entry.ends:
+                entry.ends.append(End.LEFT)
+        assert not ledger.problems(breaks=True)
+
+    asyncio.run(main())
