--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -4,6 +4,9 @@
 nobody's requests itself, and holds no connection longer than that: a connection that was handed
 over is the worker's, and a door's end does not touch it. The listening sockets are the
 supervisor's: while a door is away the system keeps what connects.
+
+On a node that holds only what it serves, a connection that shows what is not known here waits
+while the node's agent is asked; then it is answered as ever.
 """
 
 from __future__ import annotations
@@ -15,10 +18,12 @@
 import sys
 import time
 from collections import deque
+from dataclasses import replace
 from typing import Any
 
 from tansywood.service import part
 from tansywood.service.follow import Follower
+from tansywood.service.lookups import Lookups, aliases_to_ask
 from tansywood.service.tenant import FULL, UNKNOWN, with_answer
 from tansywood.service.wire import TAKEN, hand
 from tansywood.service.worker import keys_of, known_of
@@ -37,6 +42,7 @@
 WAITING = 4096  # connections that wait for a worker; more are told to come again
 LINGER_S = 1.0  # for the last word to be read before the close
 STOP_S = 0.5
+LAST_ANSWERS_S = 0.2  # before the end of it, for those that wait for the agent
 AWAY = b"Retry-After: 2.000\r\nConnection: close\r\n\r\n"
 STOPPED = EMPTY[503] + AWAY
 TOO_LONG = EMPTY[431] + b"Connection: close\r\n\r\n"
@@ -46,13 +52,14 @@
 class Visitor:
     """A connection that has not said whose it is, or that gets its last word here."""
 
-    __slots__ = ("address", "data", "listener", "sock", "until")
+    __slots__ = ("address", "data", "listener", "shown", "sock", "until")
 
     def __init__(self, sock: socket.socket, address: str, listener: str) -> None:
         self.sock = sock
         self.address = address
         self.listener = listener
         self.data = b""
+        self.shown = Shown(listener)
         self.until = 0.0  # while it lingers
 
 
@@ -95,7 +102,11 @@
         self.waiting: list[Waiting] = []
         self.rates: dict[str, Bucket] = {}
         self.status: dict[str, str] = {}
-        self.follower = Follower(place.feed, "door", self.changed)
+        self.follower = Follower(
+            place.feed, "door", self.changed, self.give_up, self.fed, self.told
+        )
+        self.lookups = Lookups(self.follower.tell)
+        self.nobodys: frozenset[str] = frozenset()  # listeners, as the agent has found
         self.stopping = False
         self.ended: asyncio.Future[int] = loop.create_future()
         self.turned_away = 0
@@ -120,6 +131,55 @@
         else:
             bucket.change(now, rate, rate)
 
+    # ---- the node's agent ------------------------------------------------------------------------
+
+    def fed(self) -> None:
+        self.nobodys = frozenset()
+        if self.follower.partial:
+            self.lookups.ask_again()
+
+    def told(self, message: dict[str, Any]) -> None:
+        if "answer" in message:
+            visitor = self.lookups.answered(message["answer"])
+            if isinstance(visitor, Visitor):
+                self.decide(visitor, UNKNOWN if message["state"] == "done" else FULL)
+        elif "nobodys" in message:
+            self.nobodys = frozenset(message["nobodys"])
+        elif "forget" in message:
+            self.placement.forget(message["forget"])
+
+    def give_up(self, uid: str) -> bool:
+        """Know a tenant no more, unless it has a connection that no worker has taken yet. Its
+        owner stays known until no worker has it: there are never two."""
+        if any(one.uid == uid for queue in self.handed.values() for one in queue):
+            return False
+        if any(one.uid == uid for one in self.waiting):
+            return False
+        self.directory.drop(uid)
+        self.rates.pop(uid, None)
+        self.status.pop(uid, None)
+        return True
+
+    def asks_agent(self, visitor: Visitor) -> bool:
+        """Whether a connection waits for the agent to say whose something is that it shows."""
+        if not self.follower.partial:
+            return False
+        unknown = self.directory.unknown(visitor.shown)
+        if visitor.listener in self.nobodys and visitor.listener not in self.iso:
+            unknown = replace(unknown, listener="")
+        aliases = aliases_to_ask(unknown)
+        if not aliases:
+            return False
+        known = self.identify(visitor) is not None
+        if known and not self.follower.linked:
+            return False
+        self.forget(visitor)
+        now = time.monotonic_ns() // MS
+        goes = self.lookups.ask(visitor, visitor.address, aliases, known, now)
+        if isinstance(goes, Visitor):
+            self.decide(goes, FULL)
+        return True
+
     # ---- connections ---------------------------------------------------------------------------
 
     def accept(self, name: str) -> None:
@@ -149,12 +209,8 @@
 
     def enter(self, visitor: Visitor) -> None:
         """One whose listener alone says whose it is: no message tells. It has no last word."""
-        uid = self.directory.identify(Shown(visitor.listener), time.time_ns() // MS)
-        if uid is None or self.status[uid] != ACTIVE or self.rates[uid].take(time.monotonic_ns()):
-            self.turned_away += 1
-            visitor.sock.close()
-        else:
-            self.hand_over(Waiting(uid, visitor, self.loop.time()))
+        if not self.asks_agent(visitor):
+            self.decide(visitor, UNKNOWN)
 
     def pause(self, name: str) -> None:
         self.loop.remove_reader(self.listeners[name])
@@ -181,12 +237,21 @@
             if len(visitor.data) >= MAX_HEAD:
                 self.last_word(visitor, TOO_LONG)
             return
-        uid = None
-        if head.sound:
-            shown = Shown(visitor.listener, head.host, head.name, head.key)
-            uid = self.directory.identify(shown, time.time_ns() // MS)
-        if uid is None:
+        if not head.sound:
             self.last_word(visitor, UNKNOWN)
+            return
+        visitor.shown = Shown(visitor.listener, head.host, head.name, head.key)
+        if not self.asks_agent(visitor):
+            self.decide(visitor, UNKNOWN)
+
+    def identify(self, visitor: Visitor) -> str | None:
+        return self.directory.identify(visitor.shown, time.time_ns() // MS)
+
+    def decide(self, visitor: Visitor, nobodys: bytes) -> None:
+        """To its tenant's worker; `nobodys` is the answer where it is known to be nobody's."""
+        uid = self.identify(visitor)
+        if uid is None:
+            self.last_word(visitor, nobodys)
         elif self.status[uid] != ACTIVE:
             self.last_word(visitor, STOPPED)
         elif self.rates[uid].take(time.monotonic_ns()):
@@ -203,6 +268,9 @@
         """Answer, and close once it was read: closing on unread bytes would reset it."""
         self.forget(visitor)
         self.turned_away += 1
+        if visitor.listener in self.iso:
+            visitor.sock.close()
+            return
         try:
             visitor.sock.send(answer)
             visitor.sock.shutdown(socket.SHUT_WR)
@@ -323,6 +391,9 @@
         for who in self.lobby.late(time.monotonic_ns() // MS):
             assert isinstance(who, Visitor)
             self.last_word(who, EMPTY[408] + b"Connection: close\r\n\r\n")
+        for who in self.lookups.late(time.monotonic_ns() // MS):
+            assert isinstance(who, Visitor)
+            self.decide(who, FULL)
         now = self.loop.time()
         for visitor in [v for v in self.lingering if v.until < now]:
             self.let_go(visitor)
@@ -364,9 +435,14 @@
         self.wait(self.loop.time() + STOP_S)
 
     def wait(self, until: float) -> None:
-        if (
-            len(self.lobby) or self.waiting or any(self.handed.values())
-        ) and self.loop.time() < until:
+        now = self.loop.time()
+        if now >= until - LAST_ANSWERS_S:
+            for who in self.lookups.end():
+                assert isinstance(who, Visitor)
+                self.decide(who, FULL)
+        inside = len(self.lobby) or len(self.lookups) or self.waiting or any(self.handed.values())
+        reading = self.follower.partial and self.lingering  # an answer that came late
+        if (inside or reading) and now < until:
             self.loop.call_later(0.01, self.wait, until)
         elif not self.ended.done():
             self.ended.set_result(0)
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -34,6 +34,7 @@
 WINDOW_S = 0.02  # of the fair share
 SWEEP_S = 0.25
 REPORT_S = 0.25
+USE_S = 1.0  # between two words to a node's agent on which tenants have connections
 TAKEN = 64  # connections taken over in one turn
 AWAITED_S = 1.0  # a connection waits so long for news of its tenant
 REST_S = 300.0  # after which a tenant without callers is let go of
@@ -77,7 +78,7 @@
         self.rested: dict[str, float] = {}
         self.awaited: list[tuple[float, Handed]] = []
         self.doors: set[socket.socket] = set()
-        self.follower = Follower(place.feed, name, self.changed)
+        self.follower = Follower(place.feed, name, self.changed, self.give_up)
         self.listener: socket.socket | None = None
         self.holds: dict[str, asyncio.TimerHandle] = {}
         self.told = 0  # the link that all reports were told by
@@ -115,6 +116,24 @@
         for since, handed in waiting:
             self.take_over(handed, since)
 
+    def give_up(self, uid: str) -> bool:
+        """Hold a tenant no more, unless it has a connection or a request. The door has let go
+        of it before, and each of its connections was said to be taken: none is on its way."""
+        hosted = self.hosted.get(uid)
+        if any(one.uid == uid for _, one in self.awaited):
+            return False
+        if hosted is not None:
+            # One that speaks ISO 8583 ends with its records closed: when it has rested, in sweep.
+            if isinstance(hosted, IsoHosted) or not hosted.idle():
+                return False
+            if hosted.server.report.changed:
+                self.tell_reports({uid: hosted.server.report.record()})
+            del self.hosted[uid]
+            self.rested.pop(uid, None)
+            hosted.end()
+        self.directory.drop(uid)
+        return True
+
     def identify(self, listener: str, host: bytes, name: bytes, key: bytes) -> str | None:
         words = (w.decode("latin-1") for w in (host, name, key))
         return self.directory.identify(Shown(listener, *words), time.time_ns() // MS)
@@ -273,10 +292,22 @@
         for uid, hosted in self.hosted.items():
             if anew or hosted.server.report.changed:
                 records[uid] = hosted.server.report.record()
-        if records and self.follower.tell({"life": self.life, "reports": records}):
+        if records and self.tell_reports(records):
             self.told = self.follower.links
-            for uid in records:
-                self.hosted[uid].server.report.changed = False
+
+    def tell_reports(self, records: dict[str, dict[str, Any]]) -> bool:
+        if not self.follower.tell({"life": self.life, "reports": records}):
+            return False
+        for uid in records:
+            self.hosted[uid].server.report.changed = False
+        return True
+
+    def tell_use(self) -> None:
+        """A node's agent gives up no tenant that is in use."""
+        self.loop.call_later(USE_S, self.tell_use)
+        if self.follower.partial:
+            used = [uid for uid, hosted in self.hosted.items() if not hosted.idle()]
+            self.follower.tell({"used": used})
 
     # ---- the process -----------------------------------------------------------------------------
 
@@ -310,6 +341,7 @@
         self.window()
         self.sweep()
         self.tell()
+        self.tell_use()
         part.ready()
 
     def stop(self) -> None:
--- a/tansywood/tenancy/identity.py
+++ b/tansywood/tenancy/identity.py
@@ -152,6 +152,18 @@
             return None
         return uid
 
+    def unknown(self, shown: Shown) -> Shown:
+        """What of this names nobody here; the key's id stands for a key of the right form."""
+        host = plain_host(shown.host)
+        form = FORM.fullmatch(shown.key) if shown.key else None
+        key = form[1] if form is not None else ""
+        return Shown(
+            listener="" if shown.listener in self._listeners else shown.listener,
+            host="" if host in self._hosts else host,
+            name="" if shown.name in self._names else shown.name,
+            key="" if key in self._keys else key,
+        )
+
     def _by_place(self, shown: Shown) -> bool:
         """Whether a way that is a tenant's alone says it: a name by itself is no proof."""
         return shown.listener in self._listeners or plain_host(shown.host) in self._hosts
