A change is said to be in force only once distributors have told their sums of it

Cause: the publisher took a distributor's acknowledgement of a change for its instances': the sums come up to 0.1 s later, so a change looked complete with nobody counted (tests/distribution/ test_whole.py, 'have': 0). Now a report says up to which revision its sums are whole, and a distributor counts as waiting until then.

--- a/standins/distributed.py
+++ b/standins/distributed.py
@@ -69,7 +69,8 @@
                 os.kill(pid, signal.SIGCONT)
 
     def kill(self) -> None:
-        self.go_on()  # a stopped one's end would wait
+        if self.process is not None:
+            self.go_on()  # a stopped one's end would wait
         super().kill()
 
 
--- a/tansywood/admin/publisher.py
+++ b/tansywood/admin/publisher.py
@@ -20,7 +20,6 @@
 
 from tansywood.distribution.messages import (
     EPOCH_BYTES,
-    Acknowledge,
     Epoch,
     Hello,
     Message,
@@ -177,10 +176,8 @@
     def _overheard(self, session: Session, message: Message) -> None:
         if isinstance(message, Hello):
             self._greeted(session)
-        elif isinstance(message, Acknowledge):
-            self.board.applied(session.name, message.revision)
         elif isinstance(message, Rollouts):
-            self.board.report(session.name, message.rows)
+            self.board.report(session.name, message.rows, message.revision)
             for distributor, names in self.board.joined(session.name, message.joined).items():
                 self.source.tell_moved(distributor, names)
         else:
--- a/tansywood/distribution/distributor.py
+++ b/tansywood/distribution/distributor.py
@@ -181,9 +181,10 @@
 def pieces(news: Rollouts) -> Iterator[Rollouts]:
     """A report as messages that are no longer than the protocol takes."""
     rows, joined = news.rows, news.joined
-    while rows or joined:
+    while len(rows) > ROWS_MOST or len(joined) > JOINED_MOST:
         yield Rollouts(rows[:ROWS_MOST], joined[:JOINED_MOST])
         rows, joined = rows[ROWS_MOST:], joined[JOINED_MOST:]
+    yield Rollouts(rows, joined, news.revision)
 
 
 async def run_distributor(
--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -132,10 +132,12 @@
 
 
 class Rollouts(Struct, array_like=True, frozen=True, tag="r"):
-    """From a distributor: sums that have changed, and instances that have come to it."""
+    """From a distributor: sums that have changed, and instances that have come to it. With these
+    all sums up to `revision` have been told; 0 where more messages of this report follow."""
 
     rows: Annotated[list[Rollout], Meta(max_length=1024)] = []
     joined: Annotated[list[NodeName], Meta(max_length=4096)] = []
+    revision: Count = 0
 
 
 # ---- from a source ----
--- a/tansywood/distribution/rollout.py
+++ b/tansywood/distribution/rollout.py
@@ -38,7 +38,7 @@
 @dataclass(slots=True)
 class _Distributor:
     connected: bool = True
-    applied: int = 0
+    reported: int = 0  # the revision up to which it has told its sums
     rows: OrderedDict[tuple[str, int], Rollout] = field(default_factory=OrderedDict)
 
 
@@ -61,16 +61,15 @@
         """It was taken out of service."""
         self._distributors.pop(distributor, None)
 
-    def applied(self, distributor: str, revision: int) -> None:
-        self._distributors.setdefault(distributor, _Distributor()).applied = revision
-
-    def report(self, distributor: str, rows: Iterable[Rollout]) -> None:
+    def report(self, distributor: str, rows: Iterable[Rollout], revision: int = 0) -> None:
+        """Sums of a distributor; `revision` where all up to there have been told by now."""
         known = self._distributors.setdefault(distributor, _Distributor())
         for row in rows:
             known.rows[row.uid, row.revision] = row
             known.rows.move_to_end((row.uid, row.revision))
         while len(known.rows) > FOLLOWED:
             known.rows.popitem(last=False)
+        known.reported = revision or known.reported
 
     def joined(self, distributor: str, names: Iterable[str]) -> dict[str, list[str]]:
         """Instances have come to a distributor; returns whom to tell that they left there."""
@@ -83,15 +82,16 @@
         return tell
 
     def summary(self, uid: str, revision: int) -> Summary:
-        """Of one change. A distributor that has gone counts as waiting while it was the last
-        that some instance came to."""
+        """Of one change. A distributor counts as waiting until it has told its sums of it: that
+        it has the change itself says nothing of its instances. One that has gone counts as
+        waiting while it was the last that some instance came to."""
         have = waiting = refused = has = 0
         lagging: list[str] = []
         refusing: list[tuple[str, str]] = []
         late: list[str] = []
         served = set(self._at.values())
         for name, distributor in sorted(self._distributors.items()):
-            if distributor.applied < revision or not distributor.connected:
+            if distributor.reported < revision or not distributor.connected:
                 if distributor.connected or name in served:
                     late.append(name)
                 continue
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -127,6 +127,7 @@
         self._recent: deque[tuple[int, int, str]] = deque(maxlen=RECENT)
         self._unsettled: dict[str, int] = {}  # changes that are not in force everywhere here
         self._reported: dict[str, Rollout] = {}
+        self._reported_to = 0  # the revision
         self._admission = Bucket(now, terms.admit_per_s, terms.admit_burst)
         self._admission.fill()
         self._next_number = 1
@@ -217,6 +218,7 @@
     def report_again(self) -> None:
         """The source above knows nothing of before: the next report says all that is known."""
         self._reported.clear()
+        self._reported_to = 0
         self._unsettled.update((uid, revision) for _, revision, uid in self._recent)
         self.joined = [s.name for s in self.sessions.values() if s.welcomed and not s.everything]
 
@@ -451,4 +453,7 @@
                 del self._unsettled[uid]
         self._reported = {uid: row for uid, row in self._reported.items() if uid in followed}
         joined, self.joined = self.joined, []
-        return Rollouts(rows, joined) if rows or joined else None
+        if not rows and not joined and self._reported_to == self.replica.revision:
+            return None
+        self._reported_to = self.replica.revision
+        return Rollouts(rows, joined, self._reported_to)
--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -40,8 +40,8 @@
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Answer, Apply, Link, Subscriber
 from tansywood.distribution.terms import MS, SECOND, Terms
+from tansywood.fleet.keyfile import KeyFile
 from tansywood.service import part
-from tansywood.service.keyfile import KeyFile
 from tansywood.service.releases import DOOR, Releases
 from tansywood.service.restore import Restore
 from tansywood.service.wire import WireError, frame, read_frame
--- a/tests/admin/test_publisher.py
+++ b/tests/admin/test_publisher.py
@@ -124,9 +124,8 @@
         seq = publisher.replica.revision
         publisher.board.connected("d1")
         publisher.board.connected("d2")
-        publisher.board.applied("d1", seq)
         publisher.board.report(
-            "d1", [Rollout(uid, seq, 2, 1, 1, ["n7"], [("n9", "can't be read")])]
+            "d1", [Rollout(uid, seq, 2, 1, 1, ["n7"], [("n9", "can't be read")])], seq
         )
         told = (await d.call("GET", "/v1/tenants/cork/rollout")).json()
         assert told["nodes"] == {"have": 2, "waiting": 1, "refused": 1}
@@ -135,7 +134,7 @@
         assert told["distributors"] == {"have": 1, "waiting": ["d2"]}
         assert not told["complete"]
         assert (await d.call("GET", f"/v1/rollouts/{seq}")).json()["seq"] == seq
-        publisher.board.applied("d2", seq)
+        publisher.board.report("d2", [], seq)
         publisher.board.report("d1", [Rollout(uid, seq, 4, 0)])
         assert (await d.call("GET", f"/v1/rollouts/{seq}")).json()["complete"]
 
@@ -147,8 +146,8 @@
         await d.call("POST", "/v1/tenants", document("cork"))
         uid = publisher.replica.owner("n:cork")
         key = (await d.call("POST", "/v1/tenants/cork/keys", {"role": "viewer"})).json()
-        publisher.board.applied("d1", publisher.replica.revision)
-        publisher.board.report("d1", [Rollout(uid, publisher.replica.revision, 0, 1, 0, ["n7"])])
+        reported = publisher.replica.revision
+        publisher.board.report("d1", [Rollout(uid, reported, 0, 1, 0, ["n7"])], reported)
         told = await d.call("GET", "/v1/tenants/cork/rollout", token=key["token"])
         assert set(told.json()) == {"complete", "nodes", "version"}
         seq = publisher.replica.revision
@@ -176,8 +175,7 @@
         assert not await publisher.in_force(seq, 0.01)
         waiting = asyncio.create_task(publisher.in_force(seq, 10.0))
         await asyncio.sleep(0)
-        publisher.board.applied("d1", seq)
-        publisher.board.report("d1", [Rollout(uid, seq, 3, 0)])
+        publisher.board.report("d1", [Rollout(uid, seq, 3, 0)], seq)
         publisher._wake()
         assert await waiting
 
--- a/tests/distribution/test_whole.py
+++ b/tests/distribution/test_whole.py
@@ -180,7 +180,7 @@
                 while len(told.side.ledger.entries) < served + 200:
                     await asyncio.sleep(0.02)
             status = await asyncio.to_thread(machines.nodes["n0"].status)
-            assert status["publisher_age_ms"] > 0
+            assert status["age_ms"] > 0
             assert set(told.last_ran.values()) == {"s-0"}
             for name in machines.distributors:
                 await machines.start_distributor(name)
