--- /dev/null
+++ b/standins/scale/links.py
@@ -0,0 +1,155 @@
+"""Connections that can be cut or left unread, for the hollow nodes of one process.
+
+A link that is cut carries nothing in either direction and resets nothing: what is written waits,
+what arrives stays in the kernel, and whoever gives it up closes it only for himself until the cut
+ends. A dial across a cut hangs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+from tansywood.distribution.stream import SealedStream
+from windrelay.config import parse_address
+
+
+class Link(asyncio.Transport):
+    """A transport between a stream and the kernel's connection."""
+
+    def __init__(self, transport: asyncio.Transport, stream: SealedStream) -> None:
+        super().__init__()
+        self._transport = transport
+        self._stream = stream
+        self._cut = False
+        self._waits: list[bytes] = []
+        self._given_up = False
+        self.ended = False
+
+    def cut(self) -> None:
+        if not self._cut and not self.ended:
+            self._cut = True
+            self._transport.pause_reading()
+
+    def heal(self) -> None:
+        if not self._cut:
+            return
+        self._cut = False
+        if self._given_up:
+            self._transport.abort()
+            return
+        self._transport.resume_reading()
+        for data in self._waits:
+            self._transport.write(data)
+        self._waits.clear()
+
+    def stop_reading(self) -> None:
+        if not self._cut and not self.ended:
+            self._transport.pause_reading()
+
+    def go_on_reading(self) -> None:
+        if not self._cut and not self.ended:
+            self._transport.resume_reading()
+
+    # ---- what a stream does with its transport ---------------------------------------------
+
+    def write(self, data: Any) -> None:
+        if self._cut:
+            self._waits.append(bytes(data))
+        else:
+            self._transport.write(data)
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        self._transport.set_write_buffer_limits(high=high, low=low)
+
+    def close(self) -> None:
+        self.abort()
+
+    def abort(self) -> None:
+        if not self._cut:
+            self._transport.abort()
+        elif not self._given_up:
+            self._given_up = True
+            asyncio.get_running_loop().call_soon(self._stream.connection_lost, None)
+
+    def lost(self, error: Exception | None) -> None:
+        """The kernel's connection has ended."""
+        self.ended = True
+        if not self._given_up:
+            self._stream.connection_lost(error)
+
+
+class _Ends(asyncio.Protocol):
+    """Passes what happens on a connection to its stream."""
+
+    def __init__(self, network: NodeLinks, address: str, made: Callable[[], SealedStream]) -> None:
+        self._network = network
+        self._address = address
+        self._stream = made()
+        self._link: Link | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._link = Link(cast(asyncio.Transport, transport), self._stream)
+        self._network.add(self._address, self._link)
+        self._stream.connection_made(self._link)
+
+    def data_received(self, data: bytes) -> None:
+        self._stream.data_received(data)
+
+    def pause_writing(self) -> None:
+        self._stream.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._stream.resume_writing()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        assert self._link is not None
+        self._network.remove(self._address, self._link)
+        self._link.lost(error)
+
+
+class NodeLinks:
+    """All connections of one node, by the address that each one goes to."""
+
+    def __init__(self) -> None:
+        self._links: dict[str, set[Link]] = {}
+        self._cut_off: frozenset[str] = frozenset()
+
+    async def dial(self, address: str, made: Callable[[], SealedStream]) -> object:
+        """A dialer for SubscriberClient: as `client.dial`, but what is cut off never answers."""
+        if address in self._cut_off:
+            await asyncio.Event().wait()
+        loop = asyncio.get_running_loop()
+        ends = lambda: _Ends(self, address, made)  # noqa: E731
+        return await loop.create_connection(ends, *parse_address(address))
+
+    def cut(self, addresses: frozenset[str]) -> None:
+        """Nothing passes to these or from them."""
+        self._cut_off = addresses
+        for address in addresses:
+            for link in self._links.get(address, ()):
+                link.cut()
+
+    def heal(self) -> None:
+        self._cut_off = frozenset()
+        for link in self._all():
+            link.heal()
+
+    def stop_reading(self) -> list[Link]:
+        """Returns the links that are read no more, for `go_on_reading`."""
+        links = self._all()
+        for link in links:
+            link.stop_reading()
+        return links
+
+    def add(self, address: str, link: Link) -> None:
+        self._links.setdefault(address, set()).add(link)
+        if address in self._cut_off:
+            link.cut()
+
+    def remove(self, address: str, link: Link) -> None:
+        self._links[address].discard(link)
+
+    def _all(self) -> list[Link]:
+        return [link for links in self._links.values() for link in links]
