--- a/standins/scale/hollow.py
+++ b/standins/scale/hollow.py
@@ -36,12 +36,12 @@
 from standins.scale.records import ABSENT, DOWN, NO_TENANT, UP, Applied, Held
 from standins.scale.sizes import FLEET, add_size, read_size
 from tansywood.distribution.client import SubscriberClient
-from tansywood.distribution.keyfile import KeyFile
 from tansywood.distribution.messages import Message, Welcome, alias_of_host
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Answer, Apply, Subscriber
 from tansywood.distribution.terms import Terms
+from tansywood.fleet.keyfile import KeyFile
 
 ALIASES_MOST = 8  # of one lookup
 
--- a/standins/scale/publisher.py
+++ b/standins/scale/publisher.py
@@ -23,7 +23,6 @@
 from standins.scale.plan import ChangeKind, Size, host_of, tenant_of, uid_of
 from standins.scale.records import Committed, Published
 from standins.scale.sizes import FLEET, add_size, read_size
-from tansywood.distribution.keyfile import KeyFile
 from tansywood.distribution.messages import Acknowledge, Epoch, Message, Rollouts
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.resources import encode
@@ -31,6 +30,7 @@
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Session, Source
 from tansywood.distribution.terms import Terms
+from tansywood.fleet.keyfile import KeyFile
 from tansywood.tenancy.registry import Actor, Change, Registry, Tenant
 from tansywood.tenancy.settings import ACTIVE, server_uid
 from windrelay.config import Address
