--- a/standins/scale/publisher.py
+++ b/standins/scale/publisher.py
@@ -23,7 +23,7 @@
 from standins.scale.plan import ChangeKind, Size, host_of, tenant_of, uid_of
 from standins.scale.records import Committed, Published
 from standins.scale.sizes import FLEET, add_size, read_size
-from tansywood.distribution.messages import Acknowledge, Epoch, Message, Rollouts
+from tansywood.distribution.messages import Epoch, Hello, Message, Rollouts
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.resources import encode
 from tansywood.distribution.rollout import RolloutBoard
@@ -126,12 +126,11 @@
 
     def _overheard(self, session: Session, message: Message) -> None:
         if isinstance(message, Rollouts):
-            self.board.report(session.name, message.rows)
+            self.board.report(session.name, message.rows, message.revision)
             for name, left in self.board.joined(session.name, message.joined).items():
                 self.source.tell_moved(name, left)
-        elif isinstance(message, Acknowledge):
+        elif isinstance(message, Hello):
             self.board.connected(session.name)
-            self.board.applied(session.name, message.revision)
 
     def _closed(self, session: Session) -> None:
         self.board.disconnected(session.name)
