--- a/tests/distribution/test_whole.py
+++ b/tests/distribution/test_whole.py
@@ -12,12 +12,14 @@
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
 
 import pytest
 
+from standins.asking import NodeCallers
 from standins.distributed import Distributed, distributed
 from standins.ledger import End
 from standins.servers import Behaviour
@@ -36,9 +38,8 @@
         self.machines = machines
         self.side = Side(TENANT, Random(7))
         self.operator: Operator = machines.publisher.operator()
-        self.asking: list[asyncio.Task[None]] = []
         self.document: dict[str, Any] = {}
-        self.last_ran: dict[str, str] = {}  # by node, the server of its last answer
+        self.callers: NodeCallers
 
     async def begin(self) -> None:
         await self.side.add_servers(4, Behaviour(work_s=0.002))
@@ -47,27 +48,19 @@
         await self.call("POST", "/v1/tenants", self.document)
         key = await self.call("POST", f"/v1/tenants/{TENANT}/keys", {"role": "caller"})
         self.side.token = key["token"]
-        for name in self.machines.nodes:
-            self.asking.append(asyncio.create_task(self.ask_for_ever(name)))
+        ports = {name: partial(self.port, name) for name in self.machines.nodes}
+        self.callers = NodeCallers(
+            ports, self.side.ledger, self.side.rng, self.side.headers(), PATIENCE_MS
+        )
+        self.callers.start()
         await self.served_by("s-0")
 
+    def port(self, node: str) -> int:
+        return self.machines.nodes[node].port
+
     async def call(self, method: str, path: str, body: object = None) -> Any:
         return (await asyncio.to_thread(self.operator.must, method, path, body)).body
 
-    async def ask_for_ever(self, node: str) -> None:
-        life = 0
-        while True:
-            life += 1
-            port = self.machines.nodes[node].port
-            caller = self.side.caller(port, f"{node}.{life}", timeout_ms=PATIENCE_MS)
-            for _ in range(20):
-                end = await caller.ask()
-                if end is End.SERVED:
-                    entry = self.side.ledger.entries[f"{caller.name}-{caller.count}"]
-                    self.last_ran[node] = entry.ran[-1]
-                await asyncio.sleep(0.01)
-            caller.drop()
-
     async def change_to(self, index: int) -> None:
         """Its one server is another now."""
         name, port = self.side.listed[index]
@@ -76,9 +69,7 @@
         await self.call("PUT", f"/v1/tenants/{TENANT}", self.document)
 
     async def served_by(self, server: str) -> None:
-        async with asyncio.timeout(LIMIT_S):
-            while any(self.last_ran.get(node) != server for node in self.machines.nodes):
-                await asyncio.sleep(0.01)
+        await self.callers.served_by(server, LIMIT_S)
 
     async def complete(self) -> dict[str, Any]:
         """Until the API knows of nobody who lacks the last change."""
@@ -89,16 +80,8 @@
                     return told
                 await asyncio.sleep(0.05)
 
-    async def end(self) -> None:
-        for task in self.asking:
-            task.cancel()
-        await asyncio.gather(*self.asking, return_exceptions=True)
-
     def check(self) -> None:
         ledger = self.side.ledger
-        for entry in ledger.entries.values():
-            if not entry.ends:
-                entry.ends.append(End.LEFT)  # under way when the story ended
         assert not ledger.problems(breaks=False)
         assert not [e for e in ledger.entries.values() if End.FAILED in e.ends]
 
@@ -111,7 +94,7 @@
             await told.begin()
             yield told
         finally:
-            await told.end()
+            await told.callers.stop()
             for server in told.side.servers:
                 server.kill()
 
@@ -181,7 +164,7 @@
                     await asyncio.sleep(0.02)
             status = await asyncio.to_thread(machines.nodes["n0"].status)
             assert status["age_ms"] > 0
-            assert set(told.last_ran.values()) == {"s-0"}
+            assert set(told.callers.last_ran.values()) == {"s-0"}
             for name in machines.distributors:
                 await machines.start_distributor(name)
             await told.served_by("s-1")
@@ -201,7 +184,7 @@
             told.operator = machines.publisher.operator()
             await told.change_to(1)
             await told.served_by("s-1")
-            await told.end()
+            await told.callers.stop()
             await asyncio.to_thread(machines.nodes["n1"].stop)
             await asyncio.to_thread(machines.nodes["n1"].start)
             caller = told.side.caller(machines.nodes["n1"].port, "after")
@@ -226,10 +209,6 @@
             await asyncio.to_thread(node.until_ready_again, part, before)
             await told.change_to(1)
             await told.served_by("s-1")
-        ledger = told.side.ledger
-        for entry in ledger.entries.values():
-            if not entry.ends:
-                entry.ends.append(End.LEFT)
-        assert not ledger.problems(breaks=True)
+        assert not told.side.ledger.problems(breaks=True)
 
     asyncio.run(main())
