--- a/benchmarks/lease.py
+++ b/benchmarks/lease.py
@@ -39,9 +39,9 @@
 from standins.fleet.rig import Rig
 from standins.ledger import End
 from standins.wire import frame, read_frame
-from tansywood.lease.keeper import LeaseTerms
-from tansywood.lease.parcels import Parcel
-from tansywood.lease.side import SECOND as SECOND_NS
+from tansywood.lease.client import SECOND as SECOND_NS
+from tansywood.lease.fragments import Fragment
+from tansywood.lease.service import LeaseTerms
 from tansywood.verify.__main__ import SIZES
 from tansywood.verify.explore import search
 from tansywood.verify.leases import LeaseModel
@@ -140,9 +140,9 @@
         self.own_s = 0.0
         arrive = world._arrive
 
-        def timed(name: str, life: bytes, target: Place, to: bytes, parcel: Parcel) -> None:
+        def timed(name: str, life: bytes, target: Place, to: bytes, fragment: Fragment) -> None:
             begin = time.process_time()
-            arrive(name, life, target, to, parcel)
+            arrive(name, life, target, to, fragment)
             if target.name == whose:
                 self.own_s += time.process_time() - begin
 
@@ -224,13 +224,13 @@
         w.found()
         w.want([f"task-{n}" for n in range(leases)])
         w.run(8.0)
-        before, asks = w.sent["all"], sum(w.side(n).counts["told"] for n in names)
+        before, asks = w.sent["all"], sum(w.client(n).counts["told"] for n in names)
         leader = w.leader().name
         timed = Timed(w, leader)
         began = time.process_time()
         w.run(10.0)
         cpu = time.process_time() - began
-        told = sum(w.side(n).counts["told"] for n in names) - asks
+        told = sum(w.client(n).counts["told"] for n in names) - asks
         renewals.append(told / 10)
         datagrams.append((w.sent["all"] - before) / 10)
         costs.append(cpu / max(told, 1) * 1e6)
--- a/standins/fleet/leaseworld.py
+++ b/standins/fleet/leaseworld.py
@@ -1,4 +1,4 @@
-"""Lease sides of many instances on one simulated clock: the shipped rules, a network that loses,
+"""Lease clients of many instances on one simulated clock: the shipped rules, a network that loses,
 doubles and delays, disks that take their time, processes that stop, end and come back.
 
 Whatever a holder may act on is looked at after every event: two at once are a broken promise.
@@ -12,11 +12,11 @@
 from heapq import heappop, heappush
 from random import Random
 
+from tansywood.lease.client import SECOND, LeaseClient, Peer
 from tansywood.lease.disk import Kept, changes
-from tansywood.lease.keeper import LeaseTerms
-from tansywood.lease.parcels import Parcel
+from tansywood.lease.fragments import Fragment
 from tansywood.lease.raft import MS, Raft, Timing
-from tansywood.lease.side import SECOND, Peer, Side
+from tansywood.lease.service import LeaseTerms
 from tansywood.lease.spread import Ranking
 from tansywood.lease.voter import Voter
 
@@ -32,7 +32,7 @@
     name: str
     rate: float = 1.0  # of its clock
     offset: int = 0
-    side: Side | None = None
+    client: LeaseClient | None = None
     disk: Kept | None = None  # what is synced
     disk_ns: int = 2 * MS  # a synced write takes so long
     failing: bool = False
@@ -101,29 +101,31 @@
         place = self.places[name]
         place.lives += 1
         life = self.rng.randbytes(16)
-        side = Side(name, life, self.voters, self.terms, Random(self.rng.random()), Timing())
-        side.ranking = self.ranking
-        place.side, place.stopped, place.failing = side, False, False
+        client = LeaseClient(
+            name, life, self.voters, self.terms, Random(self.rng.random()), Timing()
+        )
+        client.ranking = self.ranking
+        place.client, place.stopped, place.failing = client, False, False
         place.inbox.clear()
         if blank:
             place.disk = None
-        if side.votes:
+        if client.votes:
             self.mount(place)
         self.know()
         for lease in self.everybodys:
-            side.names.add(lease)
-            side.everybodys.add(lease)
-        side._choose(self.clock(place))
+            client.names.add(lease)
+            client.everybodys.add(lease)
+        client._choose(self.clock(place))
         self.look_at(place, self.now)
 
     def mount(self, place: Place) -> None:
         if place.disk is None:
             place.disk = Kept(f"{place.name}/{self.rng.randbytes(4).hex()}")
-        assert place.side is not None
-        place.side.start_voter(self.clock(place), replace(place.disk))
+        assert place.client is not None
+        place.client.start_voter(self.clock(place), replace(place.disk))
 
     def end(self, name: str) -> None:
-        self.places[name].side = None
+        self.places[name].client = None
         self.know()
         self.check()
 
@@ -141,25 +143,25 @@
     def know(self) -> None:
         """Members as the fleet would tell them, at once."""
         rows = {
-            p.name: Peer(p.name, p.name, p.side.life, 0, not p.side.draining)
+            p.name: Peer(p.name, p.name, p.client.life, 0, not p.client.draining)
             for p in self.places.values()
-            if p.side is not None
+            if p.client is not None
         }
         for place in self.places.values():
-            if place.side is not None:
-                known = {n: replace(r, since=-60 * SECOND) for n, r in place.side.peers.items()}
-                place.side.know(self.clock(place), known | rows, place.side.draining)
+            if place.client is not None:
+                known = {n: replace(r, since=-60 * SECOND) for n, r in place.client.peers.items()}
+                place.client.know(self.clock(place), known | rows, place.client.draining)
                 for gone in known.keys() - rows.keys():
-                    place.side.peers[gone] = replace(known[gone], works=False)
+                    place.client.peers[gone] = replace(known[gone], works=False)
 
     def want(self, names: Iterable[str]) -> None:
         """Every instance would do these."""
         self.everybodys = (*self.everybodys, *names)
         for place in self.places.values():
-            if place.side is not None:
-                place.side.names.update(self.everybodys)
-                place.side.everybodys.update(self.everybodys)
-                place.side._choose(self.clock(place))
+            if place.client is not None:
+                place.client.names.update(self.everybodys)
+                place.client.everybodys.update(self.everybodys)
+                place.client._choose(self.clock(place))
                 self.look_at(place, self.now)
 
     # ---- one instance --------------------------------------------------------------------------
@@ -169,24 +171,24 @@
         self.at(when, lambda: self._look(place, when))
 
     def _look(self, place: Place, when: int) -> None:
-        side = place.side
-        if side is None or place.stopped or place.due != when:
+        client = place.client
+        if client is None or place.stopped or place.due != when:
             return
-        side.tick(self.clock(place))
+        client.tick(self.clock(place))
         self.flush(place)
-        wait = int((side.next_due() - self.clock(place)) / place.rate)
+        wait = int((client.next_due() - self.clock(place)) / place.rate)
         self.look_at(place, self.now + max(wait, MS))
 
     def flush(self, place: Place) -> None:
-        side = place.side
-        assert side is not None
-        side.lost(self.clock(place))
-        if side.aside:
-            side.stop_voter(self.clock(place), side.aside)
-            side.aside = ""
+        client = place.client
+        assert client is not None
+        client.lost(self.clock(place))
+        if client.aside:
+            client.stop_voter(self.clock(place), client.aside)
+            client.aside = ""
             place.disk = None
             self.mount(place)
-        voter = side.voter
+        voter = client.voter
         if voter is not None and place.disk is not None:
             kept = voter.kept
             unsaved = voter._unsaved
@@ -194,62 +196,62 @@
                 assert unsaved is not None
                 made, _ = changes(kept, unsaved, voter.group, voter.known)
                 self.at(self.now + place.disk_ns, lambda: self._written(place, voter, made))
-        sends, side.sends = side.sends, []
-        for address, parcel in sends:
-            self._send(place, address, parcel)
+        sends, client.sends = client.sends, []
+        for address, fragment in sends:
+            self._send(place, address, fragment)
         self.check()
 
     def _written(self, place: Place, voter: Voter, made: Kept) -> None:
-        side = place.side
-        if side is None or side.voter is not voter:
+        client = place.client
+        if client is None or client.voter is not voter:
             return  # it ended with the write under way: that write is lost here
         if place.stopped:
             place.inbox.append(lambda: self._written(place, voter, made))
             return
         if place.failing:
-            side.stop_voter(self.clock(place), "the disk failed")
-            self.at(self.now + SECOND, lambda: self._again(place, side))
+            client.stop_voter(self.clock(place), "the disk failed")
+            self.at(self.now + SECOND, lambda: self._again(place, client))
         else:
             place.disk = made
             voter.written()
-            side.flush(self.clock(place))
+            client.flush(self.clock(place))
         self.flush(place)
         self.look_at(place, self.now)
 
-    def _again(self, place: Place, side: Side) -> None:
-        if place.side is not side or side.voter is not None:
+    def _again(self, place: Place, client: LeaseClient) -> None:
+        if place.client is not client or client.voter is not None:
             return
         if place.failing:
-            self.at(self.now + SECOND, lambda: self._again(place, side))
+            self.at(self.now + SECOND, lambda: self._again(place, client))
             return
         self.mount(place)
         self.look_at(place, self.now)
 
     # ---- the network ---------------------------------------------------------------------------
 
-    def _send(self, place: Place, address: str, parcel: Parcel) -> None:
+    def _send(self, place: Place, address: str, fragment: Fragment) -> None:
         self.sent[place.name] += 1
         self.sent["all"] += 1
         if (place.name, address) in self.cut or self.rng.random() < self.loss:
             return
-        assert place.side is not None
-        life = place.side.life
+        assert place.client is not None
+        life = place.client.life
         target = self.places[address]
-        to = target.side.life if target.side is not None else b""
+        to = target.client.life if target.client is not None else b""
         for _ in range(1 + (self.rng.random() < self.twice)):
             wait = self.delay + int(self.rng.random() * self.jitter)
             if self.rng.random() < self.late:
                 wait += int(self.rng.random() * 3 * SECOND)
-            self.at(self.now + wait, lambda: self._arrive(place.name, life, target, to, parcel))
+            self.at(self.now + wait, lambda: self._arrive(place.name, life, target, to, fragment))
 
-    def _arrive(self, name: str, life: bytes, target: Place, to: bytes, parcel: Parcel) -> None:
-        side = target.side
-        if side is None or side.life != to:
+    def _arrive(self, name: str, life: bytes, target: Place, to: bytes, fragment: Fragment) -> None:
+        client = target.client
+        if client is None or client.life != to:
             return  # every datagram is for one life
         if target.stopped:
-            target.inbox.append(lambda: self._arrive(name, life, target, to, parcel))
+            target.inbox.append(lambda: self._arrive(name, life, target, to, fragment))
             return
-        side.receive(self.clock(target), name, life, parcel)
+        client.receive(self.clock(target), name, life, fragment)
         self.flush(target)
         self.look_at(target, self.now)
 
@@ -261,11 +263,11 @@
             return
         acting: dict[str, tuple[str, int]] = {}
         for place in self.places.values():
-            side = place.side
-            if side is None:
+            client = place.client
+            if client is None:
                 continue
-            for name in side.holder.leases:
-                token = side.may(self.clock(place), name)
+            for name in client.holder.leases:
+                token = client.may(self.clock(place), name)
                 if not token:
                     continue
                 if name in acting:
@@ -285,45 +287,49 @@
         """Who may act on what now."""
         found = {}
         for place in self.places.values():
-            if place.side is not None and not place.stopped:
-                for name in place.side.holder.leases:
-                    if place.side.may(self.clock(place), name):
+            if place.client is not None and not place.stopped:
+                for name in place.client.holder.leases:
+                    if place.client.may(self.clock(place), name):
                         found[name] = place.name
         return found
 
     def leader(self) -> Place:
-        led = [p for p in self.places.values() if p.side and p.side.voter and p.side.voter.leads]
-        return max(led, key=lambda p: p.side.voter.raft.term if p.side and p.side.voter else 0)
-
-    def side(self, name: str) -> Side:
-        side = self.places[name].side
-        assert side is not None, f"{name} is not up"
-        return side
+        led = [
+            p for p in self.places.values() if p.client and p.client.voter and p.client.voter.leads
+        ]
+        return max(
+            led, key=lambda p: p.client.voter.raft.term if p.client and p.client.voter else 0
+        )
+
+    def client(self, name: str) -> LeaseClient:
+        client = self.places[name].client
+        assert client is not None, f"{name} is not up"
+        return client
 
     def raft(self) -> Raft:
         """The leader's."""
-        voter = self.side(self.leader().name).voter
+        voter = self.client(self.leader().name).voter
         assert voter is not None
         return voter.raft
 
     def leader_table(self) -> list[tuple[str, int]]:
         """Leases and tokens, as the leader knows them."""
-        voter = self.side(self.leader().name).voter
+        voter = self.client(self.leader().name).voter
         assert voter is not None
-        return sorted((n, lease.token) for n, lease in voter.keeper.table.leases.items())
+        return sorted((n, lease.token) for n, lease in voter.service.table.leases.items())
 
     def found(self, at: str = "") -> None:
         """The group, with all of its voters."""
         place = self.places[at or self.voters[0]]
-        assert place.side is not None
+        assert place.client is not None
         self.run(0.1)
-        why = place.side.found(self.clock(place), "group-1")
+        why = place.client.found(self.clock(place), "group-1")
         assert not why, why
         self.flush(place)
         self.look_at(place, self.now)
         for _ in range(100):
             self.run(0.1)
-            voter = place.side.voter
+            voter = place.client.voter
             if voter is not None and len(voter.raft.voters) == len(self.voters):
                 return
-        raise AssertionError(f"the voters did not come together: {place.side.status(0)}")
+        raise AssertionError(f"the voters did not come together: {place.client.status(0)}")
--- a/tansywood/lease/side.py
+++ b/tansywood/lease/client.py
@@ -1,4 +1,4 @@
-"""The lease side of one instance: its voter if it is one, its holder, who it hears. Pure.
+"""The lease client of one instance: its voter if it is one, its holder, who it hears. Pure.
 
 Told what comes, who is there and what time it is, it says what goes (`sends`) and what happened
 (`events`). The disk is asked by `voter.next_write`; sockets and tasks are the service's.
@@ -16,23 +16,23 @@
 
 from tansywood.fleet.turns import phase
 from tansywood.lease.disk import Kept
-from tansywood.lease.keeper import Ask, Holder, LeaseTerms, Told
-from tansywood.lease.log import Append, Install, Message, Saved, Snapshot
-from tansywood.lease.parcels import (
+from tansywood.lease.fragments import (
     LOG,
     Answer,
     Behind,
+    Fragment,
     Here,
-    Parcel,
-    Pieces,
     Poke,
     Question,
+    Reassembly,
     Said,
-    cut,
     pack,
+    split_message,
     unpack,
 )
+from tansywood.lease.log import Append, Install, Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, MS, Timing
+from tansywood.lease.service import Ask, Holder, LeaseTerms, Told
 from tansywood.lease.spread import Ranking, Waiting, misplaced
 from tansywood.lease.table import Table
 from tansywood.lease.voter import Voter
@@ -82,7 +82,7 @@
     learns: bool
 
 
-class Side:
+class LeaseClient:
     """One life of one instance."""
 
     def __init__(
@@ -101,7 +101,7 @@
         self.terms = terms
         self.timing = timing or Timing()
         self.rng = rng
-        self.sends: list[tuple[str, Parcel]] = []  # to addresses
+        self.sends: list[tuple[str, Fragment]] = []  # to addresses
         self.events: deque[tuple[int, str]] = deque(maxlen=EVENTS)
         self.fresh_events: list[str] = []
         self.holder = Holder(holder_id(name, life), terms)
@@ -123,7 +123,7 @@
         self.got: dict[str, tuple[int, int]] = {}  # token and when, of what is held
         self.table: tuple[tuple[str, str, int], ...] = ()  # at one that does not vote: as told last
         self.table_at = -1
-        self._pieces = Pieces()
+        self._reassembly = Reassembly()
         self._numbers = rng.getrandbits(48)
         self._heard: dict[str, _Heard] = {}  # by instance
         self._lives: dict[str, bytes] = {}  # of voters' disks
@@ -282,25 +282,25 @@
         address = self._address(to)
         if not address:
             return
-        pieces = cut(pack(message))
+        payloads = split_message(pack(message))
         self._numbers += 1
-        for part, data in enumerate(pieces):
-            parcel = Parcel(
+        for index, data in enumerate(payloads):
+            fragment = Fragment(
                 voter.group if voter is not None else "", sender, to,
                 voter.kept.saves if voter is not None else 0,
-                self.terms.length // MS, self._numbers, part, len(pieces), data,
+                self.terms.length // MS, self._numbers, index, len(payloads), data,
             )  # fmt: skip
-            self.sends.append((address, parcel))
+            self.sends.append((address, fragment))
 
-    def receive(self, now: int, name: str, life: bytes, parcel: Parcel) -> None:
+    def receive(self, now: int, name: str, life: bytes, fragment: Fragment) -> None:
         """What that life of that instance sent; the fleet's seal says that it did."""
-        if parcel.length_ms != self.terms.length // MS:
+        if fragment.length_ms != self.terms.length // MS:
             self.counts["length"] += 1
             return
-        if name_of(parcel.sender) != name:
+        if name_of(fragment.sender) != name:
             self.counts["stale"] += 1
             return
-        whole = self._pieces.take(now, life, parcel)
+        whole = self._reassembly.take(now, life, fragment)
         if whole is None:
             return
         try:
@@ -308,56 +308,56 @@
         except msgspec.MsgspecError:
             self.counts["unread"] += 1
             return
-        if isinstance(message, (*LOG, Here, Behind)) and not self._honest(now, life, parcel):
+        if isinstance(message, (*LOG, Here, Behind)) and not self._honest(now, life, fragment):
             return
-        if isinstance(message, LOG) and not self._ours(parcel, message):
+        if isinstance(message, LOG) and not self._ours(fragment, message):
             return
         if isinstance(message, Here):
-            self._here(now, name, parcel.sender, parcel.group, message)
+            self._here(now, name, fragment.sender, fragment.group, message)
         else:
-            self._take(now, name, life, parcel.sender, parcel.to, message)
+            self._take(now, name, life, fragment.sender, fragment.to, message)
         self.flush(now)
 
-    def _honest(self, now: int, life: bytes, parcel: Parcel) -> bool:
+    def _honest(self, now: int, life: bytes, fragment: Fragment) -> bool:
         """Whether a voter's disk has all that it said before. One that has less was restored from
         a copy, or lost what it had synced: nothing of it counts, and it is told."""
         voter = self.voter
         if voter is None:
             return True
-        known = self._lives.get(parcel.sender)
-        past = self._past.setdefault(parcel.sender, deque(maxlen=8))
+        known = self._lives.get(fragment.sender)
+        past = self._past.setdefault(fragment.sender, deque(maxlen=8))
         if life in past:
             self.counts["stale"] += 1
             return False
-        most = voter.known.get(parcel.sender, 0)
+        most = voter.known.get(fragment.sender, 0)
         if known != life:
-            if parcel.saves < most:
+            if fragment.saves < most:
                 self.counts["behind"] += 1
-                self._send(now, parcel.sender, Behind(most))
+                self._send(now, fragment.sender, Behind(most))
                 return False
             if known is not None:
                 past.append(known)
-            self._lives[parcel.sender] = life
-        voter.known[parcel.sender] = max(most, parcel.saves)
+            self._lives[fragment.sender] = life
+        voter.known[fragment.sender] = max(most, fragment.saves)
         return True
 
-    def _ours(self, parcel: Parcel, message: Message) -> bool:
+    def _ours(self, fragment: Fragment, message: Message) -> bool:
         """Whether a message of the log is of our group and for this disk."""
         voter = self.voter
-        if voter is None or parcel.to != voter.id:
+        if voter is None or fragment.to != voter.id:
             self.counts["stale"] += 1
             return False
-        if parcel.group == voter.group:
+        if fragment.group == voter.group:
             return True
         teaches = isinstance(message, Append | Install)
-        if teaches and name_of(parcel.sender) in self.wanted_voters:
+        if teaches and name_of(fragment.sender) in self.wanted_voters:
             if not voter.group:
-                voter.group = parcel.group  # a blank disk is taken in by who teaches it first
+                voter.group = fragment.group  # a blank disk is taken in by who teaches it first
                 return True
             if voter.id not in voter.raft.voters:
                 # What it learned was of a group that did not come to take it in. As another disk
                 # it may learn of this one; for the first it is lost, which it has to outlast.
-                self.aside = f"it learned of group {voter.group}, {parcel.group} takes it in"
+                self.aside = f"it learned of group {voter.group}, {fragment.group} takes it in"
         self.counts["foreign"] += 1
         return False
 
@@ -387,7 +387,7 @@
             if voter.leads:
                 for lost, _, _ in message.give:
                     self.waiting.rows.get(lost, {}).pop(message.holder, None)
-                table = voter.keeper.table.leases
+                table = voter.service.table.leases
                 others = [n for n in message.take if n in table]
                 self.waiting.heard(now, message.holder, others)
         elif isinstance(message, Behind):
@@ -395,7 +395,7 @@
                 saves = voter.kept.saves
                 self.aside = f"its disk has {saves} saves, others know of {message.saves}"
         elif isinstance(message, Question):
-            rows = voter.keeper.table.leases
+            rows = voter.service.table.leases
             told = tuple((n, le.holder, le.token) for n, le in sorted(rows.items()))
             self._send(now, sender, Answer(told))
         elif isinstance(message, LOG):
@@ -419,11 +419,11 @@
 
     def _dealt(self, now: int, voter: Voter, changes: list[Any]) -> None:
         freed = [name for change in changes for name in change.freed]
-        waited = {w.ask.holder for w in voter.keeper.waits}
+        waited = {w.ask.holder for w in voter.service.waits}
         for holder in {h for change in changes for _, h in change.granted} - waited:
             # It has not asked just now: it hears of what it has when it does.
             self._send(now, holder, Poke())
-        table = voter.keeper.table
+        table = voter.service.table
         free = [name for name in freed if name not in table.leases]
         rows = self.waiting.deal(now, free, {h: len(n) for h, n in table.of.items()})
         if rows:
@@ -654,7 +654,7 @@
             )
         elif not voter.leads:
             told.append(f"{raft.leader} leads and knows more: as far as this voter has read")
-        row = voter.keeper.table.leases.get(name)
+        row = voter.service.table.leases.get(name)
         if row is None:
             asked = [h for h, at in self.waiting.rows.get(name, {}).items()]
             told.append(
@@ -665,7 +665,7 @@
         since = (now - voter.since.get(name, now)) / SECOND
         told.append(f"{row.holder} holds {name} by token {row.token}, for {since:.1f} s here")
         if voter.leads:
-            left = (voter.keeper.ends.get(row.holder, now) - now) / SECOND
+            left = (voter.service.ends.get(row.holder, now) - now) / SECOND
             told.append(f"it may be ended in {max(left, 0):.1f} s unless it renews")
         return told
 
@@ -713,7 +713,7 @@
             }
             rows = [
                 (name, lease.holder, lease.token, (now - voter.since.get(name, now)) / SECOND)
-                for name, lease in sorted(voter.keeper.table.leases.items())
+                for name, lease in sorted(voter.service.table.leases.items())
             ]
         told["leases"] = [
             {
--- a/tansywood/lease/parcels.py
+++ b/tansywood/lease/fragments.py
@@ -1,8 +1,8 @@
-"""What goes between the lease sides of two instances: messages in parcels, in pieces where long.
+"""What goes between the lease clients of two instances: messages, in fragments where long.
 
-A parcel rides in the fleet's sealed datagrams, which only the fleet can make and read. It names the
-voters' group, so that two groups that meet take nothing of one another, and how long a lease lasts,
-so that no two instances go by different lengths.
+A fragment rides in the fleet's sealed datagrams, which only the fleet can make and read. It names
+the voters' group, so that two groups that meet take nothing of one another, and how long a lease
+lasts, so that no two instances go by different lengths.
 """
 
 from __future__ import annotations
@@ -13,13 +13,13 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from tansywood.lease.keeper import Ask, Told
 from tansywood.lease.log import Append, Appended, Install, Message, PreVote, PreVoted, Vote, Voted
+from tansywood.lease.service import Ask, Told
 
 Count = Annotated[int, Meta(ge=0, le=1 << 62)]
 Id = Annotated[str, Meta(max_length=100)]  # of a voter's disk or of a holder
-PIECE = 900  # bytes of one datagram's part
-PIECES = 4096  # of one message: 3.6 MB
+FRAGMENT_BYTES = 900  # of a message in one datagram
+MAX_FRAGMENTS = 4096  # of one message: 3.6 MB
 OPEN = 256  # messages that are whole in part
 KEPT = 2_000_000_000  # nanoseconds until the rest of one is no longer waited for
 
@@ -56,8 +56,8 @@
 LOG = (PreVote, PreVoted, Vote, Voted, Append, Appended, Install)
 
 
-class Parcel(Struct, array_like=True, frozen=True, tag="l"):
-    """A message, or a piece of one. `saves` counts what the sender's disk has synced: it never
+class Fragment(Struct, array_like=True, frozen=True, tag="l"):
+    """A message, or a fragment of one. `saves` counts what the sender's disk has synced: it never
     says less than it said."""
 
     group: Annotated[str, Meta(max_length=32)]
@@ -66,9 +66,9 @@
     saves: Count
     length_ms: Count
     number: Count
-    part: Count
-    parts: Annotated[int, Meta(ge=1, le=PIECES)]
-    data: Annotated[bytes, Meta(max_length=PIECE)]
+    index: Count
+    count: Annotated[int, Meta(ge=1, le=MAX_FRAGMENTS)]
+    data: Annotated[bytes, Meta(max_length=FRAGMENT_BYTES)]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -85,28 +85,32 @@
     return made
 
 
-def cut(data: bytes) -> list[bytes]:
-    """In pieces that a datagram takes; ValueError where even those are too many."""
-    pieces = [data[at : at + PIECE] for at in range(0, len(data), PIECE)] or [b""]
-    if len(pieces) > PIECES:
-        raise ValueError(f"a message of {len(data)} bytes: {PIECES * PIECE} at most")
-    return pieces
+def split_message(data: bytes) -> list[bytes]:
+    """In as many bytes as a fragment takes; ValueError where even those are too many."""
+    payloads = [data[at : at + FRAGMENT_BYTES] for at in range(0, len(data), FRAGMENT_BYTES)] or [
+        b""
+    ]
+    if len(payloads) > MAX_FRAGMENTS:
+        raise ValueError(
+            f"a message of {len(data)} bytes: {MAX_FRAGMENTS * FRAGMENT_BYTES} at most"
+        )
+    return payloads
 
 
-class Pieces:
-    """Puts messages together again. One that lacks a piece is lost, as any message may be."""
+class Reassembly:
+    """Puts messages together again. One that lacks a fragment is lost, as any message may be."""
 
     def __init__(self) -> None:
         self._open: OrderedDict[tuple[bytes, int], tuple[int, dict[int, bytes]]] = OrderedDict()
 
-    def take(self, now: int, life: bytes, parcel: Parcel) -> bytes | None:
-        """The whole, once its last piece is here."""
-        if parcel.parts == 1:
-            return parcel.data
-        key = (life, parcel.number)
+    def take(self, now: int, life: bytes, fragment: Fragment) -> bytes | None:
+        """The whole, once its last fragment is here."""
+        if fragment.count == 1:
+            return fragment.data
+        key = (life, fragment.number)
         _, some = self._open.setdefault(key, (now, {}))
-        some[parcel.part] = parcel.data
-        if len(some) == parcel.parts:
+        some[fragment.index] = fragment.data
+        if len(some) == fragment.count:
             del self._open[key]
             return b"".join(some[n] for n in sorted(some))
         while self._open:
--- a/tansywood/lease/keeper.py
+++ b/tansywood/lease/service.py
@@ -1,4 +1,4 @@
-"""Leases over the log: the voters' side (`Keeper`) and the holders' (`Holder`), and the `Fence`.
+"""Leases over the log: the voters' part (`LeaseService`), the holders' (`Holder`), the `Fence`.
 
 Pure; times are nanoseconds of one process's monotonic clock, never compared with another's.
 docs/design/lease.md says why two holders never act at once.
@@ -78,7 +78,7 @@
     term: int
 
 
-class Keeper:
+class LeaseService:
     """One voter: the log, the table it comes to, and, while it leads, when holders end."""
 
     def __init__(self, raft: Raft, terms: LeaseTerms, snapshot_every: int = 4096) -> None:
--- a/tansywood/lease/voter.py
+++ b/tansywood/lease/voter.py
@@ -14,9 +14,9 @@
 from random import Random
 
 from tansywood.lease.disk import Kept, changes
-from tansywood.lease.keeper import Ask, Keeper, LeaseTerms, Told
 from tansywood.lease.log import Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, Raft, Timing
+from tansywood.lease.service import Ask, LeaseService, LeaseTerms, Told
 from tansywood.lease.table import Change, Table
 from tansywood.store.engine import Batch
 
@@ -39,8 +39,10 @@
         self.kept = kept
         self.group = kept.group
         self.known = dict(kept.known)  # of other voters: saves that they have told of
-        self.keeper = Keeper(Raft(kept.id, kept.saved, timing, rng, now), terms, snapshot_every)
-        self.keeper.changed = self._changed
+        self.service = LeaseService(
+            Raft(kept.id, kept.saved, timing, rng, now), terms, snapshot_every
+        )
+        self.service.changed = self._changed
         self.changes: list[Change] = []
         self.since: dict[str, int] = {}  # when each lease was seen to be granted
         self._now = now
@@ -55,7 +57,7 @@
 
     @property
     def raft(self) -> Raft:
-        return self.keeper.raft
+        return self.service.raft
 
     @property
     def leads(self) -> bool:
@@ -71,7 +73,7 @@
     def begin_alone(self, now: int, snapshot: Snapshot) -> None:
         """Lead a group of this disk alone, from here on, whatever its log held."""
         self.raft.begin_at(snapshot)
-        self.keeper.table = Table.load(snapshot.data)
+        self.service.table = Table.load(snapshot.data)
         self.raft.campaign(now)
         self._collect(now)
 
@@ -80,22 +82,22 @@
     def receive(self, now: int, sender: str, message: Message) -> None:
         self._now = now
         self.raft.receive(now, sender, message)
-        self.keeper.after(now)
+        self.service.after(now)
         self._collect(now)
 
     def ask(self, now: int, ask: Ask) -> None:
         self._now = now
-        self.keeper.ask(now, ask.holder, ask)
+        self.service.ask(now, ask.holder, ask)
         self._collect(now)
 
     def tick(self, now: int) -> None:
         self._now = now
-        self.keeper.tick(now)
+        self.service.tick(now)
         self._collect(now)
 
     def grant(self, now: int, rows: Iterable[tuple[str, str]]) -> None:
         """Several at once, in one round."""
-        done = [self.keeper.grant(now, name, holder) for name, holder in rows]
+        done = [self.service.grant(now, name, holder) for name, holder in rows]
         if any(done):
             self.raft.beat(now)
         self._collect(now)
@@ -110,14 +112,14 @@
         self._collect(now)
 
     def next_due(self) -> int:
-        return self.keeper.next_due()
+        return self.service.next_due()
 
     # ---- what goes -----------------------------------------------------------------------------
 
     def _collect(self, now: int) -> None:
         while True:
-            out = self.keeper.take(now)
-            answers, self.keeper.answers = self.keeper.answers, []
+            out = self.service.take(now)
+            answers, self.service.answers = self.service.answers, []
             if out.saved is not None:
                 self._unsaved = out.saved
             sends: list[Send] = [*out.sends, *answers]
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -92,7 +92,7 @@
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.due = 0  # what the timer was set for
-        self.carrying = False  # whether something of the lease side is about to leave
+        self.carrying = False  # whether something of the lease client is about to leave
         self._tasks: set[asyncio.Task[None]] = set()
 
     def log(self, text: str) -> None:
@@ -161,7 +161,7 @@
         self.flush()
 
     def carry(self, address: str, data: bytes) -> None:
-        """What the lease side says; it leaves in this turn of the loop, whoever had it said."""
+        """What the lease client says; it leaves in this turn of the loop, whoever had it said."""
         self.instance.carry(self.clock.now(), address, data)
         if not self.carrying:
             self.carrying = True
@@ -175,13 +175,13 @@
 
     def may_grant(self, index: int) -> bool:
         assert self.leases is not None
-        return self.leases.side.may(self.clock.now(), allocator_lease(index)) != 0
+        return self.leases.client.may(self.clock.now(), allocator_lease(index)) != 0
 
     async def keep_allocating(self, leases: Leases, index: int) -> None:
         """Grant of an allocator's slice whenever we hold its lease. Cut off half way it ends with
         the lease: what is granted by then is over before whoever follows grants anything."""
         name = allocator_lease(index)
-        leases.side.prefers[name] = self.settings.first[index]
+        leases.client.prefers[name] = self.settings.first[index]
         while True:
             with contextlib.suppress(LeaseLost):
                 async with leases.lease(name, everybody=True):
@@ -325,7 +325,7 @@
             "too_long": self.too_long,
         }
         if self.leases is not None:
-            told["leases"] = self.leases.side.status(self.clock.now())
+            told["leases"] = self.leases.client.status(self.clock.now())
         return told
 
     # ---- the process -----------------------------------------------------------------
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -20,10 +20,10 @@
 from tansywood.fleet.members import Members, State
 from tansywood.fleet.settings import FleetSettings
 from tansywood.fleet.terms import MS, SECOND
+from tansywood.lease.client import LeaseClient, Peer
 from tansywood.lease.disk import DiskError, Kept, load
-from tansywood.lease.keeper import LeaseTerms
-from tansywood.lease.parcels import Parcel
-from tansywood.lease.side import Peer, Side
+from tansywood.lease.fragments import Fragment
+from tansywood.lease.service import LeaseTerms
 from tansywood.service.endpoint import Clock
 from tansywood.service.wire import frame, read_frame
 from tansywood.store.aio import AsyncStore
@@ -34,7 +34,7 @@
 DISK_AGAIN_S = 1.0  # between two tries of a disk that failed
 REFOUND_LEASES = 1.25  # a lease by the slowest clock there may be, and a little
 ASKS = ("list", "show", "why", "hand-over", "found", "refound")
-_parcels = msgspec.msgpack.Decoder(Parcel)
+_fragments = msgspec.msgpack.Decoder(Fragment)
 
 
 class LeaseLost(Exception):
@@ -51,18 +51,18 @@
 
     def check(self) -> int:
         """The token, if this may be acted on now; LeaseLost."""
-        if self.leases.side.may(self.leases.clock.now(), self.name) != self.token:
+        if self.leases.client.may(self.leases.clock.now(), self.name) != self.token:
             raise LeaseLost(self.name)
         return self.token
 
     def until(self) -> int:
         """When it is over unless it is renewed, on the machine's own monotonic clock."""
-        left = self.leases.side.holder.until - self.leases.clock.now()
+        left = self.leases.client.holder.until - self.leases.clock.now()
         return self.leases.clock.real(left)
 
 
 class Leases:
-    """One instance's lease side, running."""
+    """One instance's lease client, running."""
 
     def __init__(
         self,
@@ -81,7 +81,7 @@
         self.wake = wake
         self.log = log
         length = settings.lease_ms * MS
-        self.side = Side(
+        self.client = LeaseClient(
             settings.instance,
             life,
             settings.voters,
@@ -104,7 +104,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def start(self) -> None:
-        if self.side.votes:
+        if self.client.votes:
             self.spawn(self.open())
 
     async def open(self) -> None:
@@ -113,12 +113,12 @@
             try:
                 kept, self.store = await self._open()
             except (OSError, StoreError, DiskError, ValueError) as err:
-                if self.side.down != str(err):
-                    self.side.stop_voter(self.clock.now(), str(err))
+                if self.client.down != str(err):
+                    self.client.stop_voter(self.clock.now(), str(err))
                     self.flush()
                 await asyncio.sleep(DISK_AGAIN_S)
                 continue
-            self.side.start_voter(self.clock.now(), kept)
+            self.client.start_voter(self.clock.now(), kept)
             self.flush()
             return
 
@@ -128,7 +128,7 @@
             try:
                 kept = load(store)
                 if kept is None:
-                    kept = Kept(f"{self.side.name}/{os.urandom(4).hex()}")
+                    kept = Kept(f"{self.client.name}/{os.urandom(4).hex()}")
                 return kept, store
             except BaseException:
                 store.close()
@@ -138,14 +138,14 @@
         return kept, AsyncStore(store)
 
     async def write(self, batch: Batch) -> None:
-        voter, store = self.side.voter, self.store
+        voter, store = self.client.voter, self.store
         assert voter is not None and store is not None
         try:
             await store.durable(batch)
         except (OSError, StoreError) as err:
             # Nothing that stood behind it was said. It is as if we had crashed before.
-            if self.side.voter is voter:
-                self.side.stop_voter(self.clock.now(), f"{self.promises}: {err}")
+            if self.client.voter is voter:
+                self.client.stop_voter(self.clock.now(), f"{self.promises}: {err}")
                 self.store = None
                 self.flush()
                 with contextlib.suppress(OSError, StoreError):
@@ -154,14 +154,14 @@
                 await self.open()
             return
         voter.written()
-        self.side.flush(self.clock.now())
+        self.client.flush(self.clock.now())
         self.flush()
 
     async def begin_anew(self, why: str) -> None:
         """Our disk is put aside, and we are another voter."""
-        store, voter = self.store, self.side.voter
+        store, voter = self.store, self.client.voter
         assert store is not None and voter is not None
-        self.side.stop_voter(self.clock.now(), f"{why}: put aside")
+        self.client.stop_voter(self.clock.now(), f"{why}: put aside")
         self.store = None
         with contextlib.suppress(OSError, StoreError):
             await store.close()
@@ -171,7 +171,7 @@
         try:
             self.promises.rename(aside)
         except OSError as err:
-            self.side.stop_voter(self.clock.now(), f"{self.promises}: can't be put aside: {err}")
+            self.client.stop_voter(self.clock.now(), f"{self.promises}: can't be put aside: {err}")
             return
         self.log(f"lease: {self.promises} is now {aside}: look why, then remove it")
         await self.open()
@@ -189,48 +189,48 @@
             r = m.update
             works = m.there and not r.drains
             peers[name] = Peer(name, r.address, r.life, m.since, works, m.state == State.ALIVE)
-        self.side.know(now, peers, members.own.drains)
+        self.client.know(now, peers, members.own.drains)
 
     def received(self, name: str, life: bytes, data: bytes) -> None:
         try:
-            parcel = _parcels.decode(data)
+            fragment = _fragments.decode(data)
         except msgspec.MsgspecError:
-            self.side.counts["unread"] += 1
+            self.client.counts["unread"] += 1
             return
-        self.side.receive(self.clock.now(), name, life, parcel)
+        self.client.receive(self.clock.now(), name, life, fragment)
 
     def tick(self) -> None:
-        self.side.tick(self.clock.now())
+        self.client.tick(self.clock.now())
         self.flush()
 
     def flush(self) -> None:
         """Do what is to be done by now: write, send, end and begin tasks, print."""
         now = self.clock.now()
-        side = self.side
-        for name in side.lost(now):
+        client = self.client
+        for name in client.lost(now):
             for task in list(self._bodies.get(name, ())):
                 task.cancel()
-        voter = side.voter
+        voter = client.voter
         if voter is not None and self.store is not None:
-            if side.aside:
-                why, side.aside = side.aside, ""
+            if client.aside:
+                why, client.aside = client.aside, ""
                 self.spawn(self.begin_anew(why))
             elif (batch := voter.next_write()) is not None:
                 self.spawn(self.write(batch))
-        sends, side.sends = side.sends, []
-        for address, parcel in sends:
-            self.carry(address, msgspec.msgpack.encode(parcel))
-        for text in side.fresh_events:
+        sends, client.sends = client.sends, []
+        for address, fragment in sends:
+            self.carry(address, msgspec.msgpack.encode(fragment))
+        for text in client.fresh_events:
             self.log(f"lease: {now / SECOND:.2f} {text}")
-        side.fresh_events.clear()
+        client.fresh_events.clear()
         for name, events in list(self._waiting.items()):
-            if side.may(now, name):
+            if client.may(now, name):
                 for event in events:
                     event.set()
-        self.wake(side.next_due())
+        self.wake(client.next_due())
 
     def next_due(self) -> int:
-        return self.side.next_due()
+        return self.client.next_due()
 
     async def stop(self) -> None:
         """Everything is given back, the disk is closed."""
@@ -238,7 +238,7 @@
         for tasks in self._bodies.values():
             for task in tasks:
                 task.cancel()
-        self.side.leave(self.clock.now())
+        self.client.leave(self.clock.now())
         self.flush()
         await asyncio.sleep(0.05)  # a last write, and what stands behind it
         if self.store is not None:
@@ -254,10 +254,10 @@
         spreads such leases over its members."""
         there = asyncio.Event()
         self._waiting.setdefault(name, []).append(there)
-        self.side.want(self.clock.now(), name, everybody)
+        self.client.want(self.clock.now(), name, everybody)
         self.tick()
         try:
-            while not (token := self.side.may(self.clock.now(), name)):
+            while not (token := self.client.may(self.clock.now(), name)):
                 there.clear()
                 await there.wait()
             task = asyncio.current_task()
@@ -268,7 +268,7 @@
             try:
                 yield held
             except asyncio.CancelledError:
-                if self.side.may(self.clock.now(), name) == token or self.ending:
+                if self.client.may(self.clock.now(), name) == token or self.ending:
                     raise
                 task.uncancel()
                 raise LeaseLost(name) from None
@@ -279,7 +279,7 @@
             if not self._waiting[name]:
                 del self._waiting[name]
                 self._bodies.pop(name, None)
-                self.side.unwant(self.clock.now(), name)
+                self.client.unwant(self.clock.now(), name)
                 self.tick()
 
     async def keep_for(
@@ -318,7 +318,7 @@
                             told = until
                             writer.write(frame({"token": held.token, "until": until}))
                             await writer.drain()
-                        await asyncio.sleep(self.side.terms.renew / SECOND / 4)
+                        await asyncio.sleep(self.client.terms.renew / SECOND / 4)
             except LeaseLost:
                 writer.write(frame({"lost": name}))
                 await writer.drain()
@@ -328,33 +328,33 @@
     async def _ask_a_voter(self) -> None:
         """What all hold, where no voter here knows it: as a voter says, or as it said before."""
         began = self.clock.now()
-        self.side.question(began)
+        self.client.question(began)
         self.flush()
         for _ in range(20):
-            if self.side.table_at >= began:
+            if self.client.table_at >= began:
                 return
             await asyncio.sleep(0.025)
 
     async def asked(self, what: str, name: str, to: str) -> Mapping[str, Any]:
         """An answer of JSON's types; `error` where there is none."""
-        if self.side.voter is None and what == "list":
+        if self.client.voter is None and what == "list":
             await self._ask_a_voter()
         now = self.clock.now()
         told = ""
         if what == "why":
-            return {"why": self.side.why(now, name)}
+            return {"why": self.client.why(now, name)}
         if what == "hand-over":
-            told = self.side.hand_over(now, name, to)
+            told = self.client.hand_over(now, name, to)
         elif what == "found":
-            told = self.side.found(now, os.urandom(8).hex())
+            told = self.client.found(now, os.urandom(8).hex())
         elif what == "refound":
             # Whoever holds by the word of disks that are lost holds no longer than this.
             self.log(f"lease: goes on alone in {REFOUND_LEASES:g} leases")
-            await asyncio.sleep(REFOUND_LEASES * self.side.terms.length / SECOND)
-            told = self.side.refound(self.clock.now(), os.urandom(8).hex())
+            await asyncio.sleep(REFOUND_LEASES * self.client.terms.length / SECOND)
+            told = self.client.refound(self.clock.now(), os.urandom(8).hex())
         elif what not in ASKS:
             told = f"{what!r} can't be asked: {', '.join(ASKS)}"
         self.tick()
         if told:
             return {"error": told}
-        return self.side.status(now)
+        return self.client.status(now)
--- a/tansywood/verify/leases.py
+++ b/tansywood/verify/leases.py
@@ -16,9 +16,9 @@
 from random import Random
 from typing import Any
 
-from tansywood.lease.keeper import Ask, Holder, Keeper, LeaseTerms, Told
 from tansywood.lease.log import Append, Appended, Entry, Message, Saved, Snapshot
 from tansywood.lease.raft import FOLLOWER, LEADER, Out, Raft, Timing
+from tansywood.lease.service import Ask, Holder, LeaseService, LeaseTerms, Told
 
 LEASE = "x"
 LATE = 1 << 50  # a time at which nobody has heard of a leader lately
@@ -69,7 +69,7 @@
 class World:
     """One state. Never changed: a move copies what it changes."""
 
-    voters: dict[str, Keeper]
+    voters: dict[str, LeaseService]
     holders: dict[str, Holder]
     net: frozenset[Packet]
     kept: dict[str, Saved]
@@ -94,14 +94,14 @@
     return made
 
 
-def fork_keeper(keeper: Keeper) -> Keeper:
-    made: Keeper = fork(keeper)
-    made.raft = fork(keeper.raft)
+def fork_service(service: LeaseService) -> LeaseService:
+    made: LeaseService = fork(service)
+    made.raft = fork(service.raft)
     made.raft._out = Out()
-    table = fork(keeper.table)
-    table.of = {h: set(names) for h, names in keeper.table.of.items()}
+    table = fork(service.table)
+    table.of = {h: set(names) for h, names in service.table.of.items()}
     made.table = table
-    made.waits = [copy(w) for w in keeper.waits]
+    made.waits = [copy(w) for w in service.waits]
     return made
 
 
@@ -111,7 +111,7 @@
 
 
 class LeaseModel:
-    """Leases by the shipped Keeper, Raft, Table and Holder.
+    """Leases by the shipped LeaseService, Raft, Table and Holder.
 
     It begins with an elected leader, settled, that has heard from everybody, and nothing asked.
     A lease lasts for one move of time.
@@ -128,7 +128,7 @@
 
     def begin(self) -> World:
         saved = Saved(snapshot=Snapshot(0, 0, self.names))
-        voters = {n: Keeper(Raft(n, saved, TIMING, STILL, 0), self.terms) for n in self.names}
+        voters = {n: LeaseService(Raft(n, saved, TIMING, STILL, 0), self.terms) for n in self.names}
         world = World(
             voters,
             {h: Holder(h, self.terms) for h in self.people},
@@ -181,26 +181,26 @@
 
     # ---- moves -----------------------------------------------------------------------------------
 
-    def act(self, world: World, name: str, what: Callable[[Keeper], None]) -> World:
+    def act(self, world: World, name: str, what: Callable[[LeaseService], None]) -> World:
         """Let a voter do something: keep, then send, then answer."""
-        keeper = fork_keeper(world.voters[name])
+        service = fork_service(world.voters[name])
         made = copy(world)
-        made.voters = {**world.voters, name: keeper}
-        what(keeper)
+        made.voters = {**world.voters, name: service}
+        what(service)
         net = set(world.net)
         while True:
-            out = keeper.take(world.clock)
+            out = service.take(world.clock)
             if out.saved is not None:
                 made.kept = {**made.kept, name: self.keep(world.kept[name], out.saved)}
             net.update((name, to, message) for to, message in out.sends)
-            answers, keeper.answers = keeper.answers, []
+            answers, service.answers = service.answers, []
             net.update((name, to, told) for to, told in answers)
             for index, entry in out.committed:
                 made.log = self._commit(made, index, entry)
             if out.saved is None and not out.sends and not out.committed and not answers:
                 break
         made.net = frozenset(net)
-        raft = keeper.raft
+        raft = service.raft
         if raft.role == LEADER and (raft.term, name) not in made.led:
             if any(term == raft.term for term, _ in made.led):
                 made.wrong = f"two lead in term {raft.term}"
@@ -231,13 +231,13 @@
             return self.act(world, b, lambda k: k.ask(world.clock, a, what))
         late = LATE if type(what).__name__ in ("PreVote", "Vote") else world.clock
 
-        def receive(keeper: Keeper) -> None:
+        def receive(service: LeaseService) -> None:
             message: Message = what
-            keeper.raft.receive(late, a, message)
+            service.raft.receive(late, a, message)
             # A time that was only said for the votes' sake is nobody's time.
             if late == LATE:
-                keeper.raft.led_since = min(keeper.raft.led_since, world.clock)
-            keeper.after(world.clock)
+                service.raft.led_since = min(service.raft.led_since, world.clock)
+            service.after(world.clock)
 
         return self.act(world, b, receive)
 
@@ -253,8 +253,8 @@
             if self.idle(world, packet):
                 continue
             yield f"{b} gets {self.told(what)} of {a}", self._deliver_move(world, packet)
-        for name, keeper in world.voters.items():
-            raft = keeper.raft
+        for name, service in world.voters.items():
+            raft = service.raft
             may = raft.role != LEADER and raft.term < bounds.term
             if may and spent.elections < bounds.elections:
                 yield f"{name} asks for an election", self._campaign(world, name)
@@ -266,8 +266,8 @@
                 yield f"{name} looks at the time", self._tick(world, name)
         for at, holder in enumerate(self.people):
             if spent.asks[at] < bounds.asks[at]:
-                for name, keeper in world.voters.items():
-                    if keeper.raft.role == LEADER and (
+                for name, service in world.voters.items():
+                    if service.raft.role == LEADER and (
                         not bounds.pairs or (holder, name) in bounds.pairs
                     ):
                         yield f"{holder} asks {name}", self._ask(world, at, holder, name)
@@ -328,13 +328,13 @@
     def useless(self, world: World, sender: str, to: str, what: Appended) -> bool:
         """An acknowledgement that its leader can learn nothing from, now or later: it leads no
         more in that term, or knows of those entries, and nobody waits for a round so early."""
-        keeper = world.voters[to]
-        raft = keeper.raft
+        service = world.voters[to]
+        raft = service.raft
         if what.term < raft.term or raft.role != LEADER:
             return what.term <= raft.term
         if what.term > raft.term or not what.ok or what.match > raft.match.get(sender, 0):
             return False
-        needed = [w.round for w in keeper.waits if w.round > raft.acked.get(sender, 0)]
+        needed = [w.round for w in service.waits if w.round > raft.acked.get(sender, 0)]
         return not needed or min(needed) > what.round
 
     def prune(self, world: World) -> World:
@@ -378,9 +378,9 @@
             made = copy(world)
             saved = world.kept[name]
             raft = Raft(name, saved, TIMING, STILL, world.clock)
-            keeper = Keeper(raft, self.terms)
-            keeper._ticked = world.clock
-            made.voters = {**world.voters, name: keeper}
+            service = LeaseService(raft, self.terms)
+            service._ticked = world.clock
+            made.voters = {**world.voters, name: service}
             made.spent = replace(world.spent, crashes=world.spent.crashes + 1)
             return made
 
@@ -396,16 +396,16 @@
 
     def _tick(self, world: World, name: str) -> Callable[[], World | None]:
         def go() -> World | None:
-            keeper = world.voters[name]
+            service = world.voters[name]
             due = [
                 h
-                for h in keeper.table.of
-                if h not in keeper._ending and world.clock >= keeper.ends.get(h, 0)
+                for h in service.table.of
+                if h not in service._ending and world.clock >= service.ends.get(h, 0)
             ]
             if not due:
                 return None
 
-            def tick(k: Keeper) -> None:
+            def tick(k: LeaseService) -> None:
                 k._ticked = world.clock
                 k.raft.due = LATE  # heartbeats are a move of their own
                 k.raft.heard = dict.fromkeys(k.raft.heard, world.clock)
@@ -462,7 +462,7 @@
             world.spent,
         )
 
-    def _voter(self, k: Keeper, kept: Saved, clock: int) -> Hashable:
+    def _voter(self, k: LeaseService, kept: Saved, clock: int) -> Hashable:
         r = k.raft
         lead: Hashable = None
         if r.role == LEADER:
--- a/tests/lease/test_checker.py
+++ b/tests/lease/test_checker.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from tansywood.lease.keeper import Holder, Keeper, LeaseTerms
 from tansywood.lease.log import Saved
 from tansywood.lease.raft import FOLLOWER, LEADER, Raft
+from tansywood.lease.service import Holder, LeaseService, LeaseTerms
 from tansywood.verify.__main__ import LARGE, SIZES
 from tansywood.verify.explore import Found, random_walk, search
 from tansywood.verify.leases import UNIT, Bounds, LeaseModel, World
@@ -93,15 +93,15 @@
 
 
 def test_without_the_new_leaders_wait(monkeypatch: Patch) -> None:
-    lead = Keeper._lead
+    lead = LeaseService._lead
 
-    def at_once(self: Keeper, now: int) -> None:
+    def at_once(self: LeaseService, now: int) -> None:
         if self._led != self.raft.term:
             lead(self, now)
             self.ends = dict.fromkeys(self.ends, now)
             self._floor = now
 
-    monkeypatch.setattr(Keeper, "_lead", at_once)
+    monkeypatch.setattr(LeaseService, "_lead", at_once)
     assert found(EXPIRY).broken.startswith("two holders may act")
 
 
@@ -112,14 +112,14 @@
 
 
 def test_without_the_word_that_an_end_is_on_its_way(monkeypatch: Patch) -> None:
-    answer: Callable[..., None] = Keeper._answer
+    answer: Callable[..., None] = LeaseService._answer
 
-    def anyhow(self: Keeper, now: int, w: Any) -> None:
+    def anyhow(self: LeaseService, now: int, w: Any) -> None:
         self._ending, ending = {}, self._ending
         answer(self, now, w)
         self._ending = ending
 
-    monkeypatch.setattr(Keeper, "_answer", anyhow)
+    monkeypatch.setattr(LeaseService, "_answer", anyhow)
     made = found(TWO)
     assert made.broken.startswith("two holders may act")
 
--- a/tests/lease/test_side.py
+++ b/tests/lease/test_client.py
@@ -1,4 +1,4 @@
-"""Lease sides of whole fleets in simulated time: nobody acts beside another, whatever fails."""
+"""Lease clients of whole fleets in simulated time: nobody acts beside another, whatever fails."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 import pytest
 
 from standins.fleet.leaseworld import Broken, LeaseWorld
+from tansywood.lease.client import SECOND, LeaseClient
 from tansywood.lease.disk import Kept
-from tansywood.lease.keeper import Ask, Keeper, LeaseTerms
-from tansywood.lease.parcels import PIECE, Parcel, Pieces, cut
+from tansywood.lease.fragments import FRAGMENT_BYTES, Fragment, Reassembly, split_message
 from tansywood.lease.raft import MS
-from tansywood.lease.side import SECOND, Side
+from tansywood.lease.service import Ask, LeaseService, LeaseTerms
 from tansywood.lease.spread import NEAR, Ranking
 
 TERMS = LeaseTerms(length=SECOND, renew=SECOND // 4)
@@ -42,7 +42,7 @@
     w.loss = w.twice = w.late = 0.0
     for place in w.places.values():
         place.failing, place.disk_ns = False, 2 * MS
-        if place.side is None:
+        if place.client is None:
             w.start(place.name)
         elif place.stopped:
             w.go(place.name)
@@ -60,9 +60,9 @@
     for _ in range(40):
         place = w.places[rng.choice("abcde")]
         kind = rng.randrange(8)
-        if kind == 0 and place.side is not None:
+        if kind == 0 and place.client is not None:
             w.end(place.name)
-        elif kind == 1 and place.side is not None:
+        elif kind == 1 and place.client is not None:
             w.stop(place.name)
         elif kind == 2:
             w.cut |= {(place.name, n) for n in rng.sample("abcde", 3)}
@@ -76,7 +76,7 @@
             w.cut.clear()
         for other in w.places.values():
             if rng.random() < 0.4:
-                if other.side is None:
+                if other.client is None:
                     w.start(other.name)
                 elif other.stopped:
                     w.go(other.name)
@@ -113,16 +113,16 @@
     w.places["b"].disk = copy
     w.start("b")
     w.run(4.0)
-    side = w.places["b"].side
-    assert side is not None and side.voter is not None
-    assert side.voter.id != copy.id and side.voter.id in w.raft().voters
+    client = w.places["b"].client
+    assert client is not None and client.voter is not None
+    assert client.voter.id != copy.id and client.voter.id in w.raft().voters
     whole(w)
 
 
 def test_without_a_look_at_what_it_said_before_a_restored_voter_votes_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(Side, "_honest", lambda *_args: True)
+    monkeypatch.setattr(LeaseClient, "_honest", lambda *_args: True)
     with pytest.raises(AssertionError):
         test_a_voter_restored_from_an_older_copy_is_put_aside_and_taken_in_anew()
 
@@ -145,7 +145,9 @@
     w.end("b")
     w.run(1.5)
     assert w.held() == {}
-    told = [p.side.why(w.clock(p), "l0") for p in w.places.values() if p.side and p.side.voter]
+    told = [
+        p.client.why(w.clock(p), "l0") for p in w.places.values() if p.client and p.client.voter
+    ]
     assert any("a majority" in line for lines in told for line in lines)
     whole(w)
 
@@ -157,10 +159,10 @@
     for voters in ("abc", "abcde", "abd", "b"):
         w.voters = tuple(voters)
         for place in w.places.values():
-            side = place.side
-            assert side is not None
-            side.wanted_voters = w.voters
-            if side.votes and side.voter is None:
+            client = place.client
+            assert client is not None
+            client.wanted_voters = w.voters
+            if client.votes and client.voter is None:
                 w.mount(place)
             w.look_at(place, w.now)
         w.run(4.0)
@@ -172,32 +174,34 @@
 def test_two_groups_that_meet_take_nothing_of_one_another() -> None:
     w = world(names="abcdef", voters="abc")
     other = w.places["d"]
-    assert other.side is not None
-    other.side.wanted_voters = ("d",)
+    assert other.client is not None
+    other.client.wanted_voters = ("d",)
     w.mount(other)
     w.run(0.1)
-    assert "is in group" not in other.side.found(w.clock(other), "group-2")
-    other.side.wanted_voters = tuple("abcd")
+    assert "is in group" not in other.client.found(w.clock(other), "group-2")
+    other.client.wanted_voters = tuple("abcd")
     w.run(3.0)
-    assert other.side.voter is not None and other.side.voter.raft.voters == (other.side.voter.id,)
+    assert other.client.voter is not None and other.client.voter.raft.voters == (
+        other.client.voter.id,
+    )
     assert len(w.raft().voters) == 3
 
 
 def test_who_goes_by_another_length_is_not_heard() -> None:
     w = world()
-    side = w.places["e"].side
-    assert side is not None
-    side.terms = replace(TERMS, length=2 * SECOND)
-    side.holder.terms = side.terms
+    client = w.places["e"].client
+    assert client is not None
+    client.terms = replace(TERMS, length=2 * SECOND)
+    client.holder.terms = client.terms
     w.run(3.0)
     assert "e" not in w.held().values()
-    assert sum(p.side.counts["length"] for p in w.places.values() if p.side) > 0
+    assert sum(p.client.counts["length"] for p in w.places.values() if p.client) > 0
 
 
 def test_nobody_asks_in_anothers_name() -> None:
     w = world()
     w.run(12.0)  # all is where it belongs
-    mine, other = w.places["d"].side, w.places["e"].side
+    mine, other = w.places["d"].client, w.places["e"].client
     assert mine is not None and other is not None
     give = tuple((n, t, mine.holder.name) for n, t in w.leader_table() if n in w.held())
     ask = Ask(other.holder.name, 1 << 40, (), give)
@@ -205,7 +209,7 @@
     w.flush(w.places["d"])
     table = w.leader_table()
     w.run(0.02)
-    assert w.side(w.leader().name).counts["stale"] > 0 and w.leader_table() == table
+    assert w.client(w.leader().name).counts["stale"] > 0 and w.leader_table() == table
 
 
 def test_a_one_way_cut_makes_no_leader_fall_over_and_over() -> None:
@@ -224,7 +228,7 @@
 def test_without_a_word_that_answers_are_heard_a_lease_is_stuck(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(Keeper, "deaf", lambda *_args: False)
+    monkeypatch.setattr(LeaseService, "deaf", lambda *_args: False)
     with pytest.raises(AssertionError):
         test_a_one_way_cut_makes_no_leader_fall_over_and_over()
 
@@ -246,8 +250,8 @@
     w.places[full].failing = True
     w.end(next(n for n in "de"))
     w.run(3.0)
-    side = w.places[full].side
-    assert side is not None and side.voter is None and "disk" in side.down
+    client = w.places[full].client
+    assert client is not None and client.voter is None and "disk" in client.down
     assert all_held(w)
     whole(w)
 
@@ -277,10 +281,10 @@
     w.run(12.0)
     one = next(n for n in "de" if n in w.held().values())
     mine = [n for n, who in w.held().items() if who == one]
-    side = w.places[one].side
-    assert side is not None
+    client = w.places[one].client
+    assert client is not None
     began = w.now
-    side.draining = True
+    client.draining = True
     w.know()
     w.run(1.0)
     assert one not in w.held().values() and all_held(w)
@@ -295,13 +299,13 @@
     w.end("b")
     w.run(2.0)
     place = w.places["c"]
-    assert place.side is not None
-    place.side.wanted_voters = ("c",)
-    assert place.side.refound(w.clock(place), "group-2") == ""
+    assert place.client is not None
+    place.client.wanted_voters = ("c",)
+    assert place.client.refound(w.clock(place), "group-2") == ""
     w.flush(place)
     for other in w.places.values():
-        if other.side is not None:
-            other.side.wanted_voters = ("c",)
+        if other.client is not None:
+            other.client.wanted_voters = ("c",)
         w.look_at(other, w.now)
     w.run(3.0)
     assert all_held(w)
@@ -324,43 +328,45 @@
 
 def test_pieces_come_together_in_any_order_and_a_missing_one_loses_the_whole() -> None:
     data = bytes(range(256)) * 20
-    rows = cut(data)
-    parcels = [Parcel("g", "s", "t", 0, 1, 7, n, len(rows), d) for n, d in enumerate(rows)]
-    pieces = Pieces()
-    for parcel in (*parcels[:0:-1], parcels[1]):
-        assert pieces.take(0, b"life", parcel) is None
-    assert pieces.take(0, b"life", parcels[0]) == data
-    assert pieces.take(0, b"life", parcels[0]) is None
-    assert max(map(len, rows)) == PIECE
+    rows = split_message(data)
+    fragments = [Fragment("g", "s", "t", 0, 1, 7, n, len(rows), d) for n, d in enumerate(rows)]
+    pieces = Reassembly()
+    for fragment in (*fragments[:0:-1], fragments[1]):
+        assert pieces.take(0, b"life", fragment) is None
+    assert pieces.take(0, b"life", fragments[0]) == data
+    assert pieces.take(0, b"life", fragments[0]) is None
+    assert max(map(len, rows)) == FRAGMENT_BYTES
     with pytest.raises(ValueError, match="at most"):
-        cut(bytes(5_000_000))
+        split_message(bytes(5_000_000))
 
 
 def test_a_blank_disk_is_founded_once() -> None:
-    side = Side("a", b"1" * 16, ("a",), TERMS, Random(1))
-    assert "no voter here" in side.found(0, "g")
-    side.start_voter(0, Kept("a/1"))
-    assert side.found(0, "g") == ""
-    assert "being written" in side.found(0, "h") or "already" in side.found(0, "h")
+    client = LeaseClient("a", b"1" * 16, ("a",), TERMS, Random(1))
+    assert "no voter here" in client.found(0, "g")
+    client.start_voter(0, Kept("a/1"))
+    assert client.found(0, "g") == ""
+    assert "being written" in client.found(0, "h") or "already" in client.found(0, "h")
 
 
 def test_what_is_handed_over_ends_here_at_once() -> None:
     w = world()
     name, who = next(iter(w.held().items()))
-    side, place = w.side(who), w.places[who]
+    client, place = w.client(who), w.places[who]
     to = next(n for n in w.places if n != who)
-    assert side.hand_over(w.clock(place), name, to) == ""
-    assert side.may(w.clock(place), name) == 0
-    assert side.lost(w.clock(place)) == [name]  # its task is ended by this
-    assert "not held" in side.hand_over(w.clock(place), name, to)
-    assert "no member" in side.hand_over(w.clock(place), next(iter(side.holder.leases)), "nobody")
+    assert client.hand_over(w.clock(place), name, to) == ""
+    assert client.may(w.clock(place), name) == 0
+    assert client.lost(w.clock(place)) == [name]  # its task is ended by this
+    assert "not held" in client.hand_over(w.clock(place), name, to)
+    assert "no member" in client.hand_over(
+        w.clock(place), next(iter(client.holder.leases)), "nobody"
+    )
 
 
 def test_only_its_owner_asks_for_a_lease_that_belongs_to_one_while_that_is_there() -> None:
     w = LeaseWorld("abcd", "abc", 1)
     w.found()
     for place in w.places.values():
-        w.side(place.name).prefers = {"home": "d"}
+        w.client(place.name).prefers = {"home": "d"}
     w.want(["home"])
     w.run(4.0)
     assert w.held() == {"home": "d"}
@@ -369,7 +375,7 @@
     stand_in = w.held()["home"]
     assert stand_in != "d"
     w.start("d")
-    w.side("d").prefers = {"home": "d"}
+    w.client("d").prefers = {"home": "d"}
     w.run(14.0)
     assert w.held() == {"home": "d"}  # back where it belongs, by one move
     assert [who for _, name, who in w.grants if name == "home"] == ["d", stand_in, "d"]
--- a/tests/lease/test_raft.py
+++ b/tests/lease/test_raft.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
-from tansywood.lease.keeper import Ask, Fence, Holder, Keeper, LeaseTerms, Refused, Told
 from tansywood.lease.log import COMMAND, Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, MS, Raft, Timing
+from tansywood.lease.service import Ask, Fence, Holder, LeaseService, LeaseTerms, Refused, Told
 from tansywood.lease.table import End, Give, Table, TableError, Take, pack
 
 SECOND = 1000 * MS
@@ -19,7 +19,7 @@
 
 
 class Cluster:
-    """Keepers on one simulated clock, with a lossy network and disks that outlast them."""
+    """Lease services on one simulated clock, with a lossy network and disks that outlast them."""
 
     def __init__(self, voters: list[str], seed: int, disks: list[str] | None = None) -> None:
         self.rng = Random(seed)
@@ -30,7 +30,7 @@
         self.cut: set[tuple[str, str]] = set()
         saved = Saved(snapshot=Snapshot(0, 0, tuple(sorted(voters))))
         self.kept = {n: saved if n in voters else Saved() for n in disks or voters}
-        self.keepers: dict[str, Keeper] = {}
+        self.services: dict[str, LeaseService] = {}
         self.holders: dict[str, Holder] = {}
         self.log: dict[int, Any] = {}
         self.acts: list[tuple[int, str, int]] = []
@@ -40,7 +40,7 @@
 
     def start(self, name: str) -> None:
         raft = Raft(name, self.kept[name], Timing(), Random(self.rng.random()), self.now)
-        self.keepers[name] = Keeper(raft, TERMS, self.every)
+        self.services[name] = LeaseService(raft, TERMS, self.every)
 
     def send(self, a: str, b: str, what: Any) -> None:
         if (a, b) in self.cut or self.rng.random() < self.loss:
@@ -50,9 +50,9 @@
         heappush(self.heap, (due, self.count, a, b, what))
 
     def flush(self, name: str) -> None:
-        keeper = self.keepers[name]
+        service = self.services[name]
         for _ in range(3):
-            out = keeper.take(self.now)
+            out = service.take(self.now)
             if out.saved is not None:
                 self.kept[name] = msgspec.msgpack.decode(
                     msgspec.msgpack.encode(out.saved), type=Saved
@@ -61,7 +61,7 @@
                 self.send(name, to, message)
             for index, entry in out.committed:
                 assert self.log.setdefault(index, entry) == entry, index
-            answers, keeper.answers = keeper.answers, []
+            answers, service.answers = service.answers, []
             for to, told in answers:
                 self.send(name, to, told)
 
@@ -79,26 +79,26 @@
                 if isinstance(what, Told):
                     if b in self.holders:
                         self.holders[b].told(self.now, what)
-                elif b in self.keepers:
+                elif b in self.services:
                     if isinstance(what, Ask):
-                        self.keepers[b].ask(self.now, a, what)
+                        self.services[b].ask(self.now, a, what)
                     else:
                         message: Message = what
-                        self.keepers[b].raft.receive(self.now, a, message)
-                        self.keepers[b].after(self.now)
+                        self.services[b].raft.receive(self.now, a, message)
+                        self.services[b].after(self.now)
                     self.flush(b)
-            for name in list(self.keepers):
-                self.keepers[name].tick(self.now)
+            for name in list(self.services):
+                self.services[name].tick(self.now)
                 self.flush(name)
             if self.now // (10 * MS) % 20 == 0:
                 for name, holder in self.holders.items():
                     ask = holder.ask(self.now)
-                    for voter in self.keepers:
+                    for voter in self.services:
                         self.send(name, voter, ask)
             self.check()
 
     def check(self) -> None:
-        leaders = [k.raft.term for k in self.keepers.values() if k.raft.role == LEADER]
+        leaders = [k.raft.term for k in self.services.values() if k.raft.role == LEADER]
         assert len(leaders) == len(set(leaders))
         acting: dict[str, list[str]] = {}
         for holder in self.holders.values():
@@ -111,8 +111,8 @@
         assert all(len(some) == 1 for some in acting.values()), acting
 
     @property
-    def leader(self) -> Keeper:
-        led = [k for k in self.keepers.values() if k.raft.settled]
+    def leader(self) -> LeaseService:
+        led = [k for k in self.services.values() if k.raft.settled]
         return max(led, key=lambda k: k.raft.term)
 
 
@@ -125,8 +125,8 @@
     for _ in range(25):
         kind = c.rng.randrange(6)
         voter = c.rng.choice(names)
-        if kind == 0 and len(c.keepers) > 1:
-            c.keepers.pop(voter, None)
+        if kind == 0 and len(c.services) > 1:
+            c.services.pop(voter, None)
         elif kind == 1:
             c.loss = c.rng.choice((0.0, 0.1, 0.3))
         elif kind == 2:
@@ -135,7 +135,7 @@
         elif kind == 3:
             c.cut.clear()
         for name in names:
-            if name not in c.keepers and c.rng.random() < 0.6:
+            if name not in c.services and c.rng.random() < 0.6:
                 c.start(name)
         for holder in c.holders.values():
             if "x" in holder.leases and c.rng.random() < 0.3:
@@ -145,7 +145,7 @@
     c.loss = 0.0
     c.cut.clear()
     for name in names:
-        if name not in c.keepers:
+        if name not in c.services:
             c.start(name)
     c.run(8.0)
     assert sum(bool(h.may(c.now, "x")) for h in c.holders.values()) == 1  # free in the end
@@ -174,7 +174,7 @@
     assert c.holders["A"].may(c.now, "x")
     gone = [n for n in c.kept if n != c.leader.raft.name]
     for name in gone:
-        del c.keepers[name]
+        del c.services[name]
     c.hold("B", "x")
     c.run(4.0)
     assert not any(h.may(c.now, "x") for h in c.holders.values())
@@ -195,7 +195,7 @@
     c.cut.clear()
     c.run(2.0)
     assert c.leader.raft is leader
-    assert c.keepers[other].raft.term == leader.term  # it asked, and raised nobody's term
+    assert c.services[other].raft.term == leader.term  # it asked, and raised nobody's term
 
 
 def test_a_leader_that_hears_nobody_is_none_any_more() -> None:
@@ -248,11 +248,11 @@
     c = Cluster(["v1", "v2", "v3"], 8)
     c.run(2.0)
     gone = next(n for n in c.kept if n != c.leader.raft.name)
-    del c.keepers[gone]
+    del c.services[gone]
     c.kept["v9"] = Saved()  # the same machine, another disk
     c.start("v9")
     c.run(3.0)
-    blank = c.keepers["v9"].raft
+    blank = c.services["v9"].raft
     assert (blank.term, blank.vote, blank.role) == (0, "", "follower")
     leader = c.leader.raft
     leader.teach(c.now, "v9")
@@ -261,17 +261,17 @@
     assert leader.caught_up("v9")
     change(c, "v1", "v2", "v3", "v9")
     change(c, *(n for n in ("v1", "v2", "v3", "v9") if n != gone))
-    assert c.keepers["v9"].raft.last == c.leader.raft.last
+    assert c.services["v9"].raft.last == c.leader.raft.last
 
 
 def test_a_voter_far_behind_is_given_the_whole() -> None:
     c = Cluster(["v1", "v2", "v3"], 9)
     c.every = 50
-    for name in list(c.keepers):
+    for name in list(c.services):
         c.start(name)
     c.run(2.0)
     behind = next(n for n in c.kept if n != c.leader.raft.name)
-    del c.keepers[behind]
+    del c.services[behind]
     holder = c.hold("A")
     for n in range(120):
         holder.want.add(f"l{n}")
@@ -279,7 +279,7 @@
     assert c.leader.raft.snapshot.index > 50
     c.start(behind)
     c.run(2.0)
-    assert c.keepers[behind].table.leases == c.leader.table.leases
+    assert c.services[behind].table.leases == c.leader.table.leases
     assert c.kept[behind].snapshot.index > 0
 
 
@@ -288,7 +288,7 @@
     c.run(2.0)
     leader = c.leader
     for name in [n for n in c.kept if n != leader.raft.name]:
-        del c.keepers[name]
+        del c.services[name]
     for seq in range(1, 60):  # a round for each puts off the next heartbeat
         leader.ask(c.now, "A", Ask("A", seq))
         c.flush(leader.raft.name)
