--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -167,24 +167,24 @@
     world = World(names, min(3, count), {TENANT: limits}, seed)
     for name in names:
         world.start(name)
-        seat = world.seats[name]
-        seat.want = {rate_key(TENANT): 60_000, open_key(TENANT): 5}
-        seat.want |= {places_key(TENANT, s): 1 for s in limits.servers}
+        host = world.hosts[name]
+        host.needs = {rate_key(TENANT): 60_000, open_key(TENANT): 5}
+        host.needs |= {places_key(TENANT, s): 1 for s in limits.servers}
     known = 0
     while known < 60:
         world.run(1.0)
         known += 1
-        if all(len(s.instance.members.live()) == count for s in world.seats.values() if s.instance):
+        if all(len(s.instance.members.live()) == count for s in world.hosts.values() if s.instance):
             break
     world.run(6.0)
-    world.weather.loss = loss
+    world.conditions.loss = loss
     before, began = Counter(world.sent), time.process_time()
     world.run(20.0)
     took = time.process_time() - began
     sent = Counter(world.sent)
     sent.subtract(before)
     alarms = sum(
-        e.what == "lost" for s in world.seats.values() if s.instance for _, e in s.instance.events
+        e.what == "lost" for s in world.hosts.values() if s.instance for _, e in s.instance.events
     )
     dealt = sum(world.amounts(rate_key(TENANT)).values()) / limits.rate
     dead = names[-1]
@@ -193,9 +193,9 @@
     found: dict[str, float] = {}
     while len(found) < count - 1 and world.now - at < 90 * SECOND:
         world.run(0.1)
-        for name, seat in world.seats.items():
-            if seat.instance is not None and name not in found:
-                row = seat.instance.members.rows.get(dead)
+        for name, host in world.hosts.items():
+            if host.instance is not None and name not in found:
+                row = host.instance.members.rows.get(dead)
                 if row is None or row.state == State.LOST:
                     found[name] = (world.now - at) / SECOND
     return {
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -20,8 +20,8 @@
 
 
 @dataclass
-class Weather:
-    """Of all links, unless one is cut."""
+class NetworkConditions:
+    """Of all links, unless one is cut: nanoseconds, and parts of all datagrams."""
 
     delay: int = MS
     jitter: int = MS
@@ -32,8 +32,8 @@
 
 
 @dataclass
-class Seat:
-    """One instance in the world, and what its workers do."""
+class SimulatedHost:
+    """One instance in the world, its clock, and what its workers do."""
 
     name: str
     address: str
@@ -42,7 +42,7 @@
     instance: Instance | None = None
     paused: bool = False
     inbox: list[tuple[bytes, Envelope]] = field(default_factory=list)
-    want: dict[str, int] = field(default_factory=dict)  # need by limit key
+    needs: dict[str, int] = field(default_factory=dict)  # by limit key
     told: dict[str, int] = field(default_factory=dict)  # what the workers go by
     until: int = 0  # by its own clock
     version: int = 0
@@ -70,9 +70,9 @@
         self.rng = Random(seed)
         self.terms = terms or Terms()
         self.tenants = dict(tenants)
-        self.weather = Weather()
+        self.conditions = NetworkConditions()
         self.now = 0
-        self.seats: dict[str, Seat] = {}
+        self.hosts: dict[str, SimulatedHost] = {}
         self.by_address: dict[str, str] = {}
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.count = 0
@@ -86,13 +86,13 @@
         for i, name in enumerate(names):
             address = f"10.0.{i // 250}.{i % 250 + 1}:7946"
             rate = (clocks or {}).get(name, 1.0)
-            self.seats[name] = Seat(name, address, rate, self.rng.randrange(1 << 40))
+            self.hosts[name] = SimulatedHost(name, address, rate, self.rng.randrange(1 << 40))
             self.by_address[address] = name
 
     # ---- time ------------------------------------------------------------------------------
 
-    def clock(self, seat: Seat) -> int:
-        return seat.offset + int(self.now * seat.rate)
+    def clock(self, host: SimulatedHost) -> int:
+        return host.offset + int(self.now * host.rate)
 
     def at(self, when: int, what: Callable[[], None]) -> None:
         self.count += 1
@@ -109,23 +109,23 @@
     # ---- lives -----------------------------------------------------------------------------
 
     def start(self, name: str) -> None:
-        seat = self.seats[name]
-        seat.lives += 1
-        seat.paused = False
-        seat.inbox.clear()
-        seat.told.clear()
-        seat.used.clear()
-        seat.version = 0
-        seat.until = 0
-        now = self.clock(seat)
-        seat.instance = made = Instance(
+        host = self.hosts[name]
+        host.lives += 1
+        host.paused = False
+        host.inbox.clear()
+        host.told.clear()
+        host.used.clear()
+        host.version = 0
+        host.until = 0
+        now = self.clock(host)
+        host.instance = made = Instance(
             name,
-            seat.address,
+            host.address,
             self.first,
             self.terms,
             Random(self.rng.random()),
             self.rng.randbytes(16),
-            1 + seat.lives,
+            1 + host.lives,
             now,
         )
         made.set_tenants(now, self.tenants)
@@ -140,7 +140,7 @@
     def hand(self, index: int, name: str) -> None:
         """An allocator's slice is another's to grant from now on."""
         assert self.granted_by is not None
-        old, new = self.seats[self.granted_by[index]], self.seats[name]
+        old, new = self.hosts[self.granted_by[index]], self.hosts[name]
         self.granted_by[index] = name
         if old.instance is not None and not old.paused:
             old.instance.stop_allocating(index)
@@ -149,86 +149,86 @@
 
     def kill(self, name: str) -> None:
         """The process and its workers end: nothing of theirs is in use."""
-        seat = self.seats[name]
-        seat.instance = None
-        seat.used.clear()
-        seat.inbox.clear()
+        host = self.hosts[name]
+        host.instance = None
+        host.used.clear()
+        host.inbox.clear()
 
     def pause(self, name: str) -> None:
-        self.seats[name].paused = True
+        self.hosts[name].paused = True
 
     def go_on(self, name: str) -> None:
         """It wakes with all that came meanwhile, and acts on its old parts first."""
-        seat = self.seats[name]
-        seat.paused = False
-        self._act(seat)
-        inbox, seat.inbox = seat.inbox, []
+        host = self.hosts[name]
+        host.paused = False
+        self._act(host)
+        inbox, host.inbox = host.inbox, []
         for life, envelope in inbox:
-            if seat.instance is not None:
-                seat.instance.receive(self.clock(seat), life, envelope)
-        if seat.instance is not None:
-            self._wake(name, seat.instance)
-            self._work(name, seat.instance)
+            if host.instance is not None:
+                host.instance.receive(self.clock(host), life, envelope)
+        if host.instance is not None:
+            self._wake(name, host.instance)
+            self._work(name, host.instance)
 
     def _wake(self, name: str, made: Instance) -> None:
-        seat = self.seats[name]
-        if seat.instance is not made or seat.paused:
+        host = self.hosts[name]
+        if host.instance is not made or host.paused:
             return
-        made.tick(self.clock(seat))
+        made.tick(self.clock(host))
         self.flush(name)
-        due = int((made.next_due() - seat.offset) / seat.rate) + 1
+        due = int((made.next_due() - host.offset) / host.rate) + 1
         self.at(max(due, self.now + MS), lambda: self._wake(name, made))
 
     # ---- workers ---------------------------------------------------------------------------
 
-    def _act(self, seat: Seat) -> None:
+    def _act(self, host: SimulatedHost) -> None:
         """Use as much as is wanted and allowed; what is in use beyond that ends by itself."""
-        over = seat.bound and self.clock(seat) >= seat.until
-        for key, need in seat.want.items():
-            part = seat.told.get(key, 0)
-            if over and seat.instance is not None:
-                part = seat.instance.floor(key)
+        over = host.bound and self.clock(host) >= host.until
+        for key, need in host.needs.items():
+            part = host.told.get(key, 0)
+            if over and host.instance is not None:
+                part = host.instance.floor(key)
             if key.endswith("/rate"):
-                seat.used[key] = min(need, part)
+                host.used[key] = min(need, part)
                 continue
             # A unit is taken under the part and is free again within its tail, whatever has
             # become of the part or of the process by then: the work is at a server.
             tail = self.tenants[key.partition("/")[0]].tail
-            rows = [end for end in seat.out.get(key, ()) if end > self.now]
+            rows = [end for end in host.out.get(key, ()) if end > self.now]
             while len(rows) < min(need, part):
-                rows.append(self.now + int(self.rng.random() * tail / seat.rate))
-            seat.out[key] = rows
+                rows.append(self.now + int(self.rng.random() * tail / host.rate))
+            host.out[key] = rows
         self.watch(self)
 
     def _work(self, name: str, made: Instance) -> None:
-        seat = self.seats[name]
-        if seat.instance is not made or seat.paused:
+        host = self.hosts[name]
+        if host.instance is not made or host.paused:
             return
-        now = self.clock(seat)
-        self._act(seat)
+        now = self.clock(host)
+        self._act(host)
         hosted = {}
-        busy = [p for p, need in seat.want.items() if need or any(seat.out.get(p, ()))]
+        busy = [p for p, need in host.needs.items() if need or any(host.out.get(p, ()))]
         for tenant in sorted({key.partition("/")[0] for key in busy}):
-            needs = {p: n for p, n in seat.want.items() if p.startswith(f"{tenant}/")}
-            used = {p: len(seat.out.get(p, ())) for p in needs if not p.endswith("/rate")}
+            needs = {p: n for p, n in host.needs.items() if p.startswith(f"{tenant}/")}
+            used = {p: len(host.out.get(p, ())) for p in needs if not p.endswith("/rate")}
             hosted[tenant] = Demand("w", now, needs.get(rate_key(tenant), 0), needs, used)
-        made.report(now, "w", seat.version, hosted, {})
+        made.report(now, "w", host.version, hosted, {})
         told = made.allocations(now, "w")
-        seat.version = told["version"]
+        host.version = told["version"]
         for tenant, row in told["tenants"].items():
-            seat.told[rate_key(tenant)] = row["rate"]
-            seat.told[open_key(tenant)] = row["open"]
+            host.told[rate_key(tenant)] = row["rate"]
+            host.told[open_key(tenant)] = row["open"]
             for server, places in (row["places"] or {}).items():
-                seat.told[f"{tenant}/at/{server}"] = places
-            seat.until = now + row["left"]
-        self._act(seat)
+                host.told[f"{tenant}/at/{server}"] = places
+            host.until = now + row["left"]
+        self._act(host)
         self.flush(name)
         self.at(self.now + 100 * MS, lambda: self._work(name, made))
 
     # ---- the network -----------------------------------------------------------------------
 
     def flush(self, name: str) -> None:
-        made = self.seats[name].instance
+        made = self.hosts[name].instance
         if made is None:
             return
         sends, made.sends = made.sends, []
@@ -236,12 +236,12 @@
         for address, envelope in sends:
             self.sent[type(envelope.body).__name__] += 1
             to = self.by_address.get(address)
-            if to is None or (name, to) in self.cut or self.rng.random() < self.weather.loss:
+            if to is None or (name, to) in self.cut or self.rng.random() < self.conditions.loss:
                 continue
-            for _ in range(1 + (self.rng.random() < self.weather.twice)):
-                delay = self.weather.delay + int(self.rng.random() * self.weather.jitter)
-                if self.rng.random() < self.weather.late:
-                    delay += int(self.rng.random() * self.weather.late_by)
+            for _ in range(1 + (self.rng.random() < self.conditions.twice)):
+                delay = self.conditions.delay + int(self.rng.random() * self.conditions.jitter)
+                if self.rng.random() < self.conditions.late:
+                    delay += int(self.rng.random() * self.conditions.late_by)
                 life = made.life
                 self.at(
                     self.now + delay,
@@ -249,18 +249,18 @@
                 )
 
     def _deliver(self, to: str, life: bytes, envelope: Envelope) -> None:
-        seat = self.seats[to]
-        if seat.instance is None:
+        host = self.hosts[to]
+        if host.instance is None:
             return
-        if seat.paused:
-            seat.inbox.append((life, envelope))
+        if host.paused:
+            host.inbox.append((life, envelope))
             return
-        seat.instance.receive(self.clock(seat), life, envelope)
+        host.instance.receive(self.clock(host), life, envelope)
         self.flush(to)
 
     def split(self, some: list[str], both: bool = True) -> None:
         for a in some:
-            for b in self.seats:
+            for b in self.hosts:
                 if b not in some:
                     self.cut.add((a, b))
                     if both:
@@ -274,13 +274,13 @@
     def in_use(self, key: str) -> int:
         """Over all instances, paused ones with what they had, and what dead ones left running."""
         if key.endswith("/rate"):
-            lives = [s for s in self.seats.values() if s.instance is not None and not s.paused]
+            lives = [s for s in self.hosts.values() if s.instance is not None and not s.paused]
             return sum(s.used.get(key, 0) for s in lives)
-        return sum(end > self.now for s in self.seats.values() for end in s.out.get(key, ()))
+        return sum(end > self.now for s in self.hosts.values() for end in s.out.get(key, ()))
 
     def amounts(self, key: str) -> dict[str, int]:
         return {
             n: s.instance.amount(self.clock(s), key)
-            for n, s in self.seats.items()
+            for n, s in self.hosts.items()
             if s.instance is not None and not s.paused
         }
--- a/tests/fleet/test_conserved.py
+++ b/tests/fleet/test_conserved.py
@@ -27,7 +27,7 @@
 
 def play(seed: int, terms: Terms | None = None, clocks: dict[str, float] | None = None) -> World:
     made = world(list("abcde"), 3, seed, clocks or CLOCKS, terms)
-    for name in made.seats:
+    for name in made.hosts:
         want(made, name, 60, 4)
     made.run(1.0)
     history(made, seed)
@@ -67,7 +67,7 @@
 
 def handed(seed: int) -> World:
     made = world(list("abcde"), 3, seed, CLOCKS, hand_on=True)
-    for name in made.seats:
+    for name in made.hosts:
         want(made, name, 60, 4)
     made.run(1.0)
     history(made, seed)
@@ -93,7 +93,7 @@
 
 def test_a_home_that_is_gone_for_good_leaves_nothing_undealt() -> None:
     made = world(list("abcd"), 3, 1, hand_on=True)
-    for name in made.seats:
+    for name in made.hosts:
         want(made, name, 60, 4)
     made.run(6.0)
     made.kill("a")
@@ -143,7 +143,7 @@
 
 def test_without_the_end_at_the_workers_it_breaks() -> None:
     made = loaded(["a", "b", "c", "d"], 3, 3, 9, 5.0)
-    made.seats["d"].bound = False
+    made.hosts["d"].bound = False
     made.pause("d")
     made.run(6.0)
     with pytest.raises(Broken):
@@ -278,7 +278,7 @@
 
 def end_in_order(made: World, name: str, first: Callable[[Instance, int], None]) -> None:
     """An instance leaves; `first` is the last that it hears of its worker."""
-    last, now = made.seats[name].instance, made.clock(made.seats[name])
+    last, now = made.hosts[name].instance, made.clock(made.hosts[name])
     assert last is not None
     first(last, now)
     last.leave(now)
@@ -288,8 +288,8 @@
 
 def test_one_that_ends_in_order_gives_back_at_once() -> None:
     made = loaded(["a", "b", "c", "d"], 3, 7, 9, 6.0)
-    made.seats["d"].used.clear()
-    made.seats["d"].out.clear()
+    made.hosts["d"].used.clear()
+    made.hosts["d"].out.clear()
     # The worker's last word: all has ended.
     end_in_order(made, "d", lambda d, now: d.report(now, "w", d.holder.version, {}, {}))
     made.run(3 * made.terms.round / SECOND)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -16,16 +16,16 @@
 def states(made: World, name: str) -> dict[str, str]:
     """What everybody that lives believes of one."""
     found = {}
-    for other, seat in made.seats.items():
-        if seat.instance is not None and other != name and not seat.paused:
-            m = seat.instance.members.rows.get(name)
+    for other, host in made.hosts.items():
+        if host.instance is not None and other != name and not host.paused:
+            m = host.instance.members.rows.get(name)
             found[other] = m.state.name if m is not None else "unknown"
     return found
 
 
 def everybody(made: World) -> bool:
-    up = sorted(n for n, s in made.seats.items() if s.instance is not None)
-    lives = [s.instance.members.live() for s in made.seats.values() if s.instance is not None]
+    up = sorted(n for n, s in made.hosts.items() if s.instance is not None)
+    lives = [s.instance.members.live() for s in made.hosts.values() if s.instance is not None]
     return all(live == up for live in lives)
 
 
@@ -52,11 +52,11 @@
 
 def test_lost_datagrams_take_nobody_for_lost() -> None:
     made = world(names(12), watched=False)
-    made.weather.loss = 0.1
+    made.conditions.loss = 0.1
     made.run(60.0)
     lost = [
         e
-        for s in made.seats.values()
+        for s in made.hosts.values()
         if s.instance is not None
         for _, e in s.instance.events
         if e.what == "lost"
@@ -92,7 +92,7 @@
     made.run(60.0)
     made.go_on("i03")
     made.run(0.05)
-    woken = made.seats["i03"].instance
+    woken = made.hosts["i03"].instance
     assert woken is not None
     assert not [e for _, e in woken.events if e.what in ("suspect", "lost")]
     made.run(20.0)
@@ -174,14 +174,14 @@
 def test_a_drain_is_heard_of_and_takes_its_turns_away() -> None:
     made = world(names(5), watched=False)
     made.run(4.0)
-    drained = made.seats["i02"].instance
+    drained = made.hosts["i02"].instance
     assert drained is not None
-    drained.drain(made.clock(made.seats["i02"]))
+    drained.drain(made.clock(made.hosts["i02"]))
     made.run(5.0)
-    for seat in made.seats.values():
-        assert seat.instance is not None
-        assert "i02" not in seat.instance.members.working()
-        assert "i02" in seat.instance.members.live()
+    for host in made.hosts.values():
+        assert host.instance is not None
+        assert "i02" not in host.instance.members.working()
+        assert "i02" in host.instance.members.live()
 
 
 def test_the_sum_of_all_datagrams_is_flat() -> None:
--- a/tests/fleet/test_seal.py
+++ b/tests/fleet/test_seal.py
@@ -121,10 +121,10 @@
 def test_what_was_said_to_an_earlier_life_changes_nothing() -> None:
     made = world(["a", "b"], 2, watched=False)
     made.run(3.0)
-    a, b = (made.seats[n].instance for n in "ab")
+    a, b = (made.hosts[n].instance for n in "ab")
     assert a is not None and b is not None and b.allocators
-    before = b.allocators[b.index].outstanding("cork/rate", made.clock(made.seats["b"]))
-    now = made.clock(made.seats["b"])
+    before = b.allocators[b.index].outstanding("cork/rate", made.clock(made.hosts["b"]))
+    now = made.clock(made.hosts["b"])
     claim = Claim(10_000, [ClaimEntry("cork/rate", 150_000, 0)])
     b.sends.clear()
     b.receive(now, a.life, Envelope("a", a.address, b"\0" * 16, claim))
--- a/tests/fleet/worlds.py
+++ b/tests/fleet/worlds.py
@@ -49,39 +49,41 @@
 
 def want(made: World, name: str, rate: int, units: int = 3) -> None:
     """What an instance's callers ask for: requests a second, and units of all else."""
-    made.seats[name].want = {key: rate * 1000 if key.endswith("/rate") else units for key in WHOLES}
+    made.hosts[name].needs = {
+        key: rate * 1000 if key.endswith("/rate") else units for key in WHOLES
+    }
 
 
 def history(made: World, seed: int, steps: int = 14) -> None:
-    """Random stops, ends, returns, cuts and weather, each for a random while."""
+    """Random stops, ends, returns, cuts and network conditions, each for a random while."""
     rng = Random(seed)
-    names = list(made.seats)
+    names = list(made.hosts)
     for _ in range(steps):
         name = rng.choice(names)
-        seat = made.seats[name]
+        host = made.hosts[name]
         kind = rng.randrange(8)
-        if kind == 0 and seat.instance is not None and not seat.paused:
+        if kind == 0 and host.instance is not None and not host.paused:
             made.pause(name)
-        elif kind == 1 and seat.instance is not None:
+        elif kind == 1 and host.instance is not None:
             made.kill(name)
         elif kind == 2:
             made.split(rng.sample(names, rng.randint(1, len(names) - 1)), rng.random() < 0.6)
         elif kind == 3:
             made.heal()
         elif kind == 4:
-            made.weather.loss = rng.choice((0.0, 0.1, 0.4))
-            made.weather.late = rng.choice((0.0, 0.1, 0.3))
-            made.weather.twice = rng.choice((0.0, 0.2))
+            made.conditions.loss = rng.choice((0.0, 0.1, 0.4))
+            made.conditions.late = rng.choice((0.0, 0.1, 0.3))
+            made.conditions.twice = rng.choice((0.0, 0.2))
         else:
             want(made, name, rng.choice((0, 5, 80, 400)), rng.choice((0, 1, 4, 30)))
         for other in names:
-            seat = made.seats[other]
-            if seat.paused and rng.random() < 0.4:
+            host = made.hosts[other]
+            if host.paused and rng.random() < 0.4:
                 made.go_on(other)
-            elif seat.instance is None and rng.random() < 0.5:
+            elif host.instance is None and rng.random() < 0.5:
                 made.start(other)
         if made.granted_by is not None and rng.random() < 0.5:
-            here = [n for n in names if made.seats[n].instance and not made.seats[n].paused]
+            here = [n for n in names if made.hosts[n].instance and not made.hosts[n].paused]
             made.hand(rng.randrange(len(made.first)), rng.choice(here or names))
         made.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
 
@@ -89,10 +91,10 @@
 def settle(made: World, seconds: float = 8.0) -> None:
     """Every fault ends, and so much time passes."""
     made.heal()
-    made.weather.loss = made.weather.late = made.weather.twice = 0.0
-    for name, seat in made.seats.items():
-        if seat.instance is None:
+    made.conditions.loss = made.conditions.late = made.conditions.twice = 0.0
+    for name, host in made.hosts.items():
+        if host.instance is None:
             made.start(name)
-        elif seat.paused:
+        elif host.paused:
             made.go_on(name)
     made.run(seconds)
