The lease client is divided: holding, placement, electorate, founding, exchange, status

Change: behaviour as it was. Out of client.py (396 lines now, composition and properties) went lease/context.py what the parts share; Peer, holder_id, name_of, SECOND lease/holding.py asks, answers, renewals, hand-over (_ask, _told, hand_over, lost, _soon) lease/placement.py what to ask for and what belongs to another (_choose, _spread, _misplaced) lease/electorate.py which disks are there, changes of voters (_here, _tend, in two functions) lease/founding.py found and refound, as functions lease/exchange.py fragments out and in, honest disks, our group (_send, receive, _honest, _ours) lease/status.py status and why fleet/events.py EventLog: events kept and events not yet printed Names: LeaseClient.sends -> take_sends(), fresh_events -> events.take_fresh(), _choose -> choose, _send(now, to, message, sender) -> send(now, sender, to, message); names, everybodys, prefers, ranking, draining -> placement.*; leader, deaf, got -> holding.*; Waiting.deal -> assign. In tests these names alone have changed.

--- a/benchmarks/lease.py
+++ b/benchmarks/lease.py
@@ -39,7 +39,7 @@
 from standins.fleet.rig import Rig
 from standins.ledger import End
 from standins.wire import frame, read_frame
-from tansywood.lease.client import SECOND as SECOND_NS
+from tansywood.lease.context import SECOND as SECOND_NS
 from tansywood.lease.fragments import Fragment
 from tansywood.lease.service import LeaseTerms
 from tansywood.verify.__main__ import SIZES
--- a/standins/fleet/leaseworld.py
+++ b/standins/fleet/leaseworld.py
@@ -12,7 +12,8 @@
 from heapq import heappop, heappush
 from random import Random
 
-from tansywood.lease.client import SECOND, LeaseClient, Peer
+from tansywood.lease.client import LeaseClient
+from tansywood.lease.context import SECOND, Peer
 from tansywood.lease.disk import Kept, changes
 from tansywood.lease.fragments import Fragment
 from tansywood.lease.raft import MS, Raft, Timing
@@ -104,7 +105,7 @@
         client = LeaseClient(
             name, life, self.voters, self.terms, Random(self.rng.random()), Timing()
         )
-        client.ranking = self.ranking
+        client.placement.ranking = self.ranking
         place.client, place.stopped, place.failing = client, False, False
         place.inbox.clear()
         if blank:
@@ -113,9 +114,9 @@
             self.mount(place)
         self.know()
         for lease in self.everybodys:
-            client.names.add(lease)
-            client.everybodys.add(lease)
-        client._choose(self.clock(place))
+            client.placement.names.add(lease)
+            client.placement.everybodys.add(lease)
+        client.choose(self.clock(place))
         self.look_at(place, self.now)
 
     def mount(self, place: Place) -> None:
@@ -143,14 +144,14 @@
     def know(self) -> None:
         """Members as the fleet would tell them, at once."""
         rows = {
-            p.name: Peer(p.name, p.name, p.client.life, 0, not p.client.draining)
+            p.name: Peer(p.name, p.name, p.client.life, 0, not p.client.placement.draining)
             for p in self.places.values()
             if p.client is not None
         }
         for place in self.places.values():
             if place.client is not None:
                 known = {n: replace(r, since=-60 * SECOND) for n, r in place.client.peers.items()}
-                place.client.know(self.clock(place), known | rows, place.client.draining)
+                place.client.know(self.clock(place), known | rows, place.client.placement.draining)
                 for gone in known.keys() - rows.keys():
                     place.client.peers[gone] = replace(known[gone], works=False)
 
@@ -159,9 +160,9 @@
         self.everybodys = (*self.everybodys, *names)
         for place in self.places.values():
             if place.client is not None:
-                place.client.names.update(self.everybodys)
-                place.client.everybodys.update(self.everybodys)
-                place.client._choose(self.clock(place))
+                place.client.placement.names.update(self.everybodys)
+                place.client.placement.everybodys.update(self.everybodys)
+                place.client.choose(self.clock(place))
                 self.look_at(place, self.now)
 
     # ---- one instance --------------------------------------------------------------------------
@@ -196,8 +197,7 @@
                 assert unsaved is not None
                 made, _ = changes(kept, unsaved, voter.group, voter.known)
                 self.at(self.now + place.disk_ns, lambda: self._written(place, voter, made))
-        sends, client.sends = client.sends, []
-        for address, fragment in sends:
+        for address, fragment in client.take_sends():
             self._send(place, address, fragment)
         self.check()
 
--- /dev/null
+++ b/tansywood/lease/holding.py
@@ -0,0 +1,105 @@
+"""What one instance holds: asks for leases, their answers, renewals, and handing over. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tansywood.lease.context import Context, holder_id, name_of
+from tansywood.lease.raft import MS
+from tansywood.lease.service import Ask, Holder, Told
+
+ASK_AGAIN = 20 * MS  # between two asks that were not due yet
+
+
+class Holding:
+    """The holder of one life of one instance, and who leads as far as it was told."""
+
+    def __init__(self, context: Context, send: Callable[[int, str, Ask], None]) -> None:
+        self.holder = Holder(holder_id(context.name, context.life), context.terms)
+        self.leader = ""  # the voter that answered last
+        self.deaf: set[str] = set()  # instances that ask and hear nothing, by its word
+        self.got: dict[str, tuple[int, int]] = {}  # token and when, of what is held
+        self.next_ask = 0
+        self._last_ask = -1000 * MS
+        self._context = context
+        self._send = send
+
+    def next_due(self) -> int:
+        """When to ask, or when what is held is over."""
+        if self.holder.leases:
+            return min(self.next_ask, self.holder.until)
+        return self.next_ask
+
+    def ask_soon(self, now: int) -> None:
+        """Ask at once, or a moment after the last time."""
+        self.next_ask = min(self.next_ask, max(now, self._last_ask + ASK_AGAIN))
+
+    def want(self, now: int, names: set[str]) -> None:
+        """These are to be asked for. What is held stays wanted until it is handed over, so that
+        nobody has a gap."""
+        wanted = names | set(self.holder.leases)
+        if wanted - self.holder.want:
+            self.ask_soon(now)
+        self.holder.want = wanted
+
+    def ask(self, now: int) -> None:
+        """Renew what is held and ask for what is wanted, if there is any."""
+        holder, terms, rng = self.holder, self._context.terms, self._context.rng
+        self._last_ask = now
+        self.next_ask = now + terms.renew
+        if not (holder.want or holder.leases or holder.giving):
+            return
+        # Where the last word was not answered whoever led may be gone: everybody is asked, and
+        # soon again, but not by all at once.
+        known = self.leader and holder.heard == holder.seq
+        ask = holder.ask(now)
+        self._context.counts["asks"] += 1
+        if not known:
+            self.next_ask = now + int(terms.renew * (0.1 + 0.1 * rng.random()))
+        for to in [self.leader] if known else self._context.wanted_voters:
+            self._send(now, to, ask)
+
+    def told(self, now: int, sender: str, told: Told) -> None:
+        """A voter's answer: what is held, or who leads."""
+        self._context.counts["told"] += 1
+        if not told.ok:
+            if told.leader and told.leader != self.leader:
+                self.leader = told.leader
+                self.ask_soon(now)
+            elif sender == self.leader:
+                self.leader = ""
+            return
+        self.leader = sender
+        self.deaf = {name_of(holder) for holder in told.deaf}
+        if self.holder.told(now, told):
+            for name, token in self.holder.leases.items():
+                if self.got.get(name, (0, 0))[0] != token:
+                    self.got[name] = (token, now)
+                    self._context.events.add(now, f"holds {name} by token {token}")
+
+    def lost(self, now: int) -> list[str]:
+        """Names that were held and may not be acted on any more."""
+        names = self.holder.expire(now)
+        for name in names:
+            if self.got.pop(name, None) is not None:
+                self._context.events.add(now, f"holds {name} no more")
+        return names
+
+    def give_back(self, name: str) -> None:
+        """Nobody here wants it any more."""
+        self.holder.give(name)
+        self.got.pop(name, None)
+
+    def hand_over(self, now: int, name: str, to: str = "") -> str:
+        """Give a lease to another instance, or to whoever asked for it; says why not."""
+        if name not in self.holder.leases:
+            return f"{name} is not held here"
+        peer = self._context.peers.get(to)
+        if to and (peer is None or not peer.works):
+            return f"{to} is no member that works"
+        self.holder.give(name, holder_id(to, peer.life) if peer is not None else "")
+        self.holder.lost.append(name)  # whoever acts on it here has to end
+        self.got.pop(name, None)
+        self._context.events.add(now, f"hands {name} over to {to or 'whoever asked'}")
+        self.ask_soon(now)
+        return ""
--- a/tansywood/lease/spread.py
+++ b/tansywood/lease/spread.py
@@ -76,7 +76,7 @@
             if not self.rows[name]:
                 del self.rows[name]
 
-    def deal(
+    def assign(
         self, now: int, freed: Iterable[str], held: Mapping[str, int]
     ) -> list[tuple[str, str]]:
         """Who gets each of what has become free: of those that asked lately whoever has least,
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -181,7 +181,7 @@
         """Grant of an allocator's slice whenever we hold its lease. Cut off half way it ends with
         the lease: what is granted by then is over before whoever follows grants anything."""
         name = allocator_lease(index)
-        leases.client.prefers[name] = self.settings.first[index]
+        leases.client.placement.prefers[name] = self.settings.first[index]
         while True:
             with contextlib.suppress(LeaseLost):
                 async with leases.lease(name, everybody=True):
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -20,7 +20,8 @@
 from tansywood.fleet.members import Members, State
 from tansywood.fleet.settings import FleetSettings
 from tansywood.fleet.terms import MS, SECOND
-from tansywood.lease.client import LeaseClient, Peer
+from tansywood.lease.client import LeaseClient
+from tansywood.lease.context import Peer
 from tansywood.lease.disk import DiskError, Kept, load
 from tansywood.lease.fragments import Fragment
 from tansywood.lease.service import LeaseTerms
@@ -217,12 +218,10 @@
                 self.spawn(self.begin_anew(why))
             elif (batch := voter.next_write()) is not None:
                 self.spawn(self.write(batch))
-        sends, client.sends = client.sends, []
-        for address, fragment in sends:
+        for address, fragment in client.take_sends():
             self.carry(address, msgspec.msgpack.encode(fragment))
-        for text in client.fresh_events:
+        for text in client.events.take_fresh():
             self.log(f"lease: {now / SECOND:.2f} {text}")
-        client.fresh_events.clear()
         for name, events in list(self._waiting.items()):
             if client.may(now, name):
                 for event in events:
--- a/tests/lease/test_client.py
+++ b/tests/lease/test_client.py
@@ -8,7 +8,8 @@
 import pytest
 
 from standins.fleet.leaseworld import Broken, LeaseWorld
-from tansywood.lease.client import SECOND, LeaseClient
+from tansywood.lease.client import LeaseClient
+from tansywood.lease.context import SECOND
 from tansywood.lease.disk import Kept
 from tansywood.lease.fragments import FRAGMENT_BYTES, Fragment, Reassembly, split_message
 from tansywood.lease.raft import MS
@@ -205,7 +206,7 @@
     assert mine is not None and other is not None
     give = tuple((n, t, mine.holder.name) for n, t in w.leader_table() if n in w.held())
     ask = Ask(other.holder.name, 1 << 40, (), give)
-    mine._send(w.clock(w.places["d"]), w.leader().name, ask, mine.holder.name)
+    mine.send(w.clock(w.places["d"]), mine.holder.name, w.leader().name, ask)
     w.flush(w.places["d"])
     table = w.leader_table()
     w.run(0.02)
@@ -284,7 +285,7 @@
     client = w.places[one].client
     assert client is not None
     began = w.now
-    client.draining = True
+    client.placement.draining = True
     w.know()
     w.run(1.0)
     assert one not in w.held().values() and all_held(w)
@@ -366,7 +367,7 @@
     w = LeaseWorld("abcd", "abc", 1)
     w.found()
     for place in w.places.values():
-        w.client(place.name).prefers = {"home": "d"}
+        w.client(place.name).placement.prefers = {"home": "d"}
     w.want(["home"])
     w.run(4.0)
     assert w.held() == {"home": "d"}
@@ -375,7 +376,7 @@
     stand_in = w.held()["home"]
     assert stand_in != "d"
     w.start("d")
-    w.client("d").prefers = {"home": "d"}
+    w.client("d").placement.prefers = {"home": "d"}
     w.run(14.0)
     assert w.held() == {"home": "d"}  # back where it belongs, by one move
     assert [who for _, name, who in w.grants if name == "home"] == ["d", stand_in, "d"]
