One instance of the fleet is divided: messenger, granting, claims, demands, status

Change: behaviour as it was. Out of instance.py (307 lines now, composition) went fleet/messenger.py envelopes, lives, what waits for a life (_send, _put, half of receive) fleet/granting.py the allocators here and their answers; allocator_lease fleet/entitlement.py limits there are, floor, amount fleet/demands.py Demand; reports of workers (report, gone, _idle, _confirm) fleet/claims.py what is claimed, where and when (_needs, _addresses_to_ask, split); batches fleet/evidence.py what was seen of servers, doubts, backs fleet/subsets.py Subsets: both subsets while a change goes through (subset) fleet/status.py status, and what a worker is told (allocations) An allocator's answer stood twice (to others, and to this instance itself) and stands once. Names: Instance(homes=) -> first; sends -> take_sends(); fresh_events -> events.take_fresh(); allocators, may_grant -> granting.*; tenants, limit_keys -> entitlement.tenants, .keys; demands -> demands.by_tenant; counts, lives -> messenger.*; signals, seen, doubts, backs -> evidence; Demand is imported from fleet.demands, allocator_lease from fleet.granting. In tests these names alone have changed.

--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -13,7 +13,8 @@
 from random import Random
 
 from tansywood.fleet.allocation import open_key, rate_key
-from tansywood.fleet.instance import Demand, Instance
+from tansywood.fleet.demands import Demand
+from tansywood.fleet.instance import Instance
 from tansywood.fleet.messages import Envelope
 from tansywood.fleet.share import Limits
 from tansywood.fleet.terms import MS, SECOND, Terms
@@ -231,9 +232,8 @@
         made = self.hosts[name].instance
         if made is None:
             return
-        sends, made.sends = made.sends, []
-        made.fresh_events.clear()
-        for address, envelope in sends:
+        made.events.take_fresh()
+        for address, envelope in made.take_sends():
             self.sent[type(envelope.body).__name__] += 1
             to = self.by_address.get(address)
             if to is None or (name, to) in self.cut or self.rng.random() < self.conditions.loss:
--- a/tansywood/fleet/allocation.py
+++ b/tansywood/fleet/allocation.py
@@ -334,7 +334,7 @@
                 lowered = True
         return lowered
 
-    def keys(self) -> list[str]:
+    def known_keys(self) -> list[str]:
         """Limit keys of which something is known here."""
         return list(self._held)
 
--- /dev/null
+++ b/tansywood/fleet/demands.py
@@ -0,0 +1,105 @@
+"""What the workers of one instance ask for and have in use. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from tansywood.fleet.allocation import tenant_of
+from tansywood.fleet.entitlement import Entitlement
+from tansywood.fleet.terms import SECOND
+
+SILENT = SECOND  # a worker that says nothing for so long is not claimed for
+
+
+@dataclass(slots=True)
+class Demand:
+    """What a worker says of one tenant: what its callers ask for, and what is in use."""
+
+    worker: str
+    at: int
+    rate: int = 0  # thousandths of a request a second
+    needs: dict[str, int] = field(default_factory=dict)  # units by limit key
+    used: dict[str, int] = field(default_factory=dict)  # units by limit key
+
+
+class Demands:
+    """The last word of every worker, by tenant."""
+
+    def __init__(self, entitlement: Entitlement, claim_soon: Callable[[int], None]) -> None:
+        """`claim_soon(now)` is called where allocators should hear of a change at once."""
+        self.by_tenant: dict[str, Demand] = {}
+        self._entitlement = entitlement
+        self._claim_soon = claim_soon
+        self._left: dict[str, tuple[int, int]] = {}  # in use by dead workers' requests, until
+
+    def heard(self, now: int) -> dict[str, Demand]:
+        """Of workers that have said something lately. What a stopped one has ends by itself."""
+        return {t: d for t, d in self.by_tenant.items() if now - d.at <= SILENT}
+
+    def report(self, now: int, worker: str, version: int, hosted: Mapping[str, Demand]) -> None:
+        """All that a worker has at work, and the version of the allocations that it goes by."""
+        for tenant in self._of(worker):
+            if tenant not in hosted:
+                self._idle(now, tenant)
+        for tenant, demand in hosted.items():
+            known = self.by_tenant.get(tenant)
+            if known is not None and known.worker != worker and now - known.at <= SILENT:
+                continue  # another has it and says so; this one keeps to its floor
+            if tenant not in self._entitlement.tenants:
+                continue
+            grown = known is None or any(
+                need > known.needs.get(key, 0) for key, need in demand.needs.items()
+            )
+            self.by_tenant[tenant] = demand
+            for key in self._entitlement.keys[tenant]:
+                self._confirm(now, key, demand.used.get(key, 0), version)
+            if grown:
+                self._claim_soon(now)
+
+    def gone(self, now: int, worker: str) -> None:
+        """A worker's process has ended. What it had out may still be at work at servers."""
+        for tenant in self._of(worker):
+            limits = self._entitlement.tenants.get(tenant)
+            if limits is not None:
+                for key, used in self.by_tenant[tenant].used.items():
+                    # Its last word may be a moment old, and what it might use it may have used.
+                    most = max(used, self._entitlement.amount(now, key))
+                    self._left[key] = (most, now + limits.tail)
+            self._idle(now, tenant)
+
+    def keep(self, tenants: Iterable[str]) -> None:
+        """There are no tenants but these."""
+        wanted = set(tenants)
+        for tenant in [t for t in self.by_tenant if t not in wanted]:
+            del self.by_tenant[tenant]
+
+    def confirm_idle(self, now: int, keys: Iterable[str]) -> None:
+        """Of these limits, those that no worker uses are confirmed at once."""
+        for key in keys:
+            if tenant_of(key) not in self.by_tenant:
+                self._confirm(now, key, 0, self._entitlement.holder.changed(key))
+
+    def all_over(self, now: int) -> bool:
+        """Whether nothing is in use, by requests of workers that died included."""
+        left = [key for key, (used, until) in self._left.items() if used and now < until]
+        return not left and not self.by_tenant
+
+    def _of(self, worker: str) -> list[str]:
+        """Its tenants."""
+        return [t for t, d in self.by_tenant.items() if d.worker == worker]
+
+    def _idle(self, now: int, tenant: str) -> None:
+        self.by_tenant.pop(tenant, None)
+        self.confirm_idle(now, self._entitlement.keys.get(tenant, ()))
+
+    def _confirm(self, now: int, key: str, used: int, version: int) -> None:
+        """The workers go by this version and use so much; what dead ones left comes on top."""
+        left, until = self._left.get(key, (0, 0))
+        if until and now >= until:
+            del self._left[key]
+        elif until:
+            used += left
+        holder = self._entitlement.holder
+        if holder.confirm(now, key, used - self._entitlement.floor(key), version):
+            self._claim_soon(now)
--- /dev/null
+++ b/tansywood/fleet/entitlement.py
@@ -0,0 +1,51 @@
+"""What one instance may use of every limit: what allocators granted it, and its own floor. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from tansywood.fleet.allocation import Holder, floor_of, slice_of, tenant_of
+from tansywood.fleet.share import Limits
+from tansywood.fleet.terms import Terms
+
+
+class Entitlement:
+    """The limits there are, and one instance's units of each. Units as in `allocation`."""
+
+    def __init__(self, terms: Terms, allocators: int, index: int) -> None:
+        """`index`: which of the allocators this instance is; -1 where it is none."""
+        self.holder = Holder(terms, allocators)
+        self.tenants: dict[str, Limits] = {}
+        self.keys: dict[str, dict[str, tuple[int, int]]] = {}  # by tenant: whole and tail of each
+        self._allocators = allocators
+        self._index = index
+        self._floors: dict[str, int] = {}  # by limit key
+
+    def set_tenants(self, tenants: Mapping[str, Limits]) -> None:
+        """All tenants there are."""
+        self.tenants = dict(tenants)
+        self.keys = {tenant: limits.by_key(tenant) for tenant, limits in tenants.items()}
+        if self._index >= 0:
+            self._floors = {
+                key: floor_of(slice_of(key, whole, self._allocators, self._index))
+                for key, (whole, _) in self.limits().items()
+            }
+
+    def limits(self) -> dict[str, tuple[int, int]]:
+        """By limit key, of all tenants: all there is of it, and its tail in nanoseconds."""
+        return {key: row for of_one in self.keys.values() for key, row in of_one.items()}
+
+    def floor(self, key: str) -> int:
+        """Units that we may use with nobody to ask."""
+        return self._floors.get(key, 0)
+
+    def amount(self, now: int, key: str) -> int:
+        """Units that we may use now, the floor included; not more than the whole."""
+        whole, _ = self.keys.get(tenant_of(key), {}).get(key, (0, 0))
+        return min(self.holder.amount(now, key) + self.floor(key), whole)
+
+    def sweep(self, now: int) -> None:
+        """Forget limits of tenants that are gone, once what was held of them is over."""
+        for key in self.holder.known_keys():
+            if tenant_of(key) not in self.tenants:
+                self.holder.forget(now, key)
--- /dev/null
+++ b/tansywood/fleet/status.py
@@ -0,0 +1,123 @@
+"""What one instance tells: its workers, what they may use; people, all that it knows. Pure.
+
+The keys of both are what workers and tools read; they are as they were when allocators were still
+called homes.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from tansywood.fleet import turns
+from tansywood.fleet.allocation import open_key, places_key, rate_key
+from tansywood.fleet.share import Limits
+from tansywood.fleet.terms import SECOND
+
+if TYPE_CHECKING:
+    from tansywood.fleet.instance import Instance
+
+
+def for_worker(instance: Instance, now: int, worker: str) -> dict[str, Any]:
+    """Amounts of the tenants that a worker has, and for how many nanoseconds they hold."""
+    working = instance.members.working()
+    tenants = {
+        tenant: _tenant_for_worker(instance, now, tenant, working)
+        for tenant, demand in instance.demands.by_tenant.items()
+        if demand.worker == worker
+    }
+    # The version comes last: a look at an amount may have made another one.
+    return {
+        "version": instance.holder.version,
+        "instances": max(len(working), 1),
+        "tenants": tenants,
+    }
+
+
+def _tenant_for_worker(
+    instance: Instance, now: int, tenant: str, working: list[str]
+) -> dict[str, Any]:
+    limits = instance.entitlement.tenants[tenant]
+    keys = instance.entitlement.keys[tenant]
+    holder, evidence = instance.holder, instance.evidence
+    amounts = {key: instance.amount(now, key) for key in keys}
+    ends = [holder.until(now, key) for key in keys if holder.amount(now, key)]
+    servers = {s: f"{tenant}/{s}" for s in limits.servers}
+    return {
+        "rate": amounts[rate_key(tenant)],
+        "open": amounts[open_key(tenant)],
+        "places": {s: amounts[places_key(tenant, s)] for s in limits.servers}
+        if limits.places
+        else None,
+        "left": max(min(ends, default=now) - now, 0),
+        "doubted": [s for s, full in servers.items() if evidence.doubted(now, full)],
+        "back": [s for s, full in servers.items() if evidence.back(now, full)],
+        "tries": {
+            s: turns.wait(full, working, instance.name)
+            for s, full in servers.items()
+            if evidence.out(full)
+        },
+    }
+
+
+def status(instance: Instance, now: int) -> dict[str, Any]:
+    """Of JSON's types; times are seconds, rates requests a second."""
+    addresses, granting = instance.allocator_addresses, instance.granting
+    return {
+        "name": instance.name,
+        "address": instance.address,
+        "homes": list(addresses),
+        "deals": [addresses[i] for i in sorted(granting.allocators) if granting.active(i)],
+        "conflict": instance.members.conflict,
+        "members": _members(instance, now),
+        "shares": {
+            tenant: _share(instance, now, tenant, limits)
+            for tenant, limits in sorted(instance.entitlement.tenants.items())
+        },
+        "counts": instance.messenger.counts | {"false_alarms": instance.members.false_alarms},
+        "events": [
+            {
+                "ago_s": round((now - at) / SECOND, 1),
+                "name": e.name,
+                "what": e.what,
+                "why": e.why,
+            }
+            for at, e in instance.events
+        ],
+    }
+
+
+def _members(instance: Instance, now: int) -> list[dict[str, Any]]:
+    rows = []
+    for name, m in sorted(instance.members.rows.items()):
+        u = m.update
+        rows.append(
+            {
+                "name": name,
+                "address": u.address,
+                "state": "drains" if u.drains and m.there else m.state.name.lower(),
+                "for_s": round((now - m.since) / SECOND, 1),
+                "incarnation": u.incarnation,
+                "zone": u.zone,
+                "version": u.version,
+                "home": u.address in instance.allocator_addresses,
+                "ours": name == instance.name,
+            }
+        )
+    return rows
+
+
+def _share(instance: Instance, now: int, tenant: str, limits: Limits) -> dict[str, Any]:
+    demand = instance.demands.by_tenant.get(tenant)
+    row: dict[str, Any] = {
+        "rate_per_s": instance.amount(now, rate_key(tenant)) / 1000,
+        "of_rate_per_s": limits.rate / 1000,
+        "open": instance.amount(now, open_key(tenant)),
+        "of_open": limits.open,
+        "floor_rate_per_s": instance.floor(rate_key(tenant)) / 1000,
+        "asked_per_s": demand.rate / 1000 if demand is not None else 0.0,
+        "doubted": [s for s in limits.servers if instance.evidence.doubted(now, f"{tenant}/{s}")],
+    }
+    if limits.places:
+        row["places"] = {s: instance.amount(now, places_key(tenant, s)) for s in limits.servers}
+        row["of_places"] = limits.places
+    return row
--- a/tansywood/fleet/subsets.py
+++ b/tansywood/fleet/subsets.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
 
@@ -88,3 +89,38 @@
     if now - since >= span:
         return list(new)
     return [*new, *(s for s in old if s not in new)]
+
+
+@dataclass(slots=True)
+class _Subset:
+    """Of one tenant: what it was made of, and what it was before its last change."""
+
+    made_of: object
+    new: list[str]
+    old: list[str]
+    since: int
+
+
+class Subsets:
+    """The servers that one instance uses, by tenant; both subsets while a change goes through."""
+
+    def __init__(self, instance: str, span: int) -> None:
+        """`span`: how long a change takes, in nanoseconds."""
+        self._instance = instance
+        self._span = span
+        self._rows: dict[str, _Subset] = {}
+
+    def of(
+        self, now: int, tenant: str, members: Sequence[str], servers: Sequence[str], places: int
+    ) -> list[str]:
+        """Of this tenant's servers, with so many places at each."""
+        made_of = (tuple(members), tuple(servers), places)
+        known = self._rows.get(tenant)
+        if known is None or known.made_of != made_of:
+            new = chosen(self._instance, members, dict.fromkeys(servers, 1.0), places)
+            if known is None:
+                known = self._rows[tenant] = _Subset(made_of, new, new, now - self._span)
+            elif known.new != new:
+                known.old, known.new, known.since = known.new, new, now
+            known.made_of = made_of
+        return overlapped(known.old, known.new, known.since, now, self._span)
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -18,7 +18,9 @@
 from typing import Any
 
 from tansywood.fleet.allocation import open_key, places_key, rate_key
-from tansywood.fleet.instance import Demand, Instance, allocator_lease
+from tansywood.fleet.demands import Demand
+from tansywood.fleet.granting import allocator_lease
+from tansywood.fleet.instance import Instance
 from tansywood.fleet.messages import MessageError, pack, unpack
 from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
 from tansywood.fleet.settings import LEASE_MS, FleetSettings
@@ -193,14 +195,12 @@
 
     def flush(self) -> None:
         """Send what is to be sent, tell workers what is new, print what happened."""
-        sends, self.instance.sends = self.instance.sends, []
-        for address, envelope in sends:
+        for address, envelope in self.instance.take_sends():
             data = self.seal.seal(pack(envelope))
             self.too_long += len(data) > MOST
             self.endpoint.send(data, parse_address(address))
-        for event in self.instance.fresh_events:
+        for event in self.instance.events.take_fresh():
             self.log(f"event {event.name} {event.what}: {event.why}")
-        self.instance.fresh_events.clear()
         now = self.loop.time()
         if self.instance.holder.version != self.told_version or now - self.told_at >= TELL_S:
             self.told_version = self.instance.holder.version
--- a/tests/fleet/test_seal.py
+++ b/tests/fleet/test_seal.py
@@ -122,11 +122,11 @@
     made = world(["a", "b"], 2, watched=False)
     made.run(3.0)
     a, b = (made.hosts[n].instance for n in "ab")
-    assert a is not None and b is not None and b.allocators
-    before = b.allocators[b.index].outstanding("cork/rate", made.clock(made.hosts["b"]))
+    assert a is not None and b is not None and b.granting.allocators
+    before = b.granting.allocators[b.index].outstanding("cork/rate", made.clock(made.hosts["b"]))
     now = made.clock(made.hosts["b"])
     claim = Claim(10_000, [ClaimEntry("cork/rate", 150_000, 0)])
-    b.sends.clear()
+    b.messenger.sends.clear()
     b.receive(now, a.life, Envelope("a", a.address, b"\0" * 16, claim))
-    assert [e.body for _, e in b.sends] == [Welcome()]  # who is here now, and no more
-    assert b.allocators[b.index].outstanding("cork/rate", now) == before
+    assert [e.body for _, e in b.messenger.sends] == [Welcome()]  # who is here now, and no more
+    assert b.granting.allocators[b.index].outstanding("cork/rate", now) == before
