--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -18,7 +18,9 @@
 from typing import Any
 
 from tansywood.fleet.allocation import open_key, places_key, rate_key
-from tansywood.fleet.instance import Demand, Instance, allocator_lease
+from tansywood.fleet.demands import Demand
+from tansywood.fleet.granting import allocator_lease
+from tansywood.fleet.instance import Instance
 from tansywood.fleet.messages import MessageError, pack, unpack
 from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
 from tansywood.fleet.settings import LEASE_MS, FleetSettings
@@ -92,7 +94,7 @@
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.due = 0  # what the timer was set for
-        self.carrying = False  # whether something of the lease side is about to leave
+        self.carrying = False  # whether something of the lease client is about to leave
         self._tasks: set[asyncio.Task[None]] = set()
 
     def log(self, text: str) -> None:
@@ -161,7 +163,7 @@
         self.flush()
 
     def carry(self, address: str, data: bytes) -> None:
-        """What the lease side says; it leaves in this turn of the loop, whoever had it said."""
+        """What the lease client says; it leaves in this turn of the loop, whoever had it said."""
         self.instance.carry(self.clock.now(), address, data)
         if not self.carrying:
             self.carrying = True
@@ -175,13 +177,13 @@
 
     def may_grant(self, index: int) -> bool:
         assert self.leases is not None
-        return self.leases.side.may(self.clock.now(), allocator_lease(index)) != 0
+        return self.leases.client.may(self.clock.now(), allocator_lease(index)) != 0
 
     async def keep_allocating(self, leases: Leases, index: int) -> None:
         """Grant of an allocator's slice whenever we hold its lease. Cut off half way it ends with
         the lease: what is granted by then is over before whoever follows grants anything."""
         name = allocator_lease(index)
-        leases.side.prefers[name] = self.settings.first[index]
+        leases.client.placement.prefers[name] = self.settings.first[index]
         while True:
             with contextlib.suppress(LeaseLost):
                 async with leases.lease(name, everybody=True):
@@ -193,14 +195,12 @@
 
     def flush(self) -> None:
         """Send what is to be sent, tell workers what is new, print what happened."""
-        sends, self.instance.sends = self.instance.sends, []
-        for address, envelope in sends:
+        for address, envelope in self.instance.take_sends():
             data = self.seal.seal(pack(envelope))
             self.too_long += len(data) > MOST
             self.endpoint.send(data, parse_address(address))
-        for event in self.instance.fresh_events:
+        for event in self.instance.events.take_fresh():
             self.log(f"event {event.name} {event.what}: {event.why}")
-        self.instance.fresh_events.clear()
         now = self.loop.time()
         if self.instance.holder.version != self.told_version or now - self.told_at >= TELL_S:
             self.told_version = self.instance.holder.version
@@ -325,7 +325,7 @@
             "too_long": self.too_long,
         }
         if self.leases is not None:
-            told["leases"] = self.leases.side.status(self.clock.now())
+            told["leases"] = self.leases.client.status(self.clock.now())
         return told
 
     # ---- the process -----------------------------------------------------------------
