Tenants given up under traffic, agents killed, views refused: tests and the bound

Giving up has to lose no request, so the tests release tenants that rest for 50 ms while callers come back at random, and kill agents under traffic. A tenant counts as in use for at most its idle time, and the key file is read by the class that distributors use as well.

--- a/tansywood/distribution/interest.py
+++ b/tansywood/distribution/interest.py
@@ -63,6 +63,7 @@
         self.lookups_open = 0
         self.counts: Counter[str] = Counter()
         self._terms = terms
+        self._in_use = min(IN_USE, idle)
         self._held: OrderedDict[str, _Held] = OrderedDict()  # the least recently used first
         self._owner: dict[str, str] = {}
         self._leaving: set[str] = set()
@@ -178,7 +179,7 @@
         for uid, held in self._held.items():
             rest = now - held.used
             room = LEAVING_MOST - len(self._leaving) - len(chosen)
-            if rest < IN_USE or room <= 0 or (rest < self.idle and over <= 0):
+            if rest < self._in_use or room <= 0 or (rest < self.idle and over <= 0):
                 break  # all that follow were used later
             if not held.pinned and uid not in self._leaving:
                 chosen.append(uid)
@@ -224,7 +225,7 @@
         """Whether all that may be found can be held, giving up what is not in use."""
         over = len(self._held) + self.lookups_open + 1 - self.bound
         for held in self._held.values():
-            if over <= 0 or now - held.used < IN_USE:
+            if over <= 0 or now - held.used < self._in_use:
                 break
             over -= not held.pinned
         return over <= 0
--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -71,6 +71,10 @@
     return view
 
 
+def log(text: str) -> None:
+    print(f"agent: {text}", file=sys.stderr, flush=True)
+
+
 class Agent:
     """One node's configuration."""
 
@@ -84,8 +88,10 @@
         listeners: Sequence[str] = (),
         bound: int = BOUND,
         idle_s: float = IDLE_S,
+        zone: str = "",
     ) -> None:
         self.loop = loop
+        self.zone = zone
         self.place = place
         self.listeners = tuple(listeners)
         self.subscriber = subscriber
@@ -109,9 +115,6 @@
         self._listeners_due = 0.0
         self._late_due: dict[str, float] = {}
 
-    def log(self, text: str) -> None:
-        print(f"agent: {text}", file=sys.stderr, flush=True)
-
     # ---- from control ------------------------------------------------------------------------
 
     def _overheard(self, message: Message) -> None:
@@ -140,7 +143,7 @@
         except ViewError as err:
             reason = str(err)[:300]
             self.refused[uid] = reason
-            self.log(f"refused: {reason}")
+            log(f"refused: {reason}")
             if uid not in self.interest:
                 self.interest.hold(uid, (), time.monotonic_ns())
             return Refusal(uid, entry.revision, reason)
@@ -286,7 +289,7 @@
             try:
                 self._in_force(uid, body)
             except ViewError as err:
-                self.log(f"not taken over: {err}")
+                log(f"not taken over: {err}")
                 continue
             self.subscriber.replica.load([Resource(uid, 0, Kind.CONTENT, body)])
         self.client.start()
@@ -314,6 +317,7 @@
         received, sent, messages = self.client.totals()
         return {
             "name": subscriber.name,
+            "zone": self.zone,
             "source": subscriber.address,
             "link": subscriber.link.value,
             "epoch": [position.epoch.number, position.epoch.identity.hex()],
@@ -362,7 +366,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         except (WireError, KeyError, TypeError) as err:
-            self.log(f"somebody asked what is not understood: {err!r}")
+            log(f"somebody asked what is not understood: {err!r}")
         finally:
             writer.close()
 
@@ -430,9 +434,7 @@
             Random(),
             time.monotonic_ns(),
         )
-        keys = KeyFile(
-            Path(options.key_file), lambda text: print(f"agent: {text}", file=sys.stderr)
-        )
+        keys = KeyFile(Path(options.key_file), log)
         agent = Agent(
             loop,
             part.Place(options.run),
@@ -442,6 +444,7 @@
             options.listener,
             options.tenants,
             options.idle_s,
+            options.zone,
         )
         return await agent.run()
 
--- a/tests/service/agent_world.py
+++ b/tests/service/agent_world.py
@@ -143,7 +143,8 @@
         self.log = folder / "node.log"
         self.control = Control(listeners)
         self.rng = Random(1)
-        self.sides: dict[str, Side] = {}
+        self.sides: list[Side] = []
+        self.made = 0  # tenants
         self.options = options
         self.sockets: dict[str, socket.socket] = {}
         for name in listeners:
@@ -188,19 +189,20 @@
         for sock in self.sockets.values():
             sock.close()
         self.control.stop()
-        for side in self.sides.values():
+        for side in self.sides:
             for server in side.servers:
                 server.kill()
 
     async def tenant(self, name: str, servers: int = 1, **over: Any) -> Side:
         """A tenant at control, with a key; the node knows nothing of it yet."""
         side = Side(name, Random(self.rng.random()))
-        self.sides[name] = side
+        self.sides.append(side)
         await side.add_servers(servers, Behaviour(work_s=0.002))
         made = document(name, side.listed, **{"classes": PATIENT, "limits": WIDE, **over})
         for row in made["servers"]:
             row["started_ms"] = 1
-        number = len(self.sides)
+        self.made += 1
+        number = self.made
         registry = self.control.registry
         self.control.do(registry.create(OPERATOR, made, f"uid-{number:06d}"))
         tenant = registry.tenants[self.control.uid(name)]
--- a/tests/service/test_agent.py
+++ b/tests/service/test_agent.py
@@ -5,13 +5,14 @@
 import asyncio
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from standins.ledger import End
 from standins.platform import request
 from tansywood.distribution.messages import alias_of_host
 from tansywood.service.tenant import FULL, UNKNOWN
 
-from .agent_world import Node, comes, node
+from .agent_world import OPERATOR, Node, comes, node
 from .world import Side
 
 
@@ -55,12 +56,18 @@
             # Once it is acknowledged all of the node goes by it.
             assert await cork.caller(n.port, "a").ask("new") == End.SERVED
             assert await cork.caller(n.port, "b").ask("credit") == End.FAILED
-            report = (await n.ask("report", tenant="cork"))["report"]
-            assert report["classes"]
+            while sum(row["served"] for row in await classes(n, "cork")) < 51:
+                await asyncio.sleep(0.02)
+            assert "error" in await n.ask("report", tenant="other")
 
     asyncio.run(main())
 
 
+async def classes(n: Node, tenant: str) -> list[dict[str, Any]]:
+    """A tenant's counters, as its workers have told them."""
+    return list((await n.ask("report", tenant=tenant))["report"]["classes"].values())
+
+
 CLASS = {"aim_ms": 25_000, "deadline_ms": 30_000, "repeat": "safe"}
 
 
@@ -136,3 +143,108 @@
             assert await cork.caller(n.port, "a").ask() == End.SERVED
 
     asyncio.run(main())
+
+
+def test_a_flood_of_invented_hosts_takes_nothing_from_a_tenant_that_is_held(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork = await n.tenant("cork")
+            await crowd(n, cork, 1, 1)
+
+            async def flood(worker: int) -> set[bytes]:
+                return {await n.raw(stranger(f"x{worker}-{i}.example.org")) for i in range(100)}
+
+            strangers = asyncio.gather(*(flood(worker) for worker in range(20)))
+            await crowd(n, cork, 10, 30)
+            got: set[bytes] = set().union(*await strangers)
+            assert got <= {UNKNOWN, FULL} and UNKNOWN in got
+            assert served(cork) == 301 and not cork.ledger.problems(breaks=False)
+            status = await n.until(lambda s: not s["lookups_open"])
+            assert status["counts"]["lookups"] < 2_000 and status["counts"]["unavailable"] > 0
+            assert status["unknown_cached"] <= status["counts"]["lookups"]
+
+    asyncio.run(main())
+
+
+def test_a_state_that_cant_be_read_is_refused_and_the_last_good_one_stays_in_force(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork, other = await n.tenant("cork"), await n.tenant("other")
+            await crowd(n, cork, 2, 2)
+            uid = n.control.uid("cork")
+            revision = n.control.spoil(uid)
+            await comes(lambda: n.control.source.rollout(uid, revision).refused == 1)
+            rollout = n.control.source.rollout(uid, revision)
+            assert rollout.refusing[0][0] == "node-1" and uid in rollout.refusing[0][1]
+            assert uid in (await n.ask("status"))["refused_views"]
+            # So it is over a restart of those who follow.
+            for name in ("door", "worker-0", "worker-1"):
+                n.parts[name].kill()
+                await n.begin(name)
+            await crowd(n, cork, 2, 2)
+            # One that is spoilt before it is held for the first time can't be served.
+            n.control.spoil(n.control.uid("other"))
+            assert await other.caller(n.port, "a").ask() == End.REFUSED
+            revision = n.control.change("cork", title="good again")
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            n.control.change("other", title="good again")
+            await n.until(lambda s: not s["refused_views"])
+            assert await other.caller(n.port, "b").ask() == End.SERVED
+            await crowd(n, cork, 2, 2)
+            assert served(cork) == 12 and not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
+
+
+def test_a_deleted_tenant_is_gone_from_the_node_and_its_name_may_be_anothers(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork = await n.tenant("cork")
+            await crowd(n, cork, 2, 2)
+            registry = n.control.registry
+            tenant = registry.tenants[n.control.uid("cork")]
+            n.control.do(registry.delete(OPERATOR, tenant, "*"))
+            await n.until(lambda s: s["tenants"] == 0)
+            await comes_to_nothing(n, cork)
+            again = await n.tenant("cork")
+            await asyncio.sleep(2.1)  # as long as it is remembered to be nobody's
+            assert await again.caller(n.port, "again").ask() == End.SERVED
+            assert await cork.caller(n.port, "old").ask() == End.FAILED
+
+    asyncio.run(main())
+
+
+async def comes_to_nothing(n: Node, side: Side) -> None:
+    for number in range(500):
+        if await side.caller(n.port, f"gone{number}").ask("balance") == End.FAILED:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it is served yet")
+
+
+def test_a_tenant_of_this_nodes_listener_is_held_without_being_asked_for(tmp_path: Path) -> None:
+    async def main() -> None:
+        options = ["--idle-s=0.05"]
+        async with node(tmp_path, listeners=("public", "private"), options=options) as n:
+            callers = {"listeners": ["private"], "key_required": False}
+            keyless = {"Host": "any.example.org", "X_Tenant_Id": ""}
+            other = await n.tenant("other")
+            assert await n.raw(stranger("any.example.org"), "private") == UNKNOWN
+            alone = await n.tenant("alone", callers=callers)
+            await n.until(lambda s: s["tenants"] == 1)
+            private = n.ports["private"]
+            assert await alone.caller(private, "in", headers=keyless).ask("credit") == End.SERVED
+            # Others are given up when they rest, it is not.
+            assert await other.caller(n.port, "a").ask() == End.SERVED
+            await n.until(lambda s: s["counts"].get("given up", 0) == 1)
+            assert (await n.ask("status"))["tenants"] == 1
+            assert await alone.caller(private, "on", headers=keyless).ask("credit") == End.SERVED
+            assert await n.raw(stranger("any.example.org")) == UNKNOWN
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/service/test_agent_giving_up.py
@@ -0,0 +1,170 @@
+"""Tenants given up while callers come, and agents that end under traffic: nothing is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+from standins.ledger import End
+from standins.platform import request
+from tansywood.service.tenant import UNKNOWN
+
+from .agent_world import OPERATOR, Node, comes, node
+from .test_agent import crowd, served
+from .world import Side
+
+AT_ONCE = ["--idle-s=0.05"]  # whoever rests at a look, four times a second, is given up
+
+
+async def now_and_then(n: Node, side: Side, name: str, asks: int, rng: Random) -> None:
+    """Requests with pauses of any length between them, mostly on new connections."""
+    caller = side.caller(n.port, name)
+    for _ in range(asks):
+        await caller.ask()
+        if rng.random() < 0.8:
+            caller.drop()
+        await asyncio.sleep(rng.choice((0.0, 0.05, 0.2, 0.3)) * rng.random())
+    caller.drop()
+
+
+def test_releases_that_race_with_new_connections_lose_no_request(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with node(tmp_path, options=AT_ONCE) as n:
+            rng = Random(7)
+            sides = [await n.tenant(f"t-{i}") for i in range(8)]
+            await n.until(lambda s: s["link"] == "up")
+            await asyncio.gather(
+                *(
+                    now_and_then(n, side, f"{side.name}.{i}", 60, Random(rng.random()))
+                    for side in sides
+                    for i in range(2)
+                )
+            )
+            for side in sides:
+                assert not side.ledger.problems(breaks=False)
+                assert served(side) == 120
+            status = await n.until(lambda s: s["tenants"] == 0)
+            assert status["counts"]["given up"] > 30
+            # What came back after it was given up was looked up anew and subscribed to.
+            revision = n.control.change("t-0", title="other")
+            assert n.control.source.rollout(n.control.uid("t-0"), revision).have == 0
+
+    asyncio.run(main())
+
+
+def test_a_tenant_with_a_connection_at_rest_is_not_given_up(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with node(tmp_path, options=AT_ONCE) as n:
+            cork = await n.tenant("cork")
+            caller = cork.caller(n.port, "a")
+            assert await caller.ask("credit") == End.SERVED
+            await n.until(lambda s: s["counts"].get("kept", 0) >= 3)
+            status = await n.ask("status")
+            assert status["tenants"] == 1 and "given up" not in status["counts"]
+            assert await caller.ask("credit") == End.SERVED
+            # News reach it all the while.
+            revision = n.control.change("cork", title="other")
+            uid = n.control.uid("cork")
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            caller.drop()
+            await n.until(lambda s: s["tenants"] == 0)
+            assert not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
+
+
+def test_at_the_bound_the_least_recently_used_goes_for_a_new_one(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with node(tmp_path, options=["--tenants=2"]) as n:
+            sides = [await n.tenant(f"t-{i}") for i in range(3)]
+            for side in sides[:2]:
+                assert await side.caller(n.port, "a").ask() == End.SERVED
+            # The first two were used a moment ago: there is no room, and nobody goes for it.
+            for number in range(2_000):
+                if await sides[2].caller(n.port, f"b{number}").ask("balance") == End.SERVED:
+                    break
+                await asyncio.sleep(0.01)
+            assert sides[2].ledger.counts()["balance", End.REFUSED] > 0
+            status = await n.until(lambda s: s["tenants"] == 2)
+            assert status["counts"]["given up"] == 1
+
+    asyncio.run(main())
+
+
+def test_agents_that_are_killed_under_traffic_lose_nothing_and_tenants_stay_served(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path, options=["--idle-s=0.4"]) as n:
+            sides = [await n.tenant(f"t-{i}") for i in range(6)]
+            await n.until(lambda s: s["link"] == "up")
+            for side in sides:
+                await crowd(n, side, 1, 1)
+            rng = Random(3)
+            load = asyncio.gather(
+                *(
+                    now_and_then(n, side, f"{side.name}.{i}", 60, Random(rng.random()))
+                    for side in sides
+                    for i in range(2)
+                ),
+            )
+            for _ in range(6):
+                await asyncio.sleep(rng.random())
+                n.parts["agent"].kill()
+                await n.begin("agent")
+            await load
+            for side in sides:
+                assert not side.ledger.problems(breaks=False)
+                assert served(side) == 121
+
+    asyncio.run(main())
+
+
+def test_what_changes_while_no_agent_is_there_is_in_force_once_one_is(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork, gone, same = [await n.tenant(name) for name in ("cork", "gone", "same")]
+            open_one = cork.caller(n.port, "open")
+            assert await open_one.ask("credit") == End.SERVED
+            for side in (cork, gone, same):
+                await crowd(n, side, 1, 1)
+            n.parts["agent"].kill()
+            await crowd(n, cork, 2, 2)
+            row = {"aim_ms": 25_000, "deadline_ms": 30_000, "repeat": "safe", "name": "new"}
+            revision = n.control.change("cork", classes=[row])
+            registry = n.control.registry
+            uid = n.control.uid("cork")
+            n.control.do(registry.delete(OPERATOR, registry.tenants[n.control.uid("gone")], "*"))
+            await n.begin("agent")
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            assert await open_one.ask("new") == End.SERVED
+            status = await n.until(lambda s: s["tenants"] == 2)
+            # Its answer to what is gone is that of what never was.
+            assert await n.raw(request(more=gone.headers())) == UNKNOWN
+            await crowd(n, same, 2, 2)
+            assert status["counts"].get("lookups", 0) <= 3  # they were not asked for again
+            for side in (cork, same):
+                assert not side.ledger.problems(breaks=False)
+
+    asyncio.run(main())
+
+
+def test_an_agent_that_starts_while_control_is_away_goes_on_with_what_its_node_holds(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork = await n.tenant("cork")
+            await crowd(n, cork, 2, 2)
+            n.control.stop()
+            n.parts["agent"].kill()
+            await n.begin("agent")
+            await n.until(lambda s: s["tenants"] == 1)
+            for name in ("door", "worker-0", "worker-1"):
+                n.parts[name].kill()
+                await n.begin(name)
+            await crowd(n, cork, 2, 2)
+            assert served(cork) == 8 and not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
