--- a/tansywood/admin/feed.py
+++ b/tansywood/admin/feed.py
@@ -67,12 +67,13 @@
         """A change that is durable."""
         self.seq = seq
         data = frame({"seq": seq, "uid": uid, "view": view})
-        for writer in self._writers.values():
-            if writer.transport.is_closing():
-                continue
+        for name, writer in list(self._writers.items()):
             writer.write(data)
             if writer.transport.get_write_buffer_size() > BEHIND:
                 writer.transport.abort()
+                self._writers.pop(name, None)
+                if self._node is not None:
+                    self._node.left(name)
         if view is None:
             self.reports.pop(uid, None)
 
--- a/tansywood/distribution/interest.py
+++ b/tansywood/distribution/interest.py
@@ -130,7 +130,7 @@
 
     def ask(self, asker: Asker, aliases: Sequence[str], now: int, urgent: bool = False) -> Asked:
         """Whose are these? `urgent` is not bound by the limits on lookups."""
-        self.counts["asked"] += 1
+        self.counts["asked"] += not urgent
         found = {uid for alias in aliases if (uid := self._owner.get(alias)) is not None}
         self.use(found, now)
         keep = tuple(uid for uid in found if uid in self._leaving)
--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -297,7 +297,7 @@
     def _ask_for_late(self, now: float) -> None:
         """Ask whether what only some follower holds still is: by its name, as there is no other
         way to subscribe. What is found is put into force as ever."""
-        for uid, view in self.restore.late().items():
+        for uid, view in list(self.restore.late().items()):
             if now >= self._late_due.get(uid, 0.0):
                 self._late_due[uid] = now + LATE_S
                 name = view["document"]["name"]
--- a/tansywood/service/lookups.py
+++ b/tansywood/service/lookups.py
@@ -30,9 +30,9 @@
 def aliases_to_ask(unknown: Shown) -> list[str]:
     """The aliases of what is unknown, of those that can be a tenant's at all."""
     found = []
-    if _HOST.fullmatch(unknown.host):
+    if unknown.host and _HOST.fullmatch(unknown.host):
         found.append(alias_of_host(unknown.host))
-    if _NAME.fullmatch(unknown.name):
+    if unknown.name and _NAME.fullmatch(unknown.name):
         found.append(alias_of_name(unknown.name))
     if unknown.key:
         found.append(alias_of_key(unknown.key))
--- a/tests/service/test_agent_giving_up.py
+++ b/tests/service/test_agent_giving_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 from random import Random
 
@@ -168,3 +169,34 @@
             assert served(cork) == 8 and not cork.ledger.problems(breaks=False)
 
     asyncio.run(main())
+
+
+def test_what_only_a_late_worker_holds_is_asked_for_and_held_or_deleted(tmp_path: Path) -> None:
+    """It was stopped while agent and door were started again: they know nothing of it."""
+
+    async def main() -> None:
+        async with node(tmp_path, workers=1) as n:
+            cork, gone = await n.tenant("cork"), await n.tenant("gone")
+            open_ones = [side.caller(n.port, "open") for side in (cork, gone)]
+            assert [await one.ask("credit") for one in open_ones] == [End.SERVED] * 2
+            worker = n.parts["worker-0"].process
+            assert worker is not None
+            worker.send_signal(signal.SIGSTOP)
+            n.parts["agent"].kill()
+            n.parts["door"].kill()
+            registry = n.control.registry
+            n.control.do(registry.delete(OPERATOR, registry.tenants[n.control.uid("gone")], "*"))
+            await n.begin("agent")
+            assert (await n.until(lambda s: s["link"] == "up"))["tenants"] == 0
+            worker.send_signal(signal.SIGCONT)
+            await n.until(lambda s: s["tenants"] == 1)
+            revision = n.control.change("cork", title="other")
+            uid = n.control.uid("cork")
+            await n.begin("door")
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            assert await open_ones[0].ask("credit") == End.SERVED
+            assert await open_ones[1].ask("credit") in (End.FAILED, End.REFUSED)
+            await crowd(n, cork, 2, 2)
+            assert not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
