--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -98,12 +98,14 @@
 
 
 class Hello(Struct, array_like=True, frozen=True, tag="h"):
-    """The first message. `position` is where to resume: all that is held holds up to there."""
+    """The first message. `position` is where to resume: all that is held holds up to there.
+    `newest` is the latest revision that anything held may have."""
 
     name: NodeName
     everything: bool = False
     position: Position = Position()
     subscriptions: Annotated[list[Uid], Meta(max_length=MAX_SUBSCRIPTIONS)] = []
+    newest: Count = 0
 
 
 class Versions(Struct, array_like=True, frozen=True, tag="v"):
@@ -146,12 +148,14 @@
 class Welcome(Struct, array_like=True, frozen=True, tag="w"):
     """The answer to a hello, and said again where the source goes over to a new epoch.
 
-    With `compare` the subscriber says its versions; without, its position goes on in this epoch.
+    With `compare` the subscriber says its versions; without, its position goes on in this epoch,
+    which began behind `parent`.
     """
 
     position: Position
     compare: bool = False
     age_ms: Count = 0
+    parent: Position = Position()
 
 
 class Busy(Struct, array_like=True, frozen=True, tag="b"):
@@ -178,7 +182,8 @@
 
 class Found(Struct, array_like=True, frozen=True, tag="f"):
     """The answer to a lookup, in the order of its aliases, empty where it is nobody's.
-    `resources` are those not subscribed to before; `revision` is the source's."""
+    `resources` are what was found, as far as it has room here; the rest follows as Changes.
+    `revision` is the source's."""
 
     question: Count
     uids: Annotated[list[Annotated[str, Meta(max_length=40)]], Meta(max_length=8)]
--- a/tansywood/distribution/replica.py
+++ b/tansywood/distribution/replica.py
@@ -21,6 +21,7 @@
 )
 
 REMEMBERED_MOST = 50_000  # revisions of what is not held any more
+UNKNOWN = -1  # the revision of what was taken in another history: anything is newer
 
 
 @dataclass(slots=True)
@@ -43,6 +44,7 @@
         """`window` is how many recent changes are remembered."""
         self.epoch = epoch or Epoch()
         self.revision = revision
+        self.newest = revision  # of all that was taken in this history
         self.parent = Position()
         self.entries: dict[str, Entry] = {}
         self.aliases: dict[str, str] = {}
@@ -58,10 +60,10 @@
     # ---- reading ---------------------------------------------------------------------------
 
     def resource(self, uid: str, with_aliases: bool = False) -> Resource:
-        """What a subscriber is told of it: removed, at our revision, where there is none."""
+        """What a subscriber is told of it: removed, at our revision where it was never known."""
         entry = self.entries.get(uid)
         if entry is None:
-            return Resource(uid, max(self._gone.get(uid, 0), self.revision), Kind.REMOVED)
+            return Resource(uid, self._gone.get(uid, self.revision), Kind.REMOVED)
         aliases = list(entry.aliases) if with_aliases else []
         return Resource(uid, entry.revision, Kind.CONTENT, entry.body, aliases)
 
@@ -74,8 +76,9 @@
         """The uid whose alias this is; empty where it is nobody's."""
         return self.aliases.get(alias, "")
 
-    def covers(self, position: Position) -> bool:
-        """Whether `changes_behind` can tell all that was missed since a position.
+    def covers(self, position: Position, newest: int = 0) -> bool:
+        """Whether `changes_behind` can tell all that was missed since a position by one who
+        holds nothing newer than `newest`.
 
         Revision 0 is that of a subscriber that knows nothing, or not of what it still holds.
         """
@@ -83,7 +86,8 @@
             return False
         if position.epoch == self.epoch:
             return True
-        return position.epoch == self.parent.epoch and position.revision <= self.parent.revision
+        reached = max(position.revision, newest)
+        return position.epoch == self.parent.epoch and reached <= self.parent.revision
 
     def changes_behind(self, revision: int) -> list[tuple[int, str]]:
         """Each resource that has changed behind a covered revision, once, in the order of its
@@ -102,43 +106,59 @@
         self.epoch = epoch
         self.parent = parent
 
-    def forget_history(self, epoch: Epoch) -> None:
+    def forget_history(self, epoch: Epoch, parent: Position) -> None:
         """Go over to an epoch of another history: revisions of the old one say nothing in it.
 
         What is held stays until a comparison has told which of it still holds.
         """
         self.epoch = epoch
-        self.parent = Position()
+        self.parent = parent
+        self.newest = 0
+        self.lose_place()
+        self._gone.clear()
+        for entry in self.entries.values():
+            entry.revision = UNKNOWN
+
+    def lose_place(self) -> None:
+        """Changes were missed that nobody can tell any more: only a comparison helps, and who
+        follows us can't resume behind what we know until it is over."""
         self.revision = 0
         self._floor = 0
         self._window.clear()
-        self._gone.clear()
-        for entry in self.entries.values():
-            entry.revision = 0
 
     def take(self, resource: Resource) -> bool:
-        """Take a state of this epoch; False where ours is as new, so that nothing changes."""
+        """Take a state of this epoch; False where ours is as new, so that nothing changes.
+
+        That something is removed which we never held is news as well: a subscriber of ours
+        may have got it from another source.
+        """
         entry = self.entries.get(resource.uid)
-        known = entry.revision if entry is not None else self._gone.get(resource.uid, -1)
+        known = entry.revision if entry is not None else self._gone.get(resource.uid, UNKNOWN)
         if resource.kind is Kind.UNCHANGED:
-            if entry is not None:
-                entry.revision = max(entry.revision, resource.revision)
+            if entry is not None and resource.revision >= entry.revision:
+                entry.revision = resource.revision
+                self.newest = max(self.newest, entry.revision)
+                self._bind(resource.uid, entry)  # another may have had them in the old history
             return False
         if resource.revision <= known:
             return False
         if resource.kind is Kind.REMOVED:
-            if entry is None:
-                return False
             self._drop(resource.uid, resource.revision)
-            return True
-        self._put(resource)
+        else:
+            self._put(resource)
         return True
 
     def record(self, revision: int, uid: str) -> None:
-        """Remember a change, for those who resume behind it. Revisions only grow."""
+        """Remember a change, for those who resume behind it. Revisions only grow: where one
+        does not, nobody may resume behind what came before it."""
+        if self._window and revision < self._window[-1][0]:
+            self._floor = max(self._floor, self._window[-1][0])
+            self._window.clear()
+            return
         self._window.append((revision, uid))
         if len(self._window) > self._window_most:
-            self._floor, _ = self._window.popleft()
+            forgotten, _ = self._window.popleft()
+            self._floor = max(self._floor, forgotten)
 
     def commit(self, resource: Resource) -> None:
         """A change of the publisher's own: take it, remember it, and stand there."""
@@ -153,6 +173,7 @@
     def advance(self, revision: int) -> None:
         """All that is held now holds up to there."""
         self.revision = max(self.revision, revision)
+        self.newest = max(self.newest, revision)
 
     def step_back(self, revision: int) -> None:
         """Something was taken that holds only up to there: resume from there."""
@@ -175,19 +196,27 @@
         if old is not None:
             self._unbind(resource.uid, old)
         self._gone.pop(resource.uid, None)
-        self.entries[resource.uid] = Entry(
+        self.newest = max(self.newest, resource.revision)
+        entry = Entry(
             resource.revision, digest_of(resource.body), resource.body, tuple(resource.aliases)
         )
-        for alias in resource.aliases:
-            self.aliases[alias] = resource.uid
+        self.entries[resource.uid] = entry
+        self._bind(resource.uid, entry)
 
     def _drop(self, uid: str, revision: int) -> None:
-        self._unbind(uid, self.entries.pop(uid))
+        entry = self.entries.pop(uid, None)
+        if entry is not None:
+            self._unbind(uid, entry)
+        self.newest = max(self.newest, revision)
         self._gone[uid] = revision
         self._gone.move_to_end(uid)
         if len(self._gone) > REMEMBERED_MOST:
             self._gone.popitem(last=False)
 
+    def _bind(self, uid: str, entry: Entry) -> None:
+        for alias in entry.aliases:
+            self.aliases[alias] = uid
+
     def _unbind(self, uid: str, entry: Entry) -> None:
         for alias in entry.aliases:
             if self.aliases.get(alias) == uid:  # it may be another's by now
--- a/tansywood/distribution/rollout.py
+++ b/tansywood/distribution/rollout.py
@@ -37,9 +37,9 @@
 
 @dataclass(slots=True)
 class _Distributor:
-    connected: bool = True
+    connections: int = 0  # a new one may be there before the end of the old one is known
     reported: int = 0  # the revision up to which it has told its sums
-    rows: OrderedDict[tuple[str, int], Rollout] = field(default_factory=OrderedDict)
+    rows: OrderedDict[str, Rollout] = field(default_factory=OrderedDict)  # of each uid's last
 
 
 class RolloutBoard:
@@ -50,12 +50,16 @@
         self._at: dict[str, str] = {}  # which distributor an instance came to last
 
     def connected(self, distributor: str) -> None:
-        self._distributors.setdefault(distributor, _Distributor()).connected = True
+        """Its sums are told anew: it may have been started again, and lack what it had."""
+        known = self._distributors.setdefault(distributor, _Distributor())
+        known.connections += 1
+        known.reported = 0
 
     def disconnected(self, distributor: str) -> None:
         """Its last words stay: its instances may lack what comes now, until they are heard of."""
-        if distributor in self._distributors:
-            self._distributors[distributor].connected = False
+        known = self._distributors.get(distributor)
+        if known is not None:
+            known.connections = max(known.connections - 1, 0)
 
     def forget(self, distributor: str) -> None:
         """It was taken out of service."""
@@ -65,8 +69,8 @@
         """Sums of a distributor; `revision` where all up to there have been told by now."""
         known = self._distributors.setdefault(distributor, _Distributor())
         for row in rows:
-            known.rows[row.uid, row.revision] = row
-            known.rows.move_to_end((row.uid, row.revision))
+            known.rows[row.uid] = row
+            known.rows.move_to_end(row.uid)
         while len(known.rows) > FOLLOWED:
             known.rows.popitem(last=False)
         known.reported = revision or known.reported
@@ -84,20 +88,21 @@
     def summary(self, uid: str, revision: int) -> Summary:
         """Of one change. A distributor counts as waiting until it has told its sums of it: that
         it has the change itself says nothing of its instances. One that has gone counts as
-        waiting while it was the last that some instance came to."""
+        waiting while it was the last that some instance came to. Where the tenant has changed again
+        since, the sums are those of its later change: who lacks that may lack this one as well."""
         have = waiting = refused = has = 0
         lagging: list[str] = []
         refusing: list[tuple[str, str]] = []
         late: list[str] = []
         served = set(self._at.values())
         for name, distributor in sorted(self._distributors.items()):
-            if distributor.reported < revision or not distributor.connected:
-                if distributor.connected or name in served:
+            if distributor.reported < revision or not distributor.connections:
+                if distributor.connections or name in served:
                     late.append(name)
                 continue
             has += 1
-            row = distributor.rows.get((uid, revision))
-            if row is not None:
+            row = distributor.rows.get(uid)
+            if row is not None and row.revision >= revision:
                 have += row.have
                 waiting += row.waiting
                 refused += row.refused
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -14,12 +14,13 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tansywood.distribution.messages import (
     Acknowledge,
     Busy,
     Changes,
+    Epoch,
     Found,
     Hello,
     Kind,
@@ -43,8 +44,11 @@
 BATCH_MOST = 1_024  # resources in one message
 NAMED = 5  # instances that are named of those that lag or refuse
 NOT_READY_MS = 500
+BEHIND_ITS_EPOCH = "this source has not come up to the beginning of its epoch"
 OUTDATED_MS = 1_000
+COME_BACK_MOST = 5 * SECOND  # that one who is turned away is told to wait
 REFUSALS_MOST = 1_024  # kept of one session
+CONTROL_MOST = 1_024  # answers that wait for one subscriber; more questions are not answered
 RECENT = 256  # changes whose rollout is followed
 RECENT_FOR = 60 * SECOND
 
@@ -61,6 +65,15 @@
     unchanged: bool = False
 
 
+@dataclass(slots=True)
+class _Recent:
+    """A change whose rollout is followed; `dropped` counts who has put a removal into force."""
+
+    revision: int
+    at: int  # time
+    dropped: int = 0
+
+
 @dataclass(slots=True)
 class Session:
     """One subscriber's connection."""
@@ -71,9 +84,9 @@
     name: str = ""
     everything: bool = False
     welcomed: bool = False
-    comparing: bool = False  # its versions are awaited
+    comparisons: int = 0  # lists of versions that are awaited; the last one counts
     catching_up: bool = False  # what a comparison found has not all been sent
-    ahead: int = 0  # the revision it came with: it may know more than we do
+    ahead: int = 0  # the newest revision of this epoch that it may hold anything of
     progress: int = 0  # all up to there has been sent
     applied: int = 0  # all up to there is in force there
     subscriptions: set[str] = field(default_factory=set)
@@ -84,6 +97,10 @@
     lookups: Bucket | None = None
     ends: bool = False  # closed once what it has to be told is sent
 
+    @property
+    def comparing(self) -> bool:
+        return self.comparisons > 0
+
     def has(self, uid: str, revision: int) -> bool:
         """Whether a change is in force there."""
         return self.applied >= revision and not self.refuses(uid, revision)
@@ -124,12 +141,14 @@
         self._everything: set[int] = set()
         self._by_name: dict[str, int] = {}
         self._away: dict[str, _Away] = {}
-        self._recent: deque[tuple[int, int, str]] = deque(maxlen=RECENT)
-        self._unsettled: dict[str, int] = {}  # changes that are not in force everywhere here
+        self._recent: OrderedDict[str, _Recent] = OrderedDict()  # the last change of each uid
+        self._recent_epoch = replica.epoch
+        self._unsettled: dict[str, None] = {}  # recent ones whose sums may have changed
         self._reported: dict[str, Rollout] = {}
         self._reported_to = 0  # the revision
         self._admission = Bucket(now, terms.admit_per_s, terms.admit_burst)
         self._admission.fill()
+        self._promised = now  # when the last one that was turned away was told to come back
         self._next_number = 1
 
     # ---- what happens ----------------------------------------------------------------------
@@ -162,6 +181,8 @@
         session = self.sessions[number]
         session.heard = now
         self.messages_in += 1
+        if session.ends:
+            return
         if isinstance(message, Hello):
             self._hello(session, now, message)
         elif not session.welcomed:
@@ -171,8 +192,7 @@
         elif isinstance(message, Lookup):
             self._looked_up(session, now, message)
         elif isinstance(message, Unsubscribe):
-            for uid in message.uids:
-                self._drop_subscription(session, uid)
+            self._given_up(session, message)
         elif isinstance(message, Versions):
             self._compare(session, message)
         elif not isinstance(message, Rollouts):  # those are the publisher's own to sum up
@@ -180,8 +200,7 @@
 
     def changed(self, uid: str, revision: int, now: int) -> None:
         """A resource of the replica is another; revisions only grow."""
-        self._recent.append((now, revision, uid))
-        self._unsettled[uid] = revision
+        self._follow(uid, revision, now)
         for number in (*self._subscribers.get(uid, ()), *self._everything):
             session = self.sessions[number]
             session.pending.pop(uid, None)  # it goes to the end: see the module's text
@@ -193,22 +212,36 @@
         self.heard_publisher = max(self.heard_publisher, at)
 
     def epoch_continued(self, now: int) -> None:
-        """The replica went over to an epoch that continues its own history."""
-        parent = self.replica.parent
+        """The replica went over to an epoch that continues its own history.
+
+        Who holds something newer than this epoch's beginning has to compare; not here, while we
+        have not come up to that beginning ourselves: ours may be older.
+        """
+        self._recent_epoch = self.replica.epoch
+        parent = self.replica.parent.revision
         for session in self.sessions.values():
-            if not session.welcomed:
+            if not session.welcomed or session.ends:
                 continue
-            session.comparing = max(session.ahead, session.progress) > parent.revision
-            session.control.append(
-                Welcome(self.replica.position, session.comparing, self._age_ms(now))
-            )
-            self.ready.add(session.number)
+            compare = session.comparing or max(session.ahead, session.progress) > parent
+            if compare and self.replica.revision < parent:
+                self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
+                continue
+            if compare:
+                self._begin_comparison(session)
+            self._welcome(session, now, compare)
 
     def stop_serving(self) -> None:
         """The replica is about to change its history: everybody comes again afterwards."""
         self.serving = False
+        if self._recent_epoch != self.replica.epoch:
+            self._recent_epoch = self.replica.epoch
+            self._recent.clear()
+            self._unsettled.clear()
+            self._reported.clear()
+            self._away = {name: replace(away, applied=0) for name, away in self._away.items()}
         for session in self.sessions.values():
-            self._end(session, Busy(NOT_READY_MS, "this source changes over to another history"))
+            session.applied = 0
+            self._end(session, Busy(NOT_READY_MS, "this source compares what it holds first"))
 
     def moved(self, names: Iterable[str]) -> None:
         """These instances have come to another distributor."""
@@ -219,8 +252,12 @@
         """The source above knows nothing of before: the next report says all that is known."""
         self._reported.clear()
         self._reported_to = 0
-        self._unsettled.update((uid, revision) for _, revision, uid in self._recent)
-        self.joined = [s.name for s in self.sessions.values() if s.welcomed and not s.everything]
+        self._unsettled = dict.fromkeys(self._recent)
+        self.joined = [
+            session.name
+            for session in self.sessions.values()
+            if session.welcomed and not session.ends and not session.everything
+        ]
 
     def tell_moved(self, distributor: str, names: list[str]) -> None:
         """Tell a distributor so."""
@@ -274,15 +311,15 @@
         while session.pending and len(resources) < BATCH_MOST and size < self.terms.batch_bytes:
             uid, pending = session.pending.popitem(last=False)
             resource = self._resource(session, uid, pending)
-            if resource.kind is Kind.REMOVED:
-                self._drop_subscription(session, uid)
-            size += len(resource.body)
+            size += len(resource.body) + sum(map(len, resource.aliases))
             resources.append(resource)
+        session.ahead = max(session.ahead, *(resource.revision for resource in resources))
         if not session.pending:
             session.catching_up = False
             session.progress = self.replica.revision
         elif not session.catching_up:
-            session.progress = next(iter(session.pending.values())).revision - 1
+            waits = next(iter(session.pending.values())).revision
+            session.progress = max(session.progress, min(waits - 1, self.replica.revision))
         return Changes(resources, session.progress)
 
     def _resource(self, session: Session, uid: str, pending: _Pending) -> Resource:
@@ -309,22 +346,32 @@
         if not self.serving:
             self._end(session, Busy(NOT_READY_MS, "this source is not ready"))
             return
+        compare = not self.replica.covers(hello.position, hello.newest)
+        holds = theirs != Epoch() or bool(hello.subscriptions)
+        if compare and holds and self.replica.revision < self.replica.parent.revision:
+            self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
+            return
         wait = self._admission.take(now)
         if wait:
-            self._end(session, Busy(wait // MS + 1, "too many at once"))
+            self._end(session, Busy(self._come_back_ms(now, wait), "too many at once"))
             return
-        self._admit(session, now, hello)
+        self._admit(session, now, hello, compare)
+        if not compare:
+            self._resume(session, hello.position.revision)
+
+    def _come_back_ms(self, now: int, wait: int) -> int:
+        """Those who are turned away are told times one after the other, at the admitted rate."""
+        self._promised = max(self._promised + round(SECOND / self.terms.admit_per_s), now + wait)
+        self._promised = min(self._promised, now + COME_BACK_MOST)
+        return (self._promised - now) // MS + 1
 
-    def _admit(self, session: Session, now: int, hello: Hello) -> None:
+    def _admit(self, session: Session, now: int, hello: Hello, compare: bool) -> None:
         session.name = hello.name
         session.everything = hello.everything
         session.welcomed = True
         session.lookups = Bucket(now, self.terms.lookups_per_s, self.terms.lookups_per_s)
         session.lookups.fill()
-        before = self._by_name.get(hello.name)
-        if before is not None:
-            self.sessions[before].ends = True  # its connection is dead, or its name is there twice
-            self.ready.add(before)
+        self._replace(hello.name)
         self._by_name[hello.name] = session.number
         self._away.pop(hello.name, None)
         if hello.everything:
@@ -333,19 +380,41 @@
             self.joined.append(hello.name)
         for uid in hello.subscriptions:
             self._subscribe(session, uid)
-        self._unsettled.update(
-            (uid, revision) for _, revision, uid in self._recent if uid in session.subscriptions
-        )
-        session.comparing = not self.replica.covers(hello.position)
-        if not session.comparing:
-            session.ahead = hello.position.revision
-            session.progress = min(hello.position.revision, self.replica.revision)
-            session.applied = session.progress
-            self._resume(session, hello.position.revision)
-        session.control.append(Welcome(self.replica.position, session.comparing, self._age_ms(now)))
+        if compare:
+            self._begin_comparison(session)
+        if not compare or hello.position.epoch == self.replica.epoch:
+            session.ahead = max(hello.position.revision, hello.newest)
+        self._welcome(session, now, compare)
+
+    def _replace(self, name: str) -> None:
+        """A session of this name is there already: its connection is dead, or its name is used
+        twice."""
+        number = self._by_name.get(name)
+        if number is None:
+            return
+        before = self.sessions[number]
+        for uid in list(before.subscriptions):
+            self._drop_subscription(before, uid)
+        before.pending.clear()
+        before.ends = True
+        self._everything.discard(number)
+        self.ready.add(number)
+
+    def _welcome(self, session: Session, now: int, compare: bool) -> None:
+        replica = self.replica
+        age = self._age_ms(now)
+        session.control.append(Welcome(replica.position, compare, age, replica.parent))
         self.ready.add(session.number)
 
+    def _begin_comparison(self, session: Session) -> None:
+        session.comparisons += 1
+        session.compared.clear()
+        session.ahead = 0
+        session.progress = 0
+        session.applied = 0
+
     def _resume(self, session: Session, revision: int) -> None:
+        session.progress = min(revision, self.replica.revision)
         for changed, uid in self.replica.changes_behind(revision):
             if session.everything or uid in session.subscriptions:
                 session.pending[uid] = _Pending(changed)
@@ -353,6 +422,9 @@
     def _compare(self, session: Session, versions: Versions) -> None:
         if not session.comparing:
             raise ProtocolError("versions that nobody asked for")
+        if session.comparisons > 1:  # it did not know of the last welcome yet
+            session.comparisons -= versions.last
+            return
         for row in versions.rows:
             session.compared.add(row.uid)
             if not session.everything:
@@ -379,34 +451,52 @@
         in_order = sorted(session.pending.items(), key=lambda item: item[1].revision)
         session.pending = OrderedDict(in_order)
         session.compared.clear()
-        session.comparing = False
+        session.comparisons = 0
         session.catching_up = True
         self.ready.add(session.number)
 
     def _looked_up(self, session: Session, now: int, lookup: Lookup) -> None:
         assert session.lookups is not None
-        if session.lookups.take(now):
+        if session.lookups.take(now) or len(session.control) >= CONTROL_MOST:
             return  # it asks more often than its terms say; its own time limit answers it
         uids = [self.replica.owner(alias) for alias in lookup.aliases]
-        resources = []
-        for uid in dict.fromkeys(uids):
-            if uid and uid not in session.subscriptions:
-                self._subscribe(session, uid)
-                resources.append(self.replica.resource(uid))
-        session.control.append(Found(lookup.question, uids, resources, self.replica.revision))
+        first: list[Resource] = []
+        rest: list[Resource] = []
+        size = 0
+        for uid in dict.fromkeys(uid for uid in uids if uid):
+            self._subscribe(session, uid)
+            resource = self.replica.resource(uid)
+            session.ahead = max(session.ahead, resource.revision)
+            size += len(resource.body)
+            fits = not first or size <= self.terms.batch_bytes
+            (first if fits else rest).append(resource)
+        session.control.append(Found(lookup.question, uids, first, self.replica.revision))
+        for resource in rest:
+            session.control.append(Changes([resource], 0))
         self.ready.add(session.number)
 
+    def _given_up(self, session: Session, unsubscribe: Unsubscribe) -> None:
+        for uid in unsubscribe.uids:
+            recent = self._recent.get(uid)
+            if recent is not None and uid in session.subscriptions:
+                recent.dropped += uid not in self.replica.entries
+            self._drop_subscription(session, uid)
+
     def _acknowledged(self, session: Session, acknowledge: Acknowledge) -> None:
+        if session.comparing:
+            return  # said of the epoch before
         session.applied = acknowledge.revision
         for refusal in acknowledge.refusals:
             session.refusals[refusal.uid] = refusal
             session.refusals.move_to_end(refusal.uid)
+            self._sums_change(refusal.uid)
         while len(session.refusals) > REFUSALS_MOST:
             session.refusals.popitem(last=False)
 
     def _subscribe(self, session: Session, uid: str) -> None:
         session.subscriptions.add(uid)
         self._subscribers.setdefault(uid, set()).add(session.number)
+        self._sums_change(uid)
 
     def _drop_subscription(self, session: Session, uid: str) -> None:
         session.subscriptions.discard(uid)
@@ -420,6 +510,7 @@
             numbers.discard(session.number)
             if not numbers:
                 del self._subscribers[uid]
+        self._sums_change(uid)
 
     def _end(self, session: Session, last: Busy) -> None:
         session.control.append(last)
@@ -436,24 +527,42 @@
         lagging += [name for name, away in self._away.items() if away.lacks(uid, revision)]
         reasons = [(s.name, s.refusals[uid].reason) for s in refusing[:NAMED]]
         have = sum(s.has(uid, revision) for s in sessions)
+        recent = self._recent.get(uid)
+        if recent is not None and recent.revision == revision:
+            have += recent.dropped
         return Rollout(uid, revision, have, len(lagging), len(refusing), lagging[:NAMED], reasons)
 
     def report(self, now: int) -> Rollouts | None:
         """What is news of the rollouts of recent changes, for the source above."""
-        while self._recent and now - self._recent[0][0] > RECENT_FOR:
-            self._recent.popleft()
-        followed = {uid: revision for _, revision, uid in self._recent}
+        while self._recent and now - next(iter(self._recent.values())).at > RECENT_FOR:
+            self._follow_no_longer()
         rows = []
-        for uid, revision in list(self._unsettled.items()):
-            row = self.rollout(uid, revision)
+        for uid in list(self._unsettled):
+            row = self.rollout(uid, self._recent[uid].revision)
             if self._reported.get(uid) != row:
                 rows.append(row)
                 self._reported[uid] = row
-            if not (row.waiting or row.refused) or uid not in followed:
+            if not (row.waiting or row.refused):
                 del self._unsettled[uid]
-        self._reported = {uid: row for uid, row in self._reported.items() if uid in followed}
-        joined, self.joined = self.joined, []
+        joined, self.joined = list(dict.fromkeys(self.joined)), []
         if not rows and not joined and self._reported_to == self.replica.revision:
             return None
         self._reported_to = self.replica.revision
         return Rollouts(rows, joined, self._reported_to)
+
+    def _follow(self, uid: str, revision: int, now: int) -> None:
+        self._recent.pop(uid, None)
+        self._recent[uid] = _Recent(revision, now)
+        self._unsettled[uid] = None
+        if len(self._recent) > RECENT:
+            self._follow_no_longer()
+
+    def _follow_no_longer(self) -> None:
+        """Of the oldest change."""
+        uid, _ = self._recent.popitem(last=False)
+        self._unsettled.pop(uid, None)
+        self._reported.pop(uid, None)
+
+    def _sums_change(self, uid: str) -> None:
+        if uid in self._recent:
+            self._unsettled[uid] = None
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -13,7 +13,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 from random import Random
@@ -24,6 +24,7 @@
     Changes,
     Found,
     Hello,
+    Kind,
     Lookup,
     Message,
     Moved,
@@ -39,7 +40,7 @@
 from tansywood.distribution.terms import MS, Terms
 
 VERSIONS_MOST = 4_000  # in one message
-ASK_AGAIN = 200 * MS  # where a source knows less than we do
+REFUSALS_MOST = 1_000  # in one message
 NEVER = 1 << 62
 
 
@@ -89,7 +90,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryChanged:
-    """The replica goes over to another history; a comparison tells what still holds."""
+    """The replica goes over to another history, or (of a distributor) missed changes that nobody
+    can tell any more; a comparison tells what still holds."""
 
 
 Action = Dial | HangUp | Send | Apply | Answer | Continued | HistoryChanged
@@ -109,14 +111,16 @@
     aliases: tuple[str, ...]
     until: int
     again: int = NEVER
+    serial: int = 0  # of the message that asks it
 
 
 @dataclass(slots=True)
 class _Batch:
     number: int
     progress: int
+    uids: tuple[str, ...] = ()
     done: bool = False
-    refusals: list[Refusal] = field(default_factory=list)
+    forgotten: bool = False  # its revisions are those of a history that is not ours any more
 
 
 class Subscriber:
@@ -135,6 +139,7 @@
         """`addresses` are those of all sources; each subscriber has its own order of them."""
         self.name = name
         self.replica = replica
+        self.subscriptions: set[str] = set()  # of an instance, at the source that is followed
         self.terms = terms
         self.everything = everything
         self.actions: list[Action] = []
@@ -156,10 +161,15 @@
         self._stale_wait = terms.stale_again_first
         self._questions: OrderedDict[int, _Question] = OrderedDict()
         self._next_question = 1
+        self._next_serial = 1
+        self._serials: dict[int, int] = {}  # of open questions, by the message that asks each
+        self._unsubscribed: OrderedDict[str, int] = OrderedDict()  # before which serial
         self._batches: deque[_Batch] = deque()
         self._next_batch = 1
         self._acknowledged = 0
-        self._refusals: list[Refusal] = []
+        self._refusing: dict[str, Refusal] = {}  # what is refused of what is held
+        self._refusals: dict[str, Refusal] = {}  # of these, what the source was not told yet
+        self._barred: dict[str, int] = {}  # sources that said when to come back
 
     # ---- the connection --------------------------------------------------------------------
 
@@ -179,9 +189,12 @@
             return
         self.link = Link.GREETING
         self._heard = now
-        subscriptions = [] if self.everything else list(self.replica.entries)
-        hello = Hello(self.name, self.everything, self.replica.position, subscriptions)
-        self._send(hello, now)
+        replica = self.replica
+        self.subscriptions = set() if self.everything else set(replica.entries)
+        self._serials.clear()
+        self._unsubscribed.clear()
+        held = list(self.subscriptions)
+        self._send(Hello(self.name, self.everything, replica.position, held, replica.newest), now)
 
     def disconnected(self, attempt: int, now: int, why: str = "closed") -> None:
         if attempt == self.attempt and self.link is not Link.DOWN:
@@ -190,7 +203,7 @@
     def tick(self, now: int) -> None:
         """Do what is due; call it at `next_due` at the latest."""
         if self.link is Link.DOWN:
-            if now >= self._due:
+            if now >= self._due and self._choose_address(now):
                 self._dial(now)
         elif self.link is not Link.UP:
             if now >= self._due:
@@ -210,6 +223,15 @@
             due = min(due, question.until, question.again)
         return due
 
+    def _choose_address(self, now: int) -> bool:
+        """The next one that did not bar us; where all did, wait for the first that takes us."""
+        for _ in self.addresses:
+            if self._barred.get(self.address, now) <= now:
+                return True
+            self._next_address += 1
+        self._due = min(self._barred.values())
+        return False
+
     def _dial(self, now: int) -> None:
         self.attempt += 1
         self.link = Link.DIALING
@@ -220,8 +242,14 @@
         self.actions.append(HangUp(self.attempt, why))
         self._lost(now, why)
 
-    def _lost(self, now: int, why: str, at_most: int = 0) -> None:
-        """Go on to the next source after a random while, up to `at_most` where it was told."""
+    def _turned_away(self, now: int, busy: Busy) -> None:
+        """Go elsewhere; back here not before the time that was told, and a random while."""
+        wait = busy.retry_after_ms * MS + self._random.randrange(self.terms.reconnect_first + 1)
+        self._barred[self.address] = now + wait
+        self._hang_up(now, f"busy: {busy.reason}")
+
+    def _lost(self, now: int, why: str) -> None:
+        """Go on to the next source after a random while."""
         terms = self.terms
         self.link = Link.DOWN
         self.losses += 1
@@ -229,7 +257,7 @@
         bound = min(terms.reconnect_first << min(self._failures, 16), terms.reconnect_most)
         self._failures += 1
         self._next_address += 1
-        self._due = now + self._random.randrange(max(bound, at_most) + 1)
+        self._due = now + self._random.randrange(bound + 1)
 
     # ---- messages --------------------------------------------------------------------------
 
@@ -241,8 +269,7 @@
         if isinstance(message, Welcome):
             self._welcomed(now, message)
         elif isinstance(message, Busy):
-            self.actions.append(HangUp(self.attempt, message.reason))
-            self._lost(now, f"busy: {message.reason}", message.retry_after_ms * MS)
+            self._turned_away(now, message)
         elif self.link is not Link.UP:
             raise ProtocolError(f"{type(message).__name__} before a welcome")
         elif isinstance(message, Changes):
@@ -264,23 +291,37 @@
         self._publisher_told(now, welcome.age_ms)
         if welcome.position.epoch > replica.epoch:
             self._change_epoch(welcome)
+        elif welcome.compare and self.everything:
+            replica.lose_place()
+            self.actions.append(HistoryChanged())
         if welcome.compare:
             self._send_versions(now)
         if first:
-            self.connections += 1
-            self._failures = 0
-            for number, question in self._questions.items():
-                self._ask(number, question, now)
+            self._begin(now)
+
+    def _begin(self, now: int) -> None:
+        """Tell a source that knows nothing of us what is in force here, and ask what is open."""
+        self.connections += 1
+        self._failures = 0
+        self._barred.clear()
+        self._refusals = dict(self._refusing)
+        self._acknowledge(now)
+        for number, question in self._questions.items():
+            self._ask(number, question, now)
 
     def _change_epoch(self, welcome: Welcome) -> None:
         replica = self.replica
         if welcome.compare:
-            self._batches.clear()
             self._acknowledged = 0
-            replica.forget_history(welcome.position.epoch)
+            for batch in self._batches:
+                batch.progress = 0
+                batch.forgotten = True
+            for uid, refusal in self._refusing.items():
+                self._refusing[uid] = Refusal(uid, 0, refusal.reason)
+            replica.forget_history(welcome.position.epoch, welcome.parent)
             self.actions.append(HistoryChanged())
         else:
-            replica.begin_epoch(welcome.position.epoch, replica.position)
+            replica.begin_epoch(welcome.position.epoch, welcome.parent)
             self.actions.append(Continued())
 
     def _send_versions(self, now: int) -> None:
@@ -290,7 +331,9 @@
             self._send(Versions(chunk, start + VERSIONS_MOST >= len(rows)), now)
 
     def _changed(self, now: int, changes: Changes) -> None:
-        self._take(changes.resources, changes.progress)
+        # What was given up may have been on its way.
+        wanted = [r for r in changes.resources if self.everything or r.uid in self.subscriptions]
+        self._take(wanted, changes.progress)
         self.replica.advance(changes.progress)
         self._acknowledge_what_is_done(now)
 
@@ -300,11 +343,16 @@
         if self.everything:
             for resource in taken:
                 self.replica.record(resource.revision, resource.uid)
-        batch = _Batch(self._next_batch, progress, done=not taken)
+        for resource in resources:
+            if resource.kind is Kind.UNCHANGED and resource.uid in self._refusing:
+                reason = self._refusing[resource.uid].reason
+                self._refuse(Refusal(resource.uid, resource.revision, reason))
+        uids = tuple(resource.uid for resource in taken)
+        batch = _Batch(self._next_batch, progress, uids, done=not uids)
         self._next_batch += 1
         self._batches.append(batch)
-        if taken:
-            self.actions.append(Apply(batch.number, tuple(r.uid for r in taken)))
+        if uids:
+            self.actions.append(Apply(batch.number, uids))
 
     def _progressed(self, now: int, progress: Progress) -> None:
         self.replica.advance(progress.progress)
@@ -339,26 +387,61 @@
         for batch in self._batches:
             if batch.number == number:
                 batch.done = True
-                batch.refusals = list(refusals)
+                self._settle(batch, refusals)
+                self._unsubscribe_removed(batch.uids, now)
         self._acknowledge_what_is_done(now)
 
+    def _settle(self, batch: _Batch, refusals: Sequence[Refusal]) -> None:
+        """Know what of a batch is refused."""
+        for uid in batch.uids:
+            self._refusing.pop(uid, None)
+            self._refusals.pop(uid, None)
+        if not batch.forgotten:
+            for refusal in refusals:
+                self._refuse(refusal)
+            return
+        decided_later = {uid for b in self._batches if b.number > batch.number for uid in b.uids}
+        for refusal in refusals:
+            entry = self.replica.entries.get(refusal.uid)
+            if entry is not None and refusal.uid not in decided_later:
+                self._refuse(Refusal(refusal.uid, max(entry.revision, 0), refusal.reason))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._refusing[refusal.uid] = refusal
+        self._refusals[refusal.uid] = refusal
+
+    def _unsubscribe_removed(self, uids: Sequence[str], now: int) -> None:
+        """A removal is in force: its subscription ends with that."""
+        if not self.everything:
+            held = self.replica.entries
+            self._unsubscribe([u for u in uids if u not in held and u in self.subscriptions], now)
+
     def _acknowledge_what_is_done(self, now: int) -> None:
         before = self._acknowledged
         while self._batches and self._batches[0].done:
-            batch = self._batches.popleft()
-            self._acknowledged = max(self._acknowledged, batch.progress)
-            self._refusals += batch.refusals
+            self._acknowledged = max(self._acknowledged, self._batches.popleft().progress)
         if self.link is Link.UP and (self._acknowledged > before or self._refusals):
             self._acknowledge(now)
 
     def _acknowledge(self, now: int) -> None:
-        refusals, self._refusals = self._refusals, []
-        self._send(Acknowledge(self._acknowledged, refusals), now)
+        refusals = list(self._refusals.values())
+        self._refusals.clear()
+        for start in range(0, max(len(refusals), 1), REFUSALS_MOST):
+            chunk = refusals[start : start + REFUSALS_MOST]
+            self._send(Acknowledge(self._acknowledged, chunk), now)
+
+    def _hold_back(self, revision: int) -> None:
+        """Something was taken that holds only up to there: neither resume nor say we have more."""
+        self.replica.step_back(revision)
+        self._acknowledged = min(self._acknowledged, revision)
+        for batch in self._batches:
+            batch.progress = min(batch.progress, revision)
 
     # ---- lookups ---------------------------------------------------------------------------
 
     def lookup(self, aliases: Sequence[str], now: int) -> int:
-        """Ask whose these are, and hold what is found. An Answer follows under this number."""
+        """Ask whose these are, and hold what is found. An Answer follows under this number; None
+        where no source could say in time, or none that knows as much as we do."""
         number = self._next_question
         self._next_question += 1
         question = _Question(tuple(aliases), now + self.terms.question_wait)
@@ -371,35 +454,65 @@
         """Hold these no longer."""
         for uid in uids:
             self.replica.give_up(uid)
-        if self.link is Link.UP and uids:
+            self._refusing.pop(uid, None)
+            self._refusals.pop(uid, None)
+        self._unsubscribe(uids, now)
+
+    def _unsubscribe(self, uids: Sequence[str], now: int) -> None:
+        """What was asked before is answered before the source reads this: such an answer
+        subscribes to nothing any more."""
+        self.subscriptions.difference_update(uids)
+        for uid in uids:
+            self._unsubscribed[uid] = self._next_serial
+            self._unsubscribed.move_to_end(uid)
+        if self.link in (Link.GREETING, Link.UP) and uids:  # a hello may have named them
             self._send(Unsubscribe(list(uids)), now)
 
     def _ask(self, number: int, question: _Question, now: int) -> None:
+        self._serials.pop(question.serial, None)
         question.again = NEVER
-        self._send(Lookup(number, list(question.aliases)), now)
+        question.serial = self._next_serial
+        self._serials[question.serial] = number
+        self._next_serial += 1
+        self._send(Lookup(question.serial, list(question.aliases)), now)
 
     def _ask_again(self, now: int) -> None:
         for number, question in list(self._questions.items()):
             if now >= question.until:
                 del self._questions[number]
+                self._serials.pop(question.serial, None)
                 self.actions.append(Answer(number, None))
             elif now >= question.again and self.link is Link.UP:
                 self._ask(number, question, now)
 
     def _found(self, now: int, found: Found) -> None:
-        if found.resources:
-            self._take(found.resources, self._acknowledged)
-            self.replica.step_back(found.revision)
-            self._acknowledge_what_is_done(now)
-        question = self._questions.get(found.question)
-        if question is None:
+        held = self.replica.entries
+        wanted = {uid for uid in found.uids if uid and self._subscribes(uid, found.question)}
+        self.subscriptions |= wanted
+        if not wanted <= held.keys():
+            self._hold_back(found.revision)
+        self._take([r for r in found.resources if r.uid in wanted], self._acknowledged)
+        self._acknowledge_what_is_done(now)
+        self._forget_unsubscribed(found.question + 1)
+        number = self._serials.pop(found.question, None)
+        if number is None:
             return
-        if all(not uid or uid in self.replica.entries for uid in found.uids):
-            del self._questions[found.question]
-            self.actions.append(Answer(found.question, tuple(found.uids)))
+        question = self._questions[number]
+        behind = found.revision < self.replica.newest
+        if all(uid in held if uid else not behind for uid in found.uids):
+            del self._questions[number]
+            self.actions.append(Answer(number, tuple(found.uids)))
         else:
             # This source knows an older state than we had: it is told the newer one soon.
-            question.again = now + ASK_AGAIN
+            question.again = now + self.terms.ask_again
+
+    def _forget_unsubscribed(self, serial: int) -> None:
+        """Nothing that was asked before this one will be answered any more."""
+        while self._unsubscribed and next(iter(self._unsubscribed.values())) <= serial:
+            self._unsubscribed.popitem(last=False)
+
+    def _subscribes(self, uid: str, serial: int) -> bool:
+        return serial >= self._unsubscribed.get(uid, 0)
 
     def _send(self, message: Message, now: int) -> None:
         self._said = now
--- a/tansywood/distribution/terms.py
+++ b/tansywood/distribution/terms.py
@@ -34,3 +34,4 @@
     unknown: int = 2 * SECOND  # an alias that is nobody's is not asked for again so long
     unknown_most: int = 10_000  # such aliases kept
     questions_most: int = 256  # lookups open at a time
+    ask_again: int = 200 * MS  # a source that knows less than its subscriber is asked again
