A process that stood still judges no silence; heartbeats always tell the age

Need: with 110,000 tenants and 15 distributors the first synchronisation never ended (run of the rig: not ready in 180 s). Comparing everything held the publisher's loop for up to 1.9 s a session, its tick then took distributors for silent whose words lay unread, and they began anew. A subscriber's timer was set anew with each message, so it never rang while they came densely. And 3,600 nodes never came to rest: the publisher said no heartbeat while it said anything else more often than each 0.5 s (Moved, Changes), so its age grew at distributors (53 s), nodes left them as stale, and their moving made more Moved.

Change: a server adds the time it stood still to when each session was heard; a client whose timer comes late reads first; a timer that is set for earlier stays. Terms.fetches, 2: more subscribers of everything that compare are told to come again. A heartbeat is due each 0.5 s, whatever else was sent. The rig's publisher freezes its tenants for the collector (a full collection took 1.1 s, a comparison 1.9 s with and 0.5 s without it), its relay is standins/relay.py.

--- a/standins/scale/publisher.py
+++ b/standins/scale/publisher.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
 import time
 from collections.abc import Iterator
@@ -154,6 +155,7 @@
 
 async def _main(folder: Path, size: Size, seed: int) -> None:
     publisher = Publisher(folder, size, seed, Terms())
+    gc.freeze()  # all tenants stay: collections need not look at them again and again
     address = await publisher.server.start(Address("127.0.0.1", 0))
     await serve({"address": f"{address.host}:{address.port}"}, publisher.perform)
 
--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -23,8 +23,12 @@
     Send,
     Subscriber,
 )
+from tansywood.distribution.terms import MS
 from windrelay.config import parse_address
 
+LEAST_WAIT = MS  # of a timer
+STALLED = 200 * MS  # a timer that comes so late tells that this process stood still
+
 Dialer = Callable[[str, Callable[[], SealedStream]], Coroutine[Any, Any, object]]
 Handler = Callable[[Action], None]
 
@@ -58,6 +62,7 @@
         self._stream: SealedStream | None = None
         self._attempts: dict[SealedStream, int] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._bytes_in = 0
         self._bytes_out = 0
@@ -152,7 +157,7 @@
     # ---- the parts -------------------------------------------------------------------------
 
     def flush(self) -> None:
-        """Do what the subscriber wants done, and set the timer anew."""
+        """Do what the subscriber wants done, and see to it that the timer is early enough."""
         while self.subscriber.actions:
             actions, self.subscriber.actions = self.subscriber.actions, []
             for action in actions:
@@ -195,13 +200,31 @@
                 stream.abort(action.why)
 
     def _set_timer(self) -> None:
+        """For what is due next. A timer that is set for earlier stays: set anew with each message
+        it would never run while messages come without a pause."""
+        due = max(self.subscriber.next_due(), time.monotonic_ns() + LEAST_WAIT)
         if self._timer is not None:
+            if self._timer_due <= due:
+                return
             self._timer.cancel()
-        wait = max((self.subscriber.next_due() - time.monotonic_ns()) / 1e9, 0.001)
-        self._timer = asyncio.get_running_loop().call_later(wait, self._tick)
+        self._arm(due)
+
+    def _arm(self, due: int) -> None:
+        self._timer_due = due
+        wait = max(due - time.monotonic_ns(), LEAST_WAIT) / 1e9
+        self._timer = asyncio.get_running_loop().call_later(wait, self._ring)
+
+    def _ring(self) -> None:
+        now = time.monotonic_ns()
+        self._timer = None
+        if now - self._timer_due > STALLED:
+            # This process stood still: what came in the meantime is read before silence is judged.
+            self._arm(now + LEAST_WAIT)
+        else:
+            self._tick()
 
     def _tick(self) -> None:
         self.subscriber.tick(time.monotonic_ns())
+        self.flush()
         if self._timer is None:
             self._set_timer()
-        self.flush()
--- a/tansywood/distribution/server.py
+++ b/tansywood/distribution/server.py
@@ -10,9 +10,11 @@
 from tansywood.distribution.messages import Message
 from tansywood.distribution.source import ProtocolError, Session, Source
 from tansywood.distribution.stream import Keys, SealedStream
+from tansywood.distribution.terms import MS, SECOND
 from windrelay.config import Address
 
-TICK_S = 0.1
+TICK = 100 * MS
+STALLED = 200 * MS  # a tick that comes so late tells that this process stood still
 BACKLOG = 1024
 
 Overheard = Callable[[Session, Message], None]
@@ -41,6 +43,7 @@
         self._numbers: dict[SealedStream, int] = {}
         self._server: asyncio.Server | None = None
         self._ticking: asyncio.TimerHandle | None = None
+        self._tick_due = 0
         self.bytes_out = 0  # of connections that have ended
         self.bytes_in = 0
 
@@ -48,6 +51,7 @@
         """Listen; returns the address, with the port that was free where 0 was asked for."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._stream, *address, backlog=BACKLOG)
+        self._tick_due = time.monotonic_ns()
         self._tick()
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
@@ -131,7 +135,14 @@
             stream.close("ended by this source")
 
     def _tick(self) -> None:
-        self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
-        for number in self.source.tick(time.monotonic_ns()):
+        """Time in which this process stood still, and so read nothing, is nobody's silence."""
+        now = time.monotonic_ns()
+        late = now - self._tick_due
+        if late > STALLED:
+            for session in self.source.sessions.values():
+                session.heard = min(session.heard + late, now)
+        self._tick_due = now + TICK
+        self._ticking = asyncio.get_running_loop().call_later(TICK / SECOND, self._tick)
+        for number in self.source.tick(now):
             self._streams[number].abort("silent")
         self.pump()
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -44,6 +44,7 @@
 NAMED = 5  # instances that are named of those that lag or refuse
 NOT_READY_MS = 500
 OUTDATED_MS = 1_000
+FETCH_AGAIN_MS = 500
 REFUSALS_MOST = 1_024  # kept of one session
 RECENT = 256  # changes whose rollout is followed
 RECENT_FOR = 60 * SECOND
@@ -67,7 +68,7 @@
 
     number: int
     heard: int  # time
-    said: int  # time
+    told_age: int  # time of the last heartbeat
     name: str = ""
     everything: bool = False
     welcomed: bool = False
@@ -138,7 +139,7 @@
         """A connection, by the number that names its session from now on."""
         number = self._next_number
         self._next_number += 1
-        self.sessions[number] = Session(number, heard=now, said=now)
+        self.sessions[number] = Session(number, heard=now, told_age=now)
         return number
 
     def closed(self, number: int, now: int) -> None:
@@ -235,7 +236,7 @@
         for number, session in self.sessions.items():
             if now - session.heard >= self.terms.silence:
                 silent.append(number)
-            elif session.welcomed and now - session.said >= self.terms.heartbeat:
+            elif session.welcomed and now - session.told_age >= self.terms.heartbeat:
                 self.ready.add(number)
         for name in [name for name, away in self._away.items() if away.until <= now]:
             del self._away[name]
@@ -250,7 +251,6 @@
         if message is None:
             self.ready.discard(number)
             return None
-        session.said = now
         self.messages_out += 1
         return message
 
@@ -259,15 +259,20 @@
             return session.control.popleft()
         if not session.welcomed or session.ends:
             return None
+        if now - session.told_age >= self.terms.heartbeat:
+            return self._progress(session, now)
         if session.pending and not session.comparing:
             return self._batch(session)
-        if now - session.said >= self.terms.heartbeat:
-            if not session.comparing:
-                session.catching_up = False
-                session.progress = self.replica.revision
-            return Progress(session.progress, self._age_ms(now))
         return None
 
+    def _progress(self, session: Session, now: int) -> Progress:
+        """Due each heartbeat, whatever else is said: only this tells the publisher's age."""
+        session.told_age = now
+        if not session.comparing and not session.pending:
+            session.catching_up = False
+            session.progress = self.replica.revision
+        return Progress(session.progress, self._age_ms(now))
+
     def _batch(self, session: Session) -> Changes:
         resources: list[Resource] = []
         size = 0
@@ -309,12 +314,20 @@
         if not self.serving:
             self._end(session, Busy(NOT_READY_MS, "this source is not ready"))
             return
+        if hello.everything and self._fetching() >= self.terms.fetches:
+            self._end(session, Busy(FETCH_AGAIN_MS, "others fetch everything now"))
+            return
         wait = self._admission.take(now)
         if wait:
             self._end(session, Busy(wait // MS + 1, "too many at once"))
             return
         self._admit(session, now, hello)
 
+    def _fetching(self) -> int:
+        """How many subscribers of everything compare, or are sent what differs."""
+        sessions = [self.sessions[number] for number in self._everything]
+        return sum(session.comparing or session.catching_up for session in sessions)
+
     def _admit(self, session: Session, now: int, hello: Hello) -> None:
         session.name = hello.name
         session.everything = hello.everything
--- a/tansywood/distribution/terms.py
+++ b/tansywood/distribution/terms.py
@@ -26,6 +26,7 @@
     stale_again_most: int = 60 * SECOND
     admit_per_s: float = 100.0  # hellos of one source
     admit_burst: int = 50
+    fetches: int = 2  # subscribers of everything that compare all of it at a time
     window: int = 20_000  # recent changes that a reconnect may resume behind
     batch_bytes: int = 64 << 10  # of resources in one message
     away: int = 120 * SECOND  # an instance that left counts as waiting so long
