--- /dev/null
+++ b/tests/scale_rig/test_report.py
@@ -0,0 +1,147 @@
+"""The report: what counts from when, and what counts as lost, out of order, different."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from standins.scale.plan import NodePlan, Plan, Size
+from standins.scale.records import ABSENT, DOWN, NO_TENANT, UP, Applied, Committed, Held, Published
+from standins.scale.report import Cost, Cut, Figures, Gathered, Interval, figures, last_line
+
+S = 1_000_000_000
+TENANT = 5
+GOOD, OTHER = b"digest-1", b"digest-2"
+COST = Cost(1.0, 2, 0, 0.0, 0, 0, 0.0, 0, 0, 0, 0, {}, 0.0, 0.0)
+# Node 0 stands in region 0, node 1 in region 1.
+PLAN = Plan(
+    Size(2, 3, 10, 60, 1),
+    1,
+    tuple(NodePlan(n, n, n, (TENANT,)) for n in range(2)),
+    (),
+    (),
+)
+HELD = (Held(0, TENANT, 11, GOOD), Held(1, TENANT, 11, GOOD))
+PUBLISHED = (Published(TENANT, 11, GOOD),)
+
+
+def up(node: int, at: float = 0) -> Applied:
+    return Applied(int(at * S), node, NO_TENANT, UP)
+
+
+def down(node: int, at: float) -> Applied:
+    return Applied(int(at * S), node, NO_TENANT, DOWN)
+
+
+def has(node: int, at: float, revision: int) -> Applied:
+    return Applied(int(at * S), node, TENANT, revision)
+
+
+def found(
+    *rows: Applied,
+    committed: Sequence[Committed] = (Committed(10 * S, TENANT, 11, False),),
+    held: Sequence[Held] = HELD,
+    published: Sequence[Published] = PUBLISHED,
+    cuts: Sequence[Cut] = (),
+    problems: Sequence[str] = (),
+) -> Figures:
+    applied = [up(0), up(1), has(0, 1, 1), has(1, 1, 1), *rows]
+    return figures(Gathered(PLAN, 0, committed, applied, held, published, cuts, COST, problems))
+
+
+def test_a_change_is_in_force_when_the_last_node_has_it() -> None:
+    made = found(has(0, 10.5, 11), has(1, 12, 11))
+    assert made.outside.longest == 2.0
+    assert made.outside.arrivals[0].node == 1
+    assert made.kept and made.in_time
+
+
+def test_a_later_state_is_as_good() -> None:
+    commits = [Committed(10 * S, TENANT, 11, False), Committed(11 * S, TENANT, 12, False)]
+    made = found(has(0, 11.5, 12), has(1, 11.5, 12), committed=commits)
+    assert sorted(a.seconds for a in made.outside.arrivals) == [0.5, 1.5]
+
+
+def test_over_four_seconds_is_not_in_time() -> None:
+    made = found(has(0, 10.5, 11), has(1, 14.1, 11))
+    assert made.kept and not made.in_time
+
+
+def test_a_change_that_a_node_never_has_is_lost() -> None:
+    made = found(has(0, 10.5, 11))
+    assert made.lost == 1 and not made.kept
+
+
+def test_for_a_node_that_was_down_it_counts_from_its_return() -> None:
+    made = found(has(0, 10.5, 11), down(1, 9), up(1, 20), has(1, 21, 11))
+    assert made.outside.longest == 1.0
+
+
+def test_a_restart_before_the_commit_excuses_nothing() -> None:
+    made = found(has(0, 10.5, 11), down(1, 8), up(1, 9), has(1, 13, 11))
+    assert made.outside.longest == 3.0
+
+
+def test_a_restart_after_it_was_in_force_changes_nothing() -> None:
+    made = found(has(0, 10.5, 11), has(1, 10.25, 11), down(1, 12), up(1, 13), has(1, 14, 11))
+    assert made.outside.longest == 0.5
+
+
+def test_a_node_of_the_region_that_is_cut_off_has_until_the_cuts_end() -> None:
+    cut = Cut(1, Interval(9 * S, 29 * S))
+    made = found(has(0, 10.5, 11), has(1, 30.5, 11), cuts=[cut])
+    assert (made.outside.longest, made.from_cut.longest) == (0.5, 1.5)
+
+
+def test_a_node_outside_it_has_not() -> None:
+    cut = Cut(0, Interval(9 * S, 29 * S))
+    made = found(has(0, 10.5, 11), has(1, 30.5, 11), cuts=[cut])
+    assert made.outside.longest == 20.5
+
+
+def test_what_is_committed_after_the_cut_counts_from_its_commit() -> None:
+    cut = Cut(1, Interval(5 * S, 9 * S))
+    made = found(has(0, 10.5, 11), has(1, 13, 11), cuts=[cut])
+    assert made.outside.longest == 3.0 and not made.from_cut.arrivals
+
+
+def test_an_older_state_after_a_newer_one_is_out_of_order() -> None:
+    made = found(has(0, 10.5, 11), has(1, 10.5, 11), has(1, 10.6, 10), has(1, 10.7, 11))
+    assert made.out_of_order == 1 and not made.kept
+
+
+def test_a_node_that_begins_anew_may_hold_an_older_state_than_before() -> None:
+    made = found(
+        has(0, 10.5, 11), has(1, 10.5, 11), down(1, 11), up(1, 12), has(1, 12.5, 10), has(1, 13, 11)
+    )
+    assert made.out_of_order == 0
+
+
+def test_a_deletion_is_known_to_a_node_that_comes_back_after_it() -> None:
+    committed = [Committed(10 * S, TENANT, 11, True)]
+    rows = [has(0, 10.5, 11), down(1, 9), up(1, 20), Applied(21 * S, 1, TENANT, ABSENT)]
+    made = found(*rows, committed=committed, held=(), published=())
+    assert made.outside.longest == 1.0 and made.kept
+
+
+def test_that_a_tenant_is_unknown_is_no_news_where_it_was_not_deleted() -> None:
+    made = found(has(0, 10.5, 11), Applied(11 * S, 1, TENANT, ABSENT))
+    assert made.lost == 1
+
+
+def test_everything_that_is_held_is_compared() -> None:
+    rows = [has(0, 10.5, 11), has(1, 10.5, 11)]
+    assert found(*rows, held=[HELD[0], Held(1, TENANT, 11, OTHER)]).differing == 1
+    assert found(*rows, held=HELD, published=()).differing == 2
+    assert found(*rows, held=HELD[:1]).lost == 1
+    assert found(*rows, held=[*HELD, Held(1, TENANT + 1, 3, GOOD)]).unasked == 1
+
+
+def test_a_problem_of_the_run_is_none_of_its_good_ends() -> None:
+    rows = [has(0, 10.5, 11), has(1, 10.5, 11)]
+    assert not found(*rows, problems=["distributor-00 has ended by itself"]).kept
+
+
+def test_the_last_line_tells_all_figures() -> None:
+    line = last_line(found(has(0, 10.5, 11), has(1, 12, 11)))
+    assert "longest 2.000 s of 1" in line
+    assert line.endswith("lost 0, out of order 0, differing 0")
