--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -47,6 +47,7 @@
 BEHIND_ITS_EPOCH = "this source has not come up to the beginning of its epoch"
 OUTDATED_MS = 1_000
 COME_BACK_MOST = 5 * SECOND  # that one who is turned away is told to wait
+FETCH_AGAIN_MS = 500
 REFUSALS_MOST = 1_024  # kept of one session
 CONTROL_MOST = 1_024  # answers that wait for one subscriber; more questions are not answered
 RECENT = 256  # changes whose rollout is followed
@@ -80,7 +81,7 @@
 
     number: int
     heard: int  # time
-    said: int  # time
+    told_age: int  # time of the last heartbeat
     name: str = ""
     everything: bool = False
     welcomed: bool = False
@@ -157,7 +158,7 @@
         """A connection, by the number that names its session from now on."""
         number = self._next_number
         self._next_number += 1
-        self.sessions[number] = Session(number, heard=now, said=now)
+        self.sessions[number] = Session(number, heard=now, told_age=now)
         return number
 
     def closed(self, number: int, now: int) -> None:
@@ -272,7 +273,7 @@
         for number, session in self.sessions.items():
             if now - session.heard >= self.terms.silence:
                 silent.append(number)
-            elif session.welcomed and now - session.said >= self.terms.heartbeat:
+            elif session.welcomed and now - session.told_age >= self.terms.heartbeat:
                 self.ready.add(number)
         for name in [name for name, away in self._away.items() if away.until <= now]:
             del self._away[name]
@@ -287,7 +288,6 @@
         if message is None:
             self.ready.discard(number)
             return None
-        session.said = now
         self.messages_out += 1
         return message
 
@@ -296,15 +296,20 @@
             return session.control.popleft()
         if not session.welcomed or session.ends:
             return None
+        if now - session.told_age >= self.terms.heartbeat:
+            return self._progress(session, now)
         if session.pending and not session.comparing:
             return self._batch(session)
-        if now - session.said >= self.terms.heartbeat:
-            if not session.comparing:
-                session.catching_up = False
-                session.progress = self.replica.revision
-            return Progress(session.progress, self._age_ms(now))
         return None
 
+    def _progress(self, session: Session, now: int) -> Progress:
+        """Due each heartbeat, whatever else is said: only this tells the publisher's age."""
+        session.told_age = now
+        if not session.comparing and not session.pending:
+            session.catching_up = False
+            session.progress = self.replica.revision
+        return Progress(session.progress, self._age_ms(now))
+
     def _batch(self, session: Session) -> Changes:
         resources: list[Resource] = []
         size = 0
@@ -351,6 +356,9 @@
         if compare and holds and self.replica.revision < self.replica.parent.revision:
             self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
             return
+        if compare and hello.everything and self._fetching() >= self.terms.fetches:
+            self._end(session, Busy(FETCH_AGAIN_MS, "others fetch everything now"))
+            return
         wait = self._admission.take(now)
         if wait:
             self._end(session, Busy(self._come_back_ms(now, wait), "too many at once"))
@@ -365,6 +373,11 @@
         self._promised = min(self._promised, now + COME_BACK_MOST)
         return (self._promised - now) // MS + 1
 
+    def _fetching(self) -> int:
+        """How many subscribers of everything compare, or are sent what differs."""
+        sessions = [self.sessions[number] for number in self._everything]
+        return sum(session.comparing or session.catching_up for session in sessions)
+
     def _admit(self, session: Session, now: int, hello: Hello, compare: bool) -> None:
         session.name = hello.name
         session.everything = hello.everything
