--- /dev/null
+++ b/tests/lease/test_layout.py
@@ -0,0 +1,51 @@
+"""The bytes between lease clients, as they were recorded before names in the program changed. An
+instance of an older version reads and sends exactly these."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from tansywood.lease.fragments import (
+    Answer,
+    Behind,
+    Fragment,
+    Here,
+    Poke,
+    Question,
+    Said,
+    pack,
+    unpack,
+)
+from tansywood.lease.service import Ask, Told
+
+
+@pytest.mark.parametrize(
+    ("message", "data"),
+    [
+        (Here(True), "92a468657265c3"),
+        (Behind(4), "92a6626568696e6404"),
+        (Poke(), "91a4706f6b65"),
+        (Question(), "91a171"),
+        (Answer((("t", "a/1", 5),)), "92a1729193a174a3612f3105"),
+        (
+            Ask("a/1", 2, ("t",), (("u", 3, "b/2"),), 1),
+            "96a361736ba3612f310291a1749193a17503a3622f3201",
+        ),
+        (
+            Told(2, True, (("t", 5),), "a/1", ("b/2",)),
+            "96a4746f6c6402c39192a17405a3612f3191a3622f32",
+        ),
+    ],
+    ids=lambda value: None if isinstance(value, str) else type(value).__name__,
+)
+def test_a_message_is_these_bytes_and_is_read_from_them(message: Said, data: str) -> None:
+    assert pack(message).hex() == data
+    assert unpack(bytes.fromhex(data)) == message
+
+
+def test_a_fragment_is_these_bytes_and_is_read_from_them() -> None:
+    fragment = Fragment("g", "a/1", "b/2", 3, 800, 7, 1, 2, b"x")
+    data = "9aa16ca167a3612f31a3622f3203cd0320070102c40178"
+    assert msgspec.msgpack.encode(fragment).hex() == data
+    assert msgspec.msgpack.decode(bytes.fromhex(data), type=Fragment) == fragment
