Shorter functions in the fleet's members and the workers' reports; plain docstrings

Change: behaviour as it was. members: _Favour -> _RelayedProbe, _favours -> _relayed; tick, hear and _set in shorter functions (_probe_due, _states_due, _alive_or_suspect, _change) sharing: _row in three functions (_places, _seen); limiting: part -> fraction lease placement: everybodys -> common (also in the simulated lease world) In tests this last name alone has changed.

--- a/standins/fleet/leaseworld.py
+++ b/standins/fleet/leaseworld.py
@@ -66,7 +66,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.sent: Counter[str] = Counter()
         self.watched = watched
-        self.everybodys: tuple[str, ...] = ()
+        self.common: tuple[str, ...] = ()
         self.ranking = Ranking()  # all know the same members here: it is worked out once
         rows = list(rates)
         self.places = {
@@ -113,9 +113,9 @@
         if client.votes:
             self.mount(place)
         self.know()
-        for lease in self.everybodys:
+        for lease in self.common:
             client.placement.names.add(lease)
-            client.placement.everybodys.add(lease)
+            client.placement.common.add(lease)
         client.choose(self.clock(place))
         self.look_at(place, self.now)
 
@@ -157,11 +157,11 @@
 
     def want(self, names: Iterable[str]) -> None:
         """Every instance would do these."""
-        self.everybodys = (*self.everybodys, *names)
+        self.common = (*self.common, *names)
         for place in self.places.values():
             if place.client is not None:
-                place.client.placement.names.update(self.everybodys)
-                place.client.placement.everybodys.update(self.everybodys)
+                place.client.placement.names.update(self.common)
+                place.client.placement.common.update(self.common)
                 place.client.choose(self.clock(place))
                 self.look_at(place, self.now)
 
--- a/tansywood/fleet/members.py
+++ b/tansywood/fleet/members.py
@@ -93,8 +93,8 @@
 
 
 @dataclass(slots=True)
-class _Favour:
-    """A probe made for another."""
+class _RelayedProbe:
+    """A probe made for another member."""
 
     asker: str
     their_seq: int
@@ -107,6 +107,19 @@
     return (update.born, update.life, update.incarnation, update.state)
 
 
+def _change(old: Member | None, new: MemberUpdate, state: State) -> str:
+    """What became of a member, in a word; empty where there is nothing to tell."""
+    if state != State.ALIVE:
+        return state.name.lower()
+    if old is None:
+        return ""
+    if old.state >= State.LOST:
+        return "back"
+    if new.drains and not old.update.drains:
+        return "drains"
+    return "restarted" if new.life != old.update.life else ""
+
+
 def longest(n: int) -> int:
     """How long a member of a fleet of n is suspect at most."""
     return int(BETA * shortest(n))
@@ -140,7 +153,7 @@
         self._seq = 0
         self._syncs = 0
         self._probe: _Probe | None = None
-        self._favours: dict[int, _Favour] = {}
+        self._relayed: dict[int, _RelayedProbe] = {}
         self._order: list[str] = []
         self._news: dict[str, int] = {own.name: 0}  # how often each was told
         self._next_probe = now + int(rng.random() * PERIOD)
@@ -166,7 +179,7 @@
         due = [self._next_probe, self._next_sync, self._next_again]
         if self._probe is not None:
             due.append(self._probe.ends if self._probe.helped else self._probe.indirect_at)
-        due += [f.nack_at or f.ends for f in self._favours.values()]
+        due += [f.nack_at or f.ends for f in self._relayed.values()]
         due += [m.ends for m in self.rows.values() if m.update.state == State.SUSPECT]
         return min(due)
 
@@ -206,14 +219,31 @@
         self._now = now
         if self.left:
             return
-        self._favours_due(now)
+        self._relayed_due(now)
+        self._probe_due(now)
+        self._states_due(now)
+        if now >= self._next_probe:
+            self._next_probe = now + PERIOD * (self.health + 1)
+            if self._probe is None:
+                self._begin_probe(now)
+        if now >= self._next_sync:
+            self._sync(now)
+        if now >= self._next_again:
+            self._look_again(now)
+
+    def _probe_due(self, now: int) -> None:
+        """Ask others in our place, or take the probe for missed."""
         probe = self._probe
-        if probe is not None:
-            if not probe.helped and now >= probe.indirect_at:
-                self._ask_helpers(now, probe)
-            if now >= probe.ends:
-                self._probe = None
-                self._missed(now, probe)
+        if probe is None:
+            return
+        if not probe.helped and now >= probe.indirect_at:
+            self._ask_helpers(now, probe)
+        if now >= probe.ends:
+            self._probe = None
+            self._missed(now, probe)
+
+    def _states_due(self, now: int) -> None:
+        """Suspects whose time is over are lost; those lost or left for long are forgotten."""
         for name, m in list(self.rows.items()):
             if m.update.state == State.SUSPECT and now >= m.ends:
                 why = f"no answer for {(now - m.begun) / SECOND:.1f} s, told by {len(m.accusers)}"
@@ -222,14 +252,6 @@
                 del self.rows[name]
                 self.lives.pop(m.update.address, None)
                 self._news.pop(name, None)
-        if now >= self._next_probe:
-            self._next_probe = now + PERIOD * (self.health + 1)
-            if self._probe is None:
-                self._begin_probe(now)
-        if now >= self._next_sync:
-            self._sync(now)
-        if now >= self._next_again:
-            self._look_again(now)
 
     def _paused(self, now: int) -> bool:
         """Woken after a stop, what is due is not what others failed to do: we were not there to
@@ -239,7 +261,7 @@
             return False
         self._now = now
         self._probe = None
-        self._favours.clear()
+        self._relayed.clear()
         self.health = min(self.health + 1, HEALTH_MOST)
         for m in self.rows.values():
             if m.update.state == State.SUSPECT:
@@ -287,15 +309,15 @@
         if m is not None and m.update.state == State.ALIVE:
             self._accuse(now, m.update, self.own.name, "it did not answer us")
 
-    def _favours_due(self, now: int) -> None:
-        for seq, favour in list(self._favours.items()):
-            if favour.nack_at and now >= favour.nack_at:
-                favour.nack_at = 0
-                asker = self.rows.get(favour.asker)
+    def _relayed_due(self, now: int) -> None:
+        for seq, relayed in list(self._relayed.items()):
+            if relayed.nack_at and now >= relayed.nack_at:
+                relayed.nack_at = 0
+                asker = self.rows.get(relayed.asker)
                 if asker is not None:
-                    self.send(asker.update.address, Nack(favour.their_seq))
-            if now >= favour.ends:
-                del self._favours[seq]
+                    self.send(asker.update.address, Nack(relayed.their_seq))
+            if now >= relayed.ends:
+                del self._relayed[seq]
 
     def _sync(self, now: int) -> None:
         known = [n for n, m in self.rows.items() if m.there and n != self.own.name]
@@ -347,7 +369,7 @@
             if target is not None and not self.left:
                 self._seq += 1
                 slow = self.health + 1
-                self._favours[self._seq] = _Favour(
+                self._relayed[self._seq] = _RelayedProbe(
                     sender, body.seq, now + int(NACK_PART * TIMEOUT * slow), now + PERIOD * slow
                 )
                 ping = Ping(self._seq, body.target, self._gossip(body.target))
@@ -369,27 +391,26 @@
             self._probe = None
             self.health = max(self.health - 1, 0)
             return
-        favour = self._favours.pop(seq, None)
-        if favour is not None:
-            asker = self.rows.get(favour.asker)
+        relayed = self._relayed.pop(seq, None)
+        if relayed is not None:
+            asker = self.rows.get(relayed.asker)
             if asker is not None:
-                self.send(asker.update.address, Ack(favour.their_seq, self._gossip(favour.asker)))
+                self.send(asker.update.address, Ack(relayed.their_seq, self._gossip(relayed.asker)))
 
     def _take_all(self, now: int, updates: Iterable[MemberUpdate], teller: str) -> None:
         for update in updates:
             self.hear(now, update, teller)
 
     def hear(self, now: int, update: MemberUpdate, teller: str) -> None:
-        """One record, of whatever age."""
+        """An update of whatever age. It changes something where it is newer than what is known,
+        or accuses a member that is there."""
         if update.name == self.own.name:
             self._of_us(now, update, teller)
             return
         m = self.rows.get(update.name)
         if m is None:
             if update.state <= State.SUSPECT:
-                self._set(now, update, State.ALIVE, f"told by {teller}", "joined")
-                if update.state == State.SUSPECT:
-                    self._accuse(now, update, update.accuser or teller, f"told by {teller}")
+                self._alive_or_suspect(now, update, teller, "joined")
             return
         if update.state == State.SUSPECT and rank(update)[:3] == rank(m.update)[:3]:
             if m.update.state <= State.SUSPECT:
@@ -401,12 +422,19 @@
             # Another process under a name whose bearer is there: who was first keeps it. One
             # that moved to another machine is taken in once the one it was is lost or has left.
             return
-        if update.state == State.SUSPECT:
-            self._set(now, update, State.ALIVE, f"told by {teller}")
-            self._accuse(now, update, update.accuser or teller, f"told by {teller}")
+        if update.state <= State.SUSPECT:
+            self._alive_or_suspect(now, update, teller)
         else:
             self._set(now, update, State(update.state), f"told by {teller}")
 
+    def _alive_or_suspect(
+        self, now: int, update: MemberUpdate, teller: str, what: str = ""
+    ) -> None:
+        """A member is there; a suspect is taken for alive first, then accused."""
+        self._set(now, update, State.ALIVE, f"told by {teller}", what)
+        if update.state == State.SUSPECT:
+            self._accuse(now, update, update.accuser or teller, f"told by {teller}")
+
     def _of_us(self, now: int, update: MemberUpdate, teller: str) -> None:
         own = self.own
         if update.life != own.life:
@@ -459,28 +487,18 @@
         what: str = "",
         accuser: str = "",
     ) -> None:
+        """Believe an update of another member, with this state, from now on."""
         old = self.rows.get(update.name)
         made = replace(update, state=int(state), accuser=accuser)
         self.rows[update.name] = Member(made, now)
         self.lives[made.address] = made.life
         self._news[update.name] = 0
-        if not what:
-            before = old.state if old is not None else State.ALIVE
-            if state == State.ALIVE and before == State.SUSPECT:
-                self.false_alarms += 1
-                return
-            if state == State.ALIVE and before >= State.LOST:
-                what = "back"
-            elif state == State.ALIVE:
-                if old is not None and made.drains and not old.update.drains:
-                    what = "drains"
-                elif old is not None and made.life != old.update.life:
-                    what = "restarted"
-                else:
-                    return
-            else:
-                what = state.name.lower()
-        self.events.append(Event(made.name, what, why))
+        if old is not None and state == State.ALIVE and old.state == State.SUSPECT:
+            self.false_alarms += 1
+            return
+        what = what or _change(old, made, state)
+        if what:
+            self.events.append(Event(made.name, what, why))
 
     # ---- gossip -------------------------------------------------------------------------------
 
--- a/tansywood/lease/client.py
+++ b/tansywood/lease/client.py
@@ -181,13 +181,13 @@
         for it, so this one asks only if it is among the first few."""
         self.placement.names.add(name)
         if everybody:
-            self.placement.everybodys.add(name)
+            self.placement.common.add(name)
         self.choose(now)
 
     def unwant(self, now: int, name: str) -> None:
         """No more: it is given back."""
         self.placement.names.discard(name)
-        self.placement.everybodys.discard(name)
+        self.placement.common.discard(name)
         self.holding.give_back(name)
         self.choose(now)
         self.holding.ask_soon(now)
@@ -380,7 +380,7 @@
         for name in list(self.holder.leases):
             self.hand_over(now, name)
         self.placement.names.clear()
-        self.placement.everybodys.clear()
+        self.placement.common.clear()
         self.holder.want = set()
         self.holding.ask(now)
         self.flush(now)
--- a/tansywood/lease/placement.py
+++ b/tansywood/lease/placement.py
@@ -22,7 +22,7 @@
 
     def __init__(self, context: Context) -> None:
         self.names: set[str] = set()  # tasks that somebody here would do
-        self.everybodys: set[str] = set()  # of them, those that every instance would do
+        self.common: set[str] = set()  # of them, those that every instance would do
         self.prefers: dict[str, str] = {}  # the address at which a lease belongs, if it is there
         self.ranking = Ranking()
         self.draining = False
@@ -37,10 +37,10 @@
 
     def to_ask_for(self, now: int) -> set[str]:
         """Leases that this instance should have, or wait for."""
-        ours = (self.names - self.everybodys) if not self.draining else set()
-        if self.everybodys:
+        ours = (self.names - self.common) if not self.draining else set()
+        if self.common:
             there = [p.name for p in self._context.peers.values() if p.works]
-            self.ranking.update(self.everybodys, there)
+            self.ranking.update(self.common, there)
             near = self.ranking.near(self._context.name)
             ours |= near - self.prefers.keys()
             ours |= {n for n in self.prefers if self._stands_in(now, n, n in near)}
@@ -49,7 +49,7 @@
     def _stands_in(self, now: int, name: str, near: bool) -> bool:
         """Whether to ask for what belongs to one of the instances: that one always does, the first
         few others while it is away. Every move of such a lease costs more than where it is."""
-        if self.draining or name not in self.everybodys:
+        if self.draining or name not in self.common:
             return False
         if self.prefers[name] == self._context.address(self._context.name):
             return True
@@ -66,7 +66,7 @@
         if now < self._next_move:
             return {}
         self._next_move = now + MOVE_EVERY
-        mine = [n for n in held if n in self.everybodys]
+        mine = [n for n in held if n in self.common]
         rows = sorted(self._misplaced(mine, self._settled(now, deaf)).items())
         return dict(rows[: -(-len(rows) // MOVE_DIVISOR)])
 
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -1,4 +1,4 @@
-"""The part that speaks with the other instances: `python -m tansywood.service.fleet`.
+"""The process that speaks with the other instances: `python -m tansywood.service.fleet`.
 
 Datagrams on one side, this instance's workers on the other, `tansywood.fleet`'s pure rules between.
 It holds no request and no connection of a caller. Where it ends, its workers go on with what they
@@ -37,7 +37,7 @@
 
 VERSION = "1"
 TICK_S = 0.1  # at the latest
-TELL_S = 0.1  # workers, though nothing has changed: how long parts hold is news
+TELL_S = 0.1  # workers, though nothing has changed: how long allocations hold is news
 STATUS_S = 1.0
 BEHIND = 1 << 20
 
@@ -265,7 +265,8 @@
         self.instance.report(now, worker, int(message["version"]), hosted, seen)
 
     async def link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """A worker's for its whole life, or one question of a person's."""
+        """One connection at our socket: a worker's for its whole life, a lease held for another
+        process, or one question of an operator's tool."""
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
--- a/tansywood/service/limiting.py
+++ b/tansywood/service/limiting.py
@@ -1,8 +1,8 @@
-"""A hosted tenant's limits as they are put in force: all of them, or one instance's part.
+"""A hosted tenant's limits as they are put in force: all of them, or one instance's allocation.
 
 What is in force is looked at where it is used: the tenant's bucket and its decision module each
-compare the end of a part with the clock before they let anything through. So a process that was
-stopped goes down to what it may do without asking before its first send, whatever lies in its
+compare the end of an allocation with the clock before they let anything through. So a process that
+was stopped goes down to what it may do without asking before its first send, whatever lies in its
 queues. Where there is no fleet nothing ends, and nothing of a fleet is loaded.
 """
 
@@ -67,12 +67,12 @@
     bucket: Bucket | None = hosted.server.bucket
     now = time.monotonic_ns()
     number = numbers(settings)
-    part = min(amounts.rate / (limits.rate_per_s * 1000), 1.0)
+    fraction = min(amounts.rate / (limits.rate_per_s * 1000), 1.0)
     of_open = min(amounts.open / limits.open, 1.0)
     node.config = replace(node.config, max_open=amounts.open)
     node.budget.limit(int(limits.held_bytes * of_open))
     if bucket is not None:
-        bucket.change(now, amounts.rate / 1000, limits.burst * part)
+        bucket.change(now, amounts.rate / 1000, limits.burst * fraction)
 
         def lapsed() -> None:
             if after is not None:
@@ -93,5 +93,5 @@
             until,
             numbered(after),
             instances,
-            part if after is not None else 1.0,
+            fraction if after is not None else 1.0,
         )
--- a/tansywood/service/sharing.py
+++ b/tansywood/service/sharing.py
@@ -1,4 +1,5 @@
-"""A worker's end of the fleet: what its tenants ask for goes out, what they may use comes in."""
+"""A worker's link to its instance's fleet process: it reports what its tenants ask for and use, and
+puts in force what they may use."""
 
 from __future__ import annotations
 
@@ -83,8 +84,32 @@
         return min(max(long, low), high)
 
 
+def _places(hosted: Tenant, busy: bool) -> dict[str, tuple[int, int]]:
+    """By server: places that are needed and that are in use."""
+    balancer = hosted.node.balancer
+    held = module.at_work(balancer)
+    ready = max(sum(1 for b in balancer.backends.values() if b.state == 1), 1)
+    waiting = balancer.waiting + balancer.waiting_over
+    each = -(-int(HEADROOM * (balancer.running + waiting)) // ready) + 1 if busy else 0
+    return {name: (each, held.get(n, 0)) for name, n in numbers(hosted.settings).items()}
+
+
+def _seen(now: int, hosted: Tenant) -> dict[str, tuple[int, int]]:
+    """By server: what was found out here and how many nanoseconds ago, where anything was."""
+    balancer = hosted.node.balancer
+    away = module.ejected(balancer)
+    good = module.answered_lately(balancer, now, SEEN)
+    seen = {}
+    for name, number in numbers(hosted.settings).items():
+        if number in away:
+            seen[name] = (int(Kind.OUT), 0)
+        elif number in good:
+            seen[name] = (int(Kind.GOOD), good[number])
+    return seen
+
+
 class Sharing:
-    """The tenants of one worker, and their instance's part of each limit."""
+    """The tenants of one worker, and their instance's allocation of each limit."""
 
     def __init__(
         self,
@@ -192,8 +217,9 @@
         return {"version": self.version, "tenants": rows}
 
     def _row(self, now: int, uid: str, hosted: Tenant) -> dict[str, Any]:
+        """What one tenant asks for and uses: the rate in thousandths of a request a second, the
+        rest in requests."""
         node: Node = hosted.node
-        balancer = node.balancer
         w = self.watched.get(uid)
         if w is None:
             w = self.watched[uid] = _Watched()
@@ -207,26 +233,12 @@
         need = int(w.peak * HEADROOM) + 2 if busy else 0
         if node.open >= node.config.max_open:
             need += max(node.open, 2)  # more are turned away, nobody knows how many
-        held = module.at_work(balancer)
-        ready = max(sum(1 for b in balancer.backends.values() if b.state == 1), 1)
-        waiting = balancer.waiting + balancer.waiting_over
-        each = -(-int(HEADROOM * (balancer.running + waiting)) // ready) + 1 if busy else 0
-        away = module.ejected(balancer)
-        good = module.answered_lately(balancer, now, SEEN)
-        places, seen = {}, {}
-        for name, number in numbers(hosted.settings).items():
-            if hosted.settings.limits.places:
-                places[name] = (each, held.get(number, 0))
-            if number in away:
-                seen[name] = (int(Kind.OUT), 0)
-            elif number in good:
-                seen[name] = (int(Kind.GOOD), good[number])
         return {
             "rate": int(rate * 1000) if busy else 0,
             "open": need,
             "used": node.open,
-            "places": places,
-            "seen": seen,
+            "places": _places(hosted, busy) if hosted.settings.limits.places else {},
+            "seen": _seen(now, hosted),
         }
 
     def bye(self) -> None:
--- a/tests/lease/test_client.py
+++ b/tests/lease/test_client.py
@@ -49,7 +49,7 @@
             w.go(place.name)
     for _ in range(40):
         w.run(0.25)
-        if sorted(w.held()) == sorted(w.everybodys):
+        if sorted(w.held()) == sorted(w.common):
             return
     raise AssertionError(f"not all is held: {w.held()}")
 
