--- a/tansywood/fleet/members.py
+++ b/tansywood/fleet/members.py
@@ -29,6 +29,8 @@
 
 
 class State(IntEnum):
+    """Of a member. Greater goes before smaller within one incarnation."""
+
     ALIVE = 0
     SUSPECT = 1
     LOST = 2
@@ -73,10 +75,12 @@
 
     @property
     def state(self) -> State:
+        """As its newest update says."""
         return State(self.update.state)
 
     @property
     def there(self) -> bool:
+        """Whether it counts as a member: neither lost nor left."""
         return self.update.state <= State.SUSPECT
 
 
@@ -126,6 +130,7 @@
 
 
 def shortest(n: int) -> int:
+    """How long a member of a fleet of n is suspect at least, in nanoseconds."""
     return int(ALPHA * max(1.0, math.log10(max(n, 1))) * PERIOD)
 
 
@@ -176,6 +181,7 @@
         )
 
     def next_due(self) -> int:
+        """When `tick` has something to do."""
         due = [self._next_probe, self._next_sync, self._next_again]
         if self._probe is not None:
             due.append(self._probe.ends if self._probe.helped else self._probe.indirect_at)
@@ -192,6 +198,7 @@
             self.events.append(Event(self.own.name, "drains", "told to"))
 
     def resume(self, now: int) -> None:
+        """Tell everybody that this one takes on work again."""
         if self.own.drains:
             self._renew(now, drains=False)
             self.events.append(Event(self.own.name, "back", "told to take on work again"))
--- a/tansywood/fleet/messages.py
+++ b/tansywood/fleet/messages.py
@@ -52,6 +52,8 @@
 
 
 class Ping(Struct, array_like=True, frozen=True, tag="p"):
+    """Are you there? With updates of members, as have its answers."""
+
     seq: Count
     target: Name
     news: MemberUpdates = []
@@ -66,6 +68,8 @@
 
 
 class Ack(Struct, array_like=True, frozen=True, tag="a"):
+    """The answer to a ping, or to one made for another."""
+
     seq: Count
     news: MemberUpdates = []
 
@@ -142,6 +146,8 @@
 
 
 class Envelope(Struct, array_like=True, frozen=True):
+    """One datagram, before it is sealed."""
+
     sender: Name
     address: Place  # where the sender is asked
     to: Annotated[bytes, Meta(max_length=LIFE)]  # the life this is for; empty in a hello alone
@@ -153,6 +159,7 @@
 
 
 def pack(envelope: Envelope) -> bytes:
+    """An envelope as bytes."""
     return _encode(envelope)
 
 
--- a/tansywood/fleet/seal.py
+++ b/tansywood/fleet/seal.py
@@ -120,6 +120,7 @@
         return AESGCM(derived)
 
     def seal(self, body: bytes) -> bytes:
+        """A datagram of this body, sealed under our first key."""
         self.counter += 1
         head = HEAD.pack(VERSION, self._name, self.life, self.counter)
         nonce = self.counter.to_bytes(12, "big")
--- a/tansywood/fleet/settings.py
+++ b/tansywood/fleet/settings.py
@@ -62,6 +62,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
+    """The section, read."""
+
     name: str
     instance: str
     address: str
--- a/tansywood/fleet/signals.py
+++ b/tansywood/fleet/signals.py
@@ -22,6 +22,8 @@
 
 
 class Kind(IntEnum):
+    """What an instance saw of a server."""
+
     GOOD = 0  # it has answered
     OUT = 1  # ejected: errors in a row, no answer, no connection
 
--- a/tansywood/lease/disk.py
+++ b/tansywood/lease/disk.py
@@ -51,6 +51,7 @@
 
 
 def entry_key(index: int) -> bytes:
+    """The key of a place of the log in the store."""
     return ENTRY + index.to_bytes(8, "big")
 
 
--- a/tansywood/lease/fragments.py
+++ b/tansywood/lease/fragments.py
@@ -45,6 +45,8 @@
 
 
 class Answer(Struct, array_like=True, frozen=True, tag="r"):
+    """To a question: all leases that are held."""
+
     rows: tuple[tuple[str, str, int], ...]  # name, holder, token
 
 
@@ -76,6 +78,7 @@
 
 
 def pack(message: Message | Said) -> bytes:
+    """A message as bytes."""
     return _encode(message)
 
 
--- a/tansywood/lease/service.py
+++ b/tansywood/lease/service.py
@@ -228,6 +228,7 @@
             self.raft.beat(now)
 
     def next_due(self) -> int:
+        """When `tick` has something to do."""
         due = [self.raft.due]
         if self.raft.settled:
             due += [at for h, at in self.ends.items() if h not in self._ending]
--- a/tansywood/lease/spread.py
+++ b/tansywood/lease/spread.py
@@ -68,14 +68,10 @@
         self.rows: dict[str, dict[str, int]] = {}  # by name: when each holder asked last
 
     def heard(self, now: int, holder: str, names: Iterable[str]) -> None:
+        """A holder asked for these names, which others have."""
         for name in names:
             self.rows.setdefault(name, {})[holder] = now
 
-    def left(self, holder: str) -> None:
-        for name in [n for n, row in self.rows.items() if row.pop(holder, None) is not None]:
-            if not self.rows[name]:
-                del self.rows[name]
-
     def assign(
         self, now: int, freed: Iterable[str], held: Mapping[str, int]
     ) -> list[tuple[str, str]]:
@@ -95,6 +91,7 @@
         return made
 
     def sweep(self, now: int) -> None:
+        """Forget what was asked for too long ago."""
         for name, row in list(self.rows.items()):
             self.rows[name] = {h: at for h, at in row.items() if now - at <= self.patience}
             if not self.rows[name]:
--- a/tansywood/lease/voter.py
+++ b/tansywood/lease/voter.py
@@ -53,14 +53,17 @@
 
     @property
     def id(self) -> str:
+        """Of the disk."""
         return self.kept.id
 
     @property
     def raft(self) -> Raft:
+        """The log."""
         return self.service.raft
 
     @property
     def leads(self) -> bool:
+        """Whether it was elected and has an entry of its own term committed."""
         return self.raft.settled
 
     def _changed(self, _index: int, change: Change) -> None:
@@ -80,17 +83,20 @@
     # ---- what comes ----------------------------------------------------------------------------
 
     def receive(self, now: int, sender: str, message: Message) -> None:
+        """A message of another voter."""
         self._now = now
         self.raft.receive(now, sender, message)
         self.service.after(now)
         self._collect(now)
 
     def ask(self, now: int, ask: Ask) -> None:
+        """A holder's ask."""
         self._now = now
         self.service.ask(now, ask.holder, ask)
         self._collect(now)
 
     def tick(self, now: int) -> None:
+        """Whatever is due by now."""
         self._now = now
         self.service.tick(now)
         self._collect(now)
@@ -103,15 +109,18 @@
         self._collect(now)
 
     def change_voters(self, now: int, voters: tuple[str, ...]) -> str:
+        """Propose other voters; says why not, or nothing."""
         why = self.raft.change_voters(now, voters)
         self._collect(now)
         return why
 
     def teach(self, now: int, learner: str) -> None:
+        """Send the log to a disk that does not vote yet."""
         self.raft.teach(now, learner)
         self._collect(now)
 
     def next_due(self) -> int:
+        """When `tick` has something to do."""
         return self.service.next_due()
 
     # ---- what goes -----------------------------------------------------------------------------
@@ -141,6 +150,7 @@
         return batch
 
     def written(self) -> None:
+        """What `next_write` gave lies on the disk: what waited for it may go."""
         assert self._writing is not None
         self.kept, sends = self._writing
         self._writing = None
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -98,11 +98,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def log(self, text: str) -> None:
+        """A line of the process's log."""
         print(f"fleet: {text}", file=sys.stderr, flush=True)
 
     # ---- keys ------------------------------------------------------------------------
 
     def read_keys(self) -> list[bytes]:
+        """From the key file; KeyFileError where it is not fit."""
         path = self.settings.key_file
         try:
             found = path.stat()
@@ -129,6 +131,7 @@
     # ---- the feed --------------------------------------------------------------------
 
     def changed(self, uid: str, view: dict[str, Any] | None) -> None:
+        """A tenant of the feed, or that it is gone (no view)."""
         if view is None:
             self.limits.pop(uid, None)
         else:
@@ -138,12 +141,14 @@
             self.know_tenants()
 
     def know_tenants(self) -> None:
+        """Put in force what the feed says."""
         self.instance.set_tenants(self.clock.now(), dict(self.limits.values()))
         self.flush()
 
     # ---- datagrams -------------------------------------------------------------------
 
     def received(self, data: bytes) -> None:
+        """A datagram, by whoever sent it."""
         try:
             life, body = self.seal.open(data)
             envelope = unpack(body)
@@ -170,12 +175,14 @@
             self.loop.call_soon(self.carried)
 
     def carried(self) -> None:
+        """Send what the lease client said in this turn of the loop."""
         self.carrying = False
         self.flush()
 
     # ---- slices under leases -----------------------------------------------------------
 
     def may_grant(self, index: int) -> bool:
+        """Whether we hold the lease of an allocator's slice."""
         assert self.leases is not None
         return self.leases.client.may(self.clock.now(), allocator_lease(index)) != 0
 
@@ -209,6 +216,7 @@
                 self.tell(name)
 
     def tick(self) -> None:
+        """Whatever is due by now; sets the timer for what comes next."""
         self.instance.tick(self.clock.now())
         due = self.instance.next_due()
         if self.leases is not None and not self.instance.members.conflict:
@@ -236,6 +244,7 @@
     # ---- workers and people ----------------------------------------------------------
 
     def tell(self, worker: str) -> None:
+        """A worker hears what it may use."""
         told = self.instance.allocations(self.clock.now(), worker)
         for row in told["tenants"].values():
             # The machine's own clock, which its workers share: a message may lie for long.
@@ -246,6 +255,7 @@
             writer.transport.abort()
 
     def reported(self, worker: str, message: dict[str, Any]) -> None:
+        """What a worker says of its tenants."""
         now = self.clock.now()
         hosted: dict[str, Demand] = {}
         seen: dict[str, tuple[Kind, int]] = {}
@@ -303,6 +313,7 @@
                 self.flush()
 
     async def asked(self, first: dict[str, Any]) -> Mapping[str, Any]:
+        """The answer to a question of an operator's tool."""
         what = str(first["ask"])
         if "of" in first:
             if self.leases is None:
@@ -319,6 +330,7 @@
         return self.status()
 
     def status(self) -> dict[str, Any]:
+        """Of JSON's types."""
         told = self.instance.status(self.clock.now())
         told["refused"] = dict(self.refused)
         told["counts"] |= {
@@ -332,6 +344,7 @@
     # ---- the process -----------------------------------------------------------------
 
     async def run(self) -> int:
+        """Until it is stopped; the exit code."""
         try:
             await self.endpoint.open(parse_address(self.settings.address))
         except OSError as err:
@@ -343,6 +356,7 @@
         return await part.follow(self.loop, self.follower, self.begin, self.stop, self.ended)
 
     def begin(self) -> None:
+        """The feed has told all tenants."""
         if self.ended.done():
             return
         self.know_tenants()
@@ -357,6 +371,7 @@
         part.ready()
 
     def stop(self) -> None:
+        """Give back leases first, then the rest."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -374,11 +389,13 @@
         self.loop.call_later(0.02, self.end)
 
     def end(self) -> None:
+        """Let `run` come to its end."""
         if not self.ended.done():
             self.ended.set_result(0)
 
 
 def main() -> None:
+    """The process, by its command line."""
     parser = argparse.ArgumentParser(prog="tansywood.service.fleet")
     parser.add_argument("run")
     parser.add_argument("name")
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -100,11 +100,13 @@
     # ---- the disk ----------------------------------------------------------------------------
 
     def spawn(self, work: Any) -> None:
+        """A task that is kept until its end."""
         task = self.loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def start(self) -> None:
+        """Open the disk, where this instance votes."""
         if self.client.votes:
             self.spawn(self.open())
 
@@ -139,6 +141,7 @@
         return kept, AsyncStore(store)
 
     async def write(self, batch: Batch) -> None:
+        """One batch of the voter, synced."""
         voter, store = self.client.voter, self.store
         assert voter is not None and store is not None
         try:
@@ -193,6 +196,7 @@
         self.client.know(now, peers, members.own.drains)
 
     def received(self, name: str, life: bytes, data: bytes) -> None:
+        """What another instance's lease client sent."""
         try:
             fragment = _fragments.decode(data)
         except msgspec.MsgspecError:
@@ -201,6 +205,7 @@
         self.client.receive(self.clock.now(), name, life, fragment)
 
     def tick(self) -> None:
+        """Whatever is due by now."""
         self.client.tick(self.clock.now())
         self.flush()
 
@@ -229,6 +234,7 @@
         self.wake(client.next_due())
 
     def next_due(self) -> int:
+        """When `tick` has something to do."""
         return self.client.next_due()
 
     async def stop(self) -> None:
