An instance that went over to another distributor is waited for there alone

Cause: a publisher that was started again did not know where instances had been, so nobody told the distributor that one had left; and a move that was told before the dead connection was noticed was forgotten, so the instance was waited for two minutes (a whole-process story of a restarted publisher hung so once of two under load). Unknown origins are told to all; a session whose instance has moved counts nowhere unless it is heard again.

--- a/tansywood/distribution/rollout.py
+++ b/tansywood/distribution/rollout.py
@@ -76,13 +76,16 @@
         known.reported = revision or known.reported
 
     def joined(self, distributor: str, names: Iterable[str]) -> dict[str, list[str]]:
-        """Instances have come to a distributor; returns whom to tell that they left there."""
+        """Instances have come to a distributor; returns whom to tell that they left there. Where
+        it is not known where one was before, as after the publisher's start, all are told."""
+        others = [name for name in self._distributors if name != distributor]
         tell: dict[str, list[str]] = {}
         for name in names:
-            before = self._at.get(name, distributor)
+            before = self._at.get(name)
             self._at[name] = distributor
-            if before != distributor:
-                tell.setdefault(before, []).append(name)
+            for left in others if before is None else [before]:
+                if left != distributor:
+                    tell.setdefault(left, []).append(name)
         return tell
 
     def summary(self, uid: str, revision: int) -> Summary:
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -96,6 +96,7 @@
     refusals: OrderedDict[str, Refusal] = field(default_factory=OrderedDict)
     control: deque[Message] = field(default_factory=deque)
     lookups: Bucket | None = None
+    moved: bool = False  # its instance has come to another distributor since
     ends: bool = False  # closed once what it has to be told is sent
 
     @property
@@ -172,7 +173,7 @@
             self._unsubscribe(session, uid)
         if self._by_name.get(session.name) == number:
             del self._by_name[session.name]
-            if not session.everything:
+            if not session.everything and not session.moved:
                 held = frozenset(session.subscriptions)
                 until = now + self.terms.away
                 self._away[session.name] = _Away(until, session.applied, held)
@@ -181,6 +182,7 @@
         """ProtocolError where the subscriber may not say this."""
         session = self.sessions[number]
         session.heard = now
+        self._set_moved(session, False)
         self.messages_in += 1
         if session.ends:
             return
@@ -245,9 +247,24 @@
             self._end(session, Busy(NOT_READY_MS, "this source compares what it holds first"))
 
     def moved(self, names: Iterable[str]) -> None:
-        """These instances have come to another distributor."""
+        """These instances have come to another distributor: they are not waited for here.
+
+        A session that is still open here is dead, and nobody has noticed yet, unless something
+        is heard on it: then its instance has come back.
+        """
         for name in names:
-            self._away.pop(name, None)
+            away = self._away.pop(name, None)
+            for uid in away.subscriptions if away is not None else ():
+                self._sums_change(uid)
+            number = self._by_name.get(name)
+            if number is not None:
+                self._set_moved(self.sessions[number], True)
+
+    def _set_moved(self, session: Session, moved: bool) -> None:
+        if session.moved != moved:
+            session.moved = moved
+            for uid in session.subscriptions:
+                self._sums_change(uid)
 
     def report_again(self) -> None:
         """The source above knows nothing of before: the next report says all that is known."""
@@ -534,7 +551,8 @@
 
     def rollout(self, uid: str, revision: int) -> Rollout:
         """How far a change has come among the instances here."""
-        sessions = [self.sessions[n] for n in sorted(self._subscribers.get(uid, ()))]
+        subscribed = (self.sessions[n] for n in sorted(self._subscribers.get(uid, ())))
+        sessions = [session for session in subscribed if not session.moved]
         refusing = [s for s in sessions if s.refuses(uid, revision)]
         lagging = [s.name for s in sessions if s.applied < revision and s not in refusing]
         lagging += [name for name, away in self._away.items() if away.lacks(uid, revision)]
