A dial that is given up as it connects leaves no stream behind

Need: uvloop closes a connection whose dial is cancelled as it connects without connection_lost (create_connection calls _close).

Change: the client drops the streams of a dial that failed; the rig's links forget theirs.

--- a/standins/scale/links.py
+++ b/standins/scale/links.py
@@ -92,6 +92,11 @@
         self._network.add(self._address, self._link)
         self._stream.connection_made(self._link)
 
+    def forget(self) -> None:
+        """The connection is none any more, and nobody says so."""
+        if self._link is not None:
+            self._network.remove(self._address, self._link)
+
     def data_received(self, data: bytes) -> None:
         self._stream.data_received(data)
 
@@ -119,8 +124,19 @@
         if address in self._cut_off:
             await asyncio.Event().wait()
         loop = asyncio.get_running_loop()
-        ends = lambda: _Ends(self, address, made)  # noqa: E731
-        return await loop.create_connection(ends, *parse_address(address))
+        dialed: list[_Ends] = []
+
+        def ends() -> _Ends:
+            dialed.append(_Ends(self, address, made))
+            return dialed[-1]
+
+        try:
+            return await loop.create_connection(ends, *parse_address(address))
+        except BaseException:
+            # A dial that is given up as it connects is closed by uvloop without a word.
+            for end in dialed:
+                end.forget()
+            raise
 
     def cut(self, addresses: frozenset[str]) -> None:
         """Nothing passes to these or from them."""
--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -174,7 +174,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         elif isinstance(action, HangUp):
-            self._hang_up(action)
+            self._abort(action.attempt, action.why)
         else:
             assert isinstance(action, Apply | Answer | Continued | HistoryChanged)
             self._handle(action)
@@ -189,15 +189,20 @@
         try:
             await asyncio.wait_for(self._dialer(action.address, made), timeout)
         except (OSError, TimeoutError) as err:
+            # A dial that is given up as it connects is closed by uvloop without connection_lost.
+            for stream in self._abort(action.attempt, "given up while it was dialed"):
+                self._attempts.pop(stream, None)
             self.subscriber.disconnected(action.attempt, time.monotonic_ns(), str(err) or "late")
             self.flush()
 
-    def _hang_up(self, action: HangUp) -> None:
-        for stream, attempt in list(self._attempts.items()):
-            if attempt == action.attempt:
-                if stream is self._stream:
-                    self._stream = None
-                stream.abort(action.why)
+    def _abort(self, number: int, why: str) -> list[SealedStream]:
+        """Close an attempt's connection now; returns it where there is one."""
+        found = [stream for stream, attempt in self._attempts.items() if attempt == number]
+        for stream in found:
+            if stream is self._stream:
+                self._stream = None
+            stream.abort(why)
+        return found
 
     def _set_timer(self) -> None:
         """For what is due next. A timer that is set for earlier stays: set anew with each message
