An agent that starts again takes no older state from a distributor that is behind

Cause: door and workers kept views but not their places in the history, so an agent that was killed alone took them up at revision 0, and a distributor that was behind put older states back in force. The feed of a node carries each view's epoch and revision; an agent that starts again stands there.

--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -21,15 +21,12 @@
 from random import Random
 from typing import Any
 
-import msgspec
-
 from tansywood.admin.feed import Feed
 from tansywood.distribution.client import SubscriberClient
 from tansywood.distribution.interest import Asker, Interest, State
 from tansywood.distribution.messages import (
-    Kind,
+    Position,
     Refusal,
-    Resource,
     alias_of_listener,
     alias_of_name,
 )
@@ -42,6 +39,7 @@
 from tansywood.iso8583.codec import Codec
 from tansywood.service import part, shape
 from tansywood.service.isotenant import dialect_of, mapping_of
+from tansywood.service.placed import PlacedView, from_feed, load_held
 from tansywood.service.releases import DOOR, Releases
 from tansywood.service.restore import Restore
 from tansywood.service.wire import WireError, frame, read_frame
@@ -121,7 +119,7 @@
         self.restore = Restore()
         self.refused: dict[str, str] = {}  # why the newest state of a tenant is not in force
         self.ended: asyncio.Future[int] = loop.create_future()
-        self._good: dict[str, bytes] = {}  # views in force, encoded
+        self._good: dict[str, PlacedView] = {}  # views in force
         self._questions: dict[int, Answered] = {}
         self._batches: asyncio.Queue[tuple[int, int, tuple[Refusal, ...]]] = asyncio.Queue()
         self._followers = {DOOR}  # all that ever followed: each comes back
@@ -145,8 +143,9 @@
         if entry is None:
             self._removed(uid)
             return None
+        place = Position(self.subscriber.replica.epoch, entry.revision)
         try:
-            self._in_force(uid, entry.body)
+            self._in_force(uid, PlacedView(entry.body, place))
         except ViewError as err:
             reason = str(err)[:300]
             self.refused[uid] = reason
@@ -156,18 +155,18 @@
             return Refusal(uid, entry.revision, reason)
         return None
 
-    def _in_force(self, uid: str, body: bytes) -> None:
-        view = read_view(uid, body)
+    def _in_force(self, uid: str, placed: PlacedView) -> None:
+        view = read_view(uid, placed.body)
         aliases = tuple(aliases_of(view))
         pinned = any(alias_of_listener(name) in aliases for name in self.listeners)
         self.interest.hold(uid, aliases, time.monotonic_ns(), pinned)
         self.refused.pop(uid, None)
         self.restore.settled(uid)
-        self._good[uid] = body
+        self._good[uid] = placed
         if uid in self.releases:
             self.releases.call_off(uid)  # which tells it
         else:
-            self._publish(uid, view)
+            self._publish(uid, placed.for_feed())
 
     def _removed(self, uid: str) -> None:
         self.releases.drop(uid)
@@ -189,7 +188,7 @@
             self.client.applied(batch, refusals)
 
     def _views(self) -> dict[str, dict[str, Any]]:
-        return {uid: msgspec.json.decode(body) for uid, body in self._good.items()}
+        return {uid: placed.for_feed() for uid, placed in self._good.items()}
 
     # ---- followers ---------------------------------------------------------------------------
 
@@ -285,20 +284,20 @@
     def _called_off(self, uid: str) -> None:
         self.interest.kept(uid, time.monotonic_ns())
         if uid in self._good:
-            self._publish(uid, msgspec.json.decode(self._good[uid]))
+            self._publish(uid, self._good[uid].for_feed())
 
     # ---- after a start -------------------------------------------------------------------------
 
     def _begin(self) -> None:
         """Go on with what the followers hold; a comparison with control tells what has changed."""
-        for uid, view in self.restore.collected().items():
-            body = msgspec.json.encode(view)
+        held = {uid: from_feed(view) for uid, view in self.restore.collected().items()}
+        for uid, placed in list(held.items()):
             try:
-                self._in_force(uid, body)
+                self._in_force(uid, placed)
             except ViewError as err:
                 log(f"not taken over: {err}")
-                continue
-            self.subscriber.replica.load([Resource(uid, 0, Kind.CONTENT, body)])
+                del held[uid]
+        load_held(self.subscriber.replica, held)
         self.client.start()
 
     def _ask_for_late(self, now: float) -> None:
