The scale rig's rate of changes can be chosen

Need: at 3.1 changes a second about one node in a run waits for a distributor that was stopped just then; a higher rate samples those moments.

--- a/standins/scale/plan.py
+++ b/standins/scale/plan.py
@@ -31,6 +31,7 @@
     tenants: int
     seconds: float
     processes: int  # of hollow nodes
+    changes_per_s: float = CHANGES_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,7 +171,7 @@
     """At even spaces with some jitter. What is deleted does not change otherwise."""
     drawn = random.sample(range(size.tenants), HOT_TENANTS + DELETIONS)
     hot, deleted = drawn[:HOT_TENANTS], drawn[HOT_TENANTS:]
-    count = max(round(size.seconds * CHANGES_PER_S), DELETIONS + 1)
+    count = max(round(size.seconds * size.changes_per_s), DELETIONS + 1)
     deletions = dict(zip(random.sample(range(count), DELETIONS), deleted, strict=True))
     made: list[PlannedChange] = []
     for number in range(count):
--- a/standins/scale/sizes.py
+++ b/standins/scale/sizes.py
@@ -4,7 +4,7 @@
 
 import argparse
 
-from standins.scale.plan import Size
+from standins.scale.plan import CHANGES_PER_S, Size
 
 FLEET = "scale"
 
@@ -15,6 +15,9 @@
     parser.add_argument("--tenants", type=int, default=110_000)
     parser.add_argument("--seconds", type=float, default=60.0, help="of changes and faults; 60")
     parser.add_argument("--processes", type=int, default=8, help="of hollow nodes; 8")
+    parser.add_argument(
+        "--changes-per-s", type=float, default=CHANGES_PER_S, help="a hundred times the expected"
+    )
     parser.add_argument("--seed", type=int, default=1)
 
 
@@ -25,6 +28,7 @@
         options.tenants,
         options.seconds,
         options.processes,
+        options.changes_per_s,
     )
 
 
@@ -36,5 +40,6 @@
         *("--tenants", str(size.tenants)),
         *("--seconds", str(size.seconds)),
         *("--processes", str(size.processes)),
+        *("--changes-per-s", str(size.changes_per_s)),
         *("--seed", str(seed)),
     ]
