Callers of the whole-nodes rig end when they are told to

asyncio.wait_for of 3.11 loses a cancellation that meets the answer, so a caller could go on for ever and the test with it: seen twice, callers of one node asking on while the test waited for its tasks. They look at a flag as well.

--- a/standins/asking.py
+++ b/standins/asking.py
@@ -32,12 +32,15 @@
         self._headers = headers
         self._timeout_ms = timeout_ms
         self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
 
     def start(self) -> None:
+        self._stopping = False
         self._tasks = [asyncio.create_task(self._ask_for_ever(node)) for node in self._ports]
 
     async def stop(self) -> None:
         """What is under way counts as left by its caller."""
+        self._stopping = True  # a cancellation that meets an answer is lost in asyncio.wait_for
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -53,7 +56,7 @@
 
     async def _ask_for_ever(self, node: str) -> None:
         life = 0
-        while True:
+        while not self._stopping:
             life += 1
             caller = Caller(
                 f"{node}.{life}",
@@ -67,5 +70,7 @@
                 if await caller.ask() is End.SERVED:
                     entry = self.ledger.entries[f"{caller.name}-{caller.count}"]
                     self.last_ran[node] = entry.ran[-1]
+                if self._stopping:
+                    break
                 await asyncio.sleep(PAUSE_S)
             caller.drop()
