Scale tests, and a page that is computed from them: what the size in two years costs

Change: benchmarks/scale measures ten roles at four sizes or more each (simulated time, hollow processes on sockets, whole processes, pure code), fits lines or powers, and writes one JSON file; docs/CAPACITY.md has its tables from that file, and tests hold file, fits and page together.

--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,113 @@
+"""Measure every role and write the results as one JSON file.
+
+    python -m benchmarks.scale                 all roles, some ten minutes
+    python -m benchmarks.scale --quick         smaller sizes, under two minutes
+    python -m benchmarks.scale --only limits   one role anew, the others kept from the file
+
+The page is made from the file by `python -m benchmarks.scale.page`. Processor time is counted by
+the kernel's clocks; latency is measured last and alone. All load is on loopback and bounded.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import platform
+import sys
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from datetime import UTC, datetime
+from pathlib import Path
+
+from benchmarks.scale import (
+    administration,
+    configuration,
+    data_path,
+    discovery,
+    knowledge,
+    leases,
+    limits,
+    membership,
+    platform_node,
+    signals,
+)
+from benchmarks.scale.model import RESULTS, Machine, Role, Run, dump, load
+
+ROLES: dict[str, Callable[[bool], Role]] = {
+    "data path": data_path.measure,
+    "knowledge": knowledge.measure,
+    "membership": membership.measure,
+    "shared limits": limits.measure,
+    "leases": leases.measure,
+    "health signals": signals.measure,
+    "configuration": configuration.measure,
+    "discovery lists": discovery.measure,
+    "administration": administration.measure,
+    "platform's node": platform_node.measure,
+}
+ALONE = ("data path",)  # latency wants a quiet machine: after all others
+AT_ONCE = 3
+
+
+def told(text: str) -> None:
+    """Progress, for people."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def measured(name: str, quick: bool) -> Role:
+    """One role, with its time told."""
+    began = time.monotonic()
+    role = ROLES[name](quick)
+    told(f"{name}: {time.monotonic() - began:.0f} s")
+    return role
+
+
+def measure_all(names: Sequence[str], quick: bool) -> dict[str, Role]:
+    """Several at once, those that want quiet alone at the end."""
+    with ThreadPoolExecutor(AT_ONCE) as threads:
+        together = [name for name in names if name not in ALONE]
+        found = dict(
+            zip(together, threads.map(lambda n: measured(n, quick), together), strict=True)
+        )
+    found |= {name: measured(name, quick) for name in names if name in ALONE}
+    return found
+
+
+def machine(load_at_begin: float) -> Machine:
+    """The size of this machine, and how busy it was."""
+    memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return Machine(
+        os.cpu_count() or 1,
+        round(memory / (1 << 30)),
+        platform.python_version(),
+        (round(load_at_begin, 1), round(os.getloadavg()[0], 1)),
+    )
+
+
+def main() -> int:
+    """Measure, and write the file."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="smaller sizes, two minutes")
+    parser.add_argument("--out", type=Path, default=RESULTS, help="file to write; %(default)s")
+    parser.add_argument("--only", choices=list(ROLES), action="append", help="these roles alone")
+    options = parser.parse_args()
+    began, load_at_begin = time.monotonic(), os.getloadavg()[0]
+    roles: dict[str, Role] = {}
+    if options.only and options.out.exists():
+        roles = {role.name: role for role in load(options.out).roles}
+    roles |= measure_all(options.only or list(ROLES), options.quick)
+    run = Run(
+        datetime.now(UTC).date().isoformat(),
+        options.quick,
+        round(time.monotonic() - began, 1),
+        machine(load_at_begin),
+        tuple(roles[name] for name in ROLES if name in roles),
+    )
+    dump(run, options.out)
+    told(f"{options.out.name}: {len(run.roles)} roles in {run.seconds:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/scale/processes.py
@@ -0,0 +1,81 @@
+"""What a process uses, by the kernel's own accounts, and a whole service with a fleet of one."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from standins.fleet.instances import free_port
+from standins.service import ServiceProcess, document
+
+WORKERS = 2
+
+
+def pss_bytes(pid: int) -> int:
+    """Proportional memory of a process (`Pss` of smaps_rollup): shared pages by their sharers."""
+    for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
+        if line.startswith("Pss:"):
+            return int(line.split()[1]) * 1024
+    raise RuntimeError(f"the kernel tells no Pss of process {pid}")
+
+
+def cpu_seconds(pid: int) -> float:
+    """Processor time of all threads of a process, to the nanosecond (`schedstat`)."""
+    rows = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((row / "schedstat").read_text().split()[0]) for row in rows) / 1e9
+
+
+def parts_of(service: ServiceProcess) -> dict[str, int]:
+    """Process ids of a service's parts by name, the supervisor's among them."""
+    assert service.process is not None
+    names = ["admin", "fleet", "door", *(f"worker-{n}" for n in range(service.workers))]
+    found = {name: service.pid(name) for name in names}
+    return {"supervisor": service.process.pid} | {n: pid for n, pid in found.items() if pid}
+
+
+def total(by_part: dict[str, float]) -> float:
+    """Over all processes of one instance."""
+    return sum(by_part.values())
+
+
+def used(service: ServiceProcess) -> dict[str, float]:
+    """Processor seconds of each part so far."""
+    return {name: cpu_seconds(pid) for name, pid in parts_of(service).items()}
+
+
+def memory(service: ServiceProcess) -> dict[str, float]:
+    """Bytes (Pss) of each part now."""
+    return {name: float(pss_bytes(pid)) for name, pid in parts_of(service).items()}
+
+
+@contextmanager
+def hosted(workers: int = WORKERS, fleet: bool = True) -> Iterator[ServiceProcess]:
+    """A whole service of one instance on loopback; ended and its folder removed behind it."""
+    with tempfile.TemporaryDirectory(prefix="tw") as made:
+        folder = Path(made)
+        section = ""
+        if fleet:
+            key = folder / "fleet.key"
+            key.write_text("00112233445566778899aabbccddeeff" * 2 + "\n")
+            key.chmod(0o600)
+            address = f"127.0.0.1:{free_port()}"
+            section = (
+                f'[fleet]\nname = "scale"\ninstance = "node"\naddress = "{address}"\n'
+                f'first = ["{address}"]\nkey_file = "fleet.key"\n'
+            )
+        service = ServiceProcess(folder, workers, more=section)
+        service.start()
+        try:
+            yield service
+        finally:
+            service.kill()
+
+
+def small_document(name: str, classes: int = 1, servers: int = 1) -> dict[str, object]:
+    """A tenant with so many routes and backends; nothing listens at these."""
+    made = document(name, [(f"s-{n}", 9 + n) for n in range(servers)])
+    row = {"aim_ms": 1000, "deadline_ms": 2000, "repeat": "safe"}
+    made["classes"] = [{"name": f"route-{n}"} | row for n in range(classes)]
+    return made
--- /dev/null
+++ b/benchmarks/scale/shipped.py
@@ -0,0 +1,196 @@
+"""The one place that names the fleet's and the leases' own modules, for the roles to build on.
+
+A name that changes there is changed here and in `hollow`, and nowhere else in this package.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from random import Random
+
+import msgspec
+
+from standins.fleet.leaseworld import LeaseWorld, Place
+from standins.fleet.simulated import World
+from tansywood.fleet.instance import Instance
+from tansywood.fleet.members import SYNC, State
+from tansywood.fleet.messages import Claim, Envelope, Rumour, Seen, Sync, Want, pack
+from tansywood.fleet.parts import Home, open_pot, rate_pot
+from tansywood.fleet.seal import HEAD, LIVES, Seal, bound_to
+from tansywood.fleet.share import Limits
+from tansywood.fleet.signals import Kind, Signals
+from tansywood.fleet.terms import SECOND, Terms
+from tansywood.lease.keeper import LeaseTerms
+from tansywood.lease.parcels import Parcel
+from tansywood.lease.side import SECOND as LEASE_SECOND
+
+__all__ = [
+    "LEASE_SECOND",
+    "LIVES",
+    "SECOND",
+    "Claim",
+    "CountingWorld",
+    "Envelope",
+    "Home",
+    "Kind",
+    "LeaseTerms",
+    "LeaseWorld",
+    "Parcel",
+    "Place",
+    "Rumour",
+    "Seal",
+    "Seen",
+    "Signals",
+    "Sync",
+    "Terms",
+    "Want",
+    "claim_of",
+    "fleet_world",
+    "instance_that_knows",
+    "knows_all",
+    "limits",
+    "lost_by",
+    "pack",
+    "rumour",
+    "seal_of",
+    "tenant_names",
+    "use_tenants",
+]
+
+SEAL_BYTES = HEAD.size + 16  # around each message: head and authentication tag
+RATE = 1_000_000  # thousandths of a request a second, a tenant's default limit
+OPEN = 500
+
+
+class CountingWorld(World):
+    """A simulated fleet that counts the bytes of datagrams as they would be sealed."""
+
+    def reset(self) -> None:
+        """Begin to count anew."""
+        self.bytes_sent: Counter[str] = Counter()  # by instance
+        self.bytes_received: Counter[str] = Counter()
+        self.bytes_by_kind: Counter[str] = Counter()
+        self.datagrams = 0
+        self.told_bytes = 0  # of gossip about `subject`
+        self.subject = ""
+
+    def flush(self, name: str) -> None:
+        """Count what is about to leave, then send it."""
+        made = self.seats[name].instance
+        for address, envelope in made.sends if made is not None else ():
+            size = len(pack(envelope)) + SEAL_BYTES
+            self.datagrams += 1
+            self.bytes_sent[name] += size
+            self.bytes_by_kind[type(envelope.body).__name__] += size
+            to = self.by_address.get(address)
+            if to is not None:
+                self.bytes_received[to] += size
+            if self.subject:
+                for row in getattr(envelope.body, "news", ()):
+                    if row.name == self.subject:
+                        self.told_bytes += len(msgspec.msgpack.encode(row))
+        super().flush(name)
+
+
+def limits() -> Limits:
+    """A tenant's with the default rate and open requests, and no places at servers."""
+    return Limits(RATE, OPEN, 0, ("s-0",), 2 * SECOND)
+
+
+def tenant_names(count: int) -> list[str]:
+    """As long as names of customers are."""
+    return [f"tenant-{n:06}" for n in range(count)]
+
+
+def fleet_world(
+    instances: int, homes: int, busy: Iterable[str], known: Iterable[str], seed: int
+) -> CountingWorld:
+    """A started fleet; `known` tenants exist, `busy` ones are at work at every instance."""
+    names = [f"instance-{n:05}" for n in range(instances)]
+    tenants = {tenant: limits() for tenant in known}
+    world = CountingWorld(names, min(homes, instances), tenants, seed)
+    world.reset()
+    for name in names:
+        world.start(name)
+        use_tenants(world, name, busy)
+    acquaint(world)
+    return world
+
+
+def acquaint(world: CountingWorld) -> None:
+    """All know one another, all news of it is told, and exchanges have come to their usual pace.
+
+    From a common start that takes minutes where there are hundreds: each tells of each some twelve
+    times, six pieces in a datagram.
+    """
+    everybody = [seat.instance.members for seat in world.seats.values() if seat.instance]
+    for members in everybody:
+        now = members._now
+        for other in everybody:
+            if other is not members:
+                members.hear(now, other.own, other.own.name)
+        members._news.clear()
+        members.events.clear()
+        members._syncs = 10
+        members._next_sync = now + int(world.rng.random() * SYNC)
+
+
+def use_tenants(world: CountingWorld, name: str, busy: Iterable[str]) -> None:
+    """These tenants' callers ask for a little at an instance."""
+    for tenant in busy:
+        world.seats[name].want |= {rate_pot(tenant): 10_000, open_pot(tenant): 2}
+
+
+def knows_all(world: CountingWorld, but: Iterable[str] = ()) -> bool:
+    """Whether every instance that is up takes all of those that are up for members."""
+    up = {name for name, seat in world.seats.items() if seat.instance is not None} - set(but)
+    return all(
+        up <= set(seat.instance.members.live())
+        for name, seat in world.seats.items()
+        if seat.instance is not None and name in up
+    )
+
+
+def lost_by(world: CountingWorld, dead: Iterable[str]) -> set[str]:
+    """Instances that take all of these for lost."""
+    found = set()
+    gone = list(dead)
+    for name, seat in world.seats.items():
+        if seat.instance is None:
+            continue
+        rows = seat.instance.members.rows
+        if all(name not in rows or rows[name].state >= State.LOST for name in gone):
+            found.add(name)
+    return found
+
+
+def rumour(number: int, zone: str = "zone-0") -> Rumour:
+    """A record of one member of a large fleet."""
+    address = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7946"
+    life = Random(number).randbytes(16)
+    return Rumour(f"instance-{number:05}", address, life, 1_796_000_000_000, 0, 0, False, "1", zone)
+
+
+def instance_that_knows(count: int) -> Instance:
+    """One instance that has heard of all others of a fleet of so many."""
+    own = rumour(0)
+    made = Instance(
+        own.name, own.address, [own.address], Terms(), Random(1), own.life, own.born, 0, own.zone
+    )
+    for number in range(1, count):
+        made.members.hear(0, rumour(number), own.name)
+    return made
+
+
+def seal_of(number: int) -> Seal:
+    """The seal of one member, all under one key."""
+    return Seal([bytes(range(32))], bound_to("scale", ["10.0.0.1:7946"]), rumour(number).life)
+
+
+def claim_of(seq: int, tenants: Iterable[str], applied: int) -> Claim:
+    """A claim of a rate and open requests for each tenant, all from one home."""
+    wants = []
+    for tenant in tenants:
+        wants += [Want(rate_pot(tenant), 10_000, applied), Want(open_pot(tenant), 2, applied)]
+    return Claim(seq, wants, [], 0)
--- /dev/null
+++ b/tests/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scale benchmark and of the page that is made from it."""
