--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -51,6 +51,7 @@
     bytes_sent: int
     datagrams: int
     known: int  # members, added up over the nodes
+    false_alarms: int  # suspicions that were refuted, seen in the span
 
 
 class HollowNode(Agent):
@@ -92,12 +93,14 @@
     cpu = time.process_time()
     sent = sum(n.bytes_sent for n in nodes)
     datagrams = sum(n.datagrams for n in nodes)
+    alarms = sum(n.instance.members.false_alarms for n in nodes)
     await asyncio.sleep(task.span)
     return Used(
         time.process_time() - cpu,
         sum(n.bytes_sent for n in nodes) - sent,
         sum(n.datagrams for n in nodes) - datagrams,
         sum(len(n.instance.members.live()) for n in nodes),
+        sum(n.instance.members.false_alarms for n in nodes) - alarms,
     )
 
 
@@ -110,6 +113,7 @@
     bytes_a_second: float
     datagrams_a_second: float
     known: float
+    false_alarms: int  # all nodes together
 
 
 def run_fleet(nodes: int, warm: float, span: float) -> Each:
@@ -142,6 +146,7 @@
         sum(u.bytes_sent for u in used) * each,
         sum(u.datagrams for u in used) * each,
         sum(u.known for u in used) / nodes,
+        sum(u.false_alarms for u in used),
     )
 
 
--- a/benchmarks/scale/knowledge.py
+++ b/benchmarks/scale/knowledge.py
@@ -50,11 +50,14 @@
         rows = [Point(n.tenants, n.memory[part]) for n in nodes]
         found.append(whole(f"memory_{part}", f"of it {part} (Pss)", rows, Resource.MEMORY, False))
     rows = [Point(n.tenants, control(n.cpu_percent)) for n in nodes]
-    text = "supervisor, administration, fleet at rest: nobody asks"
+    text = "supervisor, administration, fleet at rest, no home of limits"
     found.append(whole("cpu", text, rows, Resource.CPU))
     for part in ("admin", "fleet", "door", "worker-0"):
         rows = [Point(n.tenants, n.cpu_percent[part]) for n in nodes]
         found.append(whole(f"cpu_{part}", f"{part} at rest", rows, Resource.CPU, False))
+    rows = [Point(n.tenants, control(n.home_cpu_percent)) for n in nodes]
+    text = "the same of an instance that is a home of limits"
+    found.append(whole("cpu_home", text, rows, Resource.CPU))
     return found
 
 
--- a/benchmarks/scale/leases.py
+++ b/benchmarks/scale/leases.py
@@ -103,7 +103,7 @@
             Series(
                 f"{of}_{name}", what, over, resource, Source.SIMULATED,
                 tuple(Point(getattr(p, by), getattr(p, of)) for p in rows), expected,
-                model.BUDGETS.get(resource),
+                model.BUDGETS.get(resource) if name == "fleet" else None,
             )
         )
         for name, over, by, rows, expected, where in (
--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -50,21 +50,29 @@
     return {name: float(pss_bytes(pid)) for name, pid in parts_of(service).items()}
 
 
+def free_address() -> str:
+    """A place on loopback for datagrams that nobody has."""
+    return f"127.0.0.1:{free_port()}"
+
+
 @contextmanager
-def hosted(workers: int = WORKERS, fleet: bool = True) -> Iterator[ServiceProcess]:
-    """A whole service of one instance on loopback; ended and its folder removed behind it."""
+def hosted(
+    workers: int = WORKERS, name: str = "node", address: str = "", home: str = ""
+) -> Iterator[ServiceProcess]:
+    """A whole instance on loopback; ended and its folder removed behind it.
+
+    `home` is the address of the fleet's one home, by default the instance's own.
+    """
+    address = address or free_address()
     with tempfile.TemporaryDirectory(prefix="tw") as made:
         folder = Path(made)
-        section = ""
-        if fleet:
-            key = folder / "fleet.key"
-            key.write_text("00112233445566778899aabbccddeeff" * 2 + "\n")
-            key.chmod(0o600)
-            address = f"127.0.0.1:{free_port()}"
-            section = (
-                f'[fleet]\nname = "scale"\ninstance = "node"\naddress = "{address}"\n'
-                f'first = ["{address}"]\nkey_file = "fleet.key"\n'
-            )
+        key = folder / "fleet.key"
+        key.write_text("00112233445566778899aabbccddeeff" * 2 + "\n")
+        key.chmod(0o600)
+        section = (
+            f'[fleet]\nname = "scale"\ninstance = "{name}"\naddress = "{address}"\n'
+            f'first = ["{home or address}"]\nkey_file = "fleet.key"\n'
+        )
         service = ServiceProcess(folder, workers, more=section)
         service.start()
         try:
