--- a/benchmarks/scale/leases.py
+++ b/benchmarks/scale/leases.py
@@ -17,7 +17,7 @@
 VOTERS = 3
 LENGTH_S = 4
 WARM_S, SPAN_S = 8.0, 6.0
-AROUND_BYTES = 100  # of the envelope and the seal around a parcel
+AROUND_BYTES = 100  # of the envelope and the seal around a fragment
 RECOVER_MOST_S = 20.0
 CARRIED_BY = (
     "leases of tenants on groups of three of the 15 control machines, each group its own share of "
@@ -45,10 +45,10 @@
         self.by_name: dict[str, int] = {}
         send = world._send
 
-        def counting(place: shipped.Place, address: str, parcel: shipped.Parcel) -> None:
-            size = len(msgspec.msgpack.encode(parcel)) + AROUND_BYTES
+        def counting(place: shipped.Place, address: str, fragment: shipped.Fragment) -> None:
+            size = len(msgspec.msgpack.encode(fragment)) + AROUND_BYTES
             self.by_name[place.name] = self.by_name.get(place.name, 0) + size
-            send(place, address, parcel)
+            send(place, address, fragment)
 
         world._send = counting  # type: ignore[method-assign]
 
--- a/benchmarks/scale/limits.py
+++ b/benchmarks/scale/limits.py
@@ -46,7 +46,7 @@
     world = shipped.fleet_world(instances, homes, names[:busy], names, 1)
     world.run(WARM_S)
     world.reset()
-    every = list(world.seats)
+    every = list(world.hosts)
     first, others = every[:homes], every[homes:]
     claims = claims_of(world, first)
     began = time.process_time()
@@ -67,22 +67,22 @@
 
 def claims_of(world: shipped.CountingWorld, names: list[str]) -> int:
     """Claims that these instances have sent so far."""
-    seats = [world.seats[name] for name in names]
-    return sum(seat.instance.counts["claims"] for seat in seats if seat.instance)
+    hosts = [world.hosts[name] for name in names]
+    return sum(host.instance.messenger.counts["claims"] for host in hosts if host.instance)
 
 
 def home_bytes(tenants: int) -> int:
     """Memory of a home that deals so many tenants' limits to three holders each."""
     names = shipped.tenant_names(tenants)
-    rows = {pot: row for name in names for pot, row in shipped.limits().pots(name).items()}
+    rows = {key: row for name in names for key, row in shipped.limits().by_key(name).items()}
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    home = shipped.Home(shipped.Terms(), 1, 0, 0)
+    home = shipped.Allocator(shipped.Terms(), 1, 0, 0)
     for pot, (whole, tail) in rows.items():
         home.set_whole(pot, whole, tail)
     at = 100 * shipped.SECOND
     for holder in range(model.NODES_PER_TENANT):
-        life = shipped.rumour(holder).life
+        life = shipped.member_update(holder).life
         for begin in range(0, tenants, 20):
             home.claim(at, life, shipped.claim_of(begin + 1, names[begin : begin + 20], 0))
     size = tracemalloc.get_traced_memory()[0] - before
--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -69,7 +69,7 @@
     datagrams = world.datagrams
     deaths = []
     told_bytes = 0
-    for dead in list(world.seats)[-DEATHS:]:
+    for dead in list(world.hosts)[-DEATHS:]:
         world.reset()
         world.subject = dead
         deaths.append(kill(world, [dead]))
@@ -77,7 +77,7 @@
         told_bytes += world.told_bytes
     lost_s = statistics.median(deaths)
     told = told_bytes / DEATHS / (members - DEATHS)
-    alarms = sum(s.instance.members.false_alarms for s in world.seats.values() if s.instance)
+    alarms = sum(s.instance.members.false_alarms for s in world.hosts.values() if s.instance)
     return Play(
         members, sent * each, syncs * each, datagrams * each, 100 * cpu * each, told, lost_s, alarms
     )
@@ -88,7 +88,7 @@
     for name in dead:
         world.kill(name)
     began = world.now
-    left = sum(seat.instance is not None for seat in world.seats.values())
+    left = sum(host.instance is not None for host in world.hosts.values())
     while len(shipped.lost_by(world, dead)) < left:
         if world.now - began > LOST_MOST_S * shipped.SECOND:
             return math.inf
@@ -101,7 +101,7 @@
     world = settled(members, seed)
     world.run(10.0)
     rest = sum(world.bytes_sent.values()) / 10.0 / members
-    names = list(world.seats)
+    names = list(world.hosts)
     zone = names[HOMES : HOMES + max(1, members // model.ZONES)]
     world.reset()
     zone_lost_s = kill(world, zone)
--- a/benchmarks/scale/shipped.py
+++ b/benchmarks/scale/shipped.py
@@ -13,17 +13,17 @@
 
 from standins.fleet.leaseworld import LeaseWorld, Place
 from standins.fleet.simulated import World
+from tansywood.fleet.allocation import Allocator, open_key, rate_key
 from tansywood.fleet.instance import Instance
 from tansywood.fleet.members import SYNC, State
-from tansywood.fleet.messages import Claim, Envelope, Rumour, Seen, Sync, Want, pack
-from tansywood.fleet.parts import Home, open_pot, rate_pot
+from tansywood.fleet.messages import Claim, ClaimEntry, Envelope, MemberUpdate, Seen, Sync, pack
 from tansywood.fleet.seal import HEAD, LIVES, Seal, bound_to
 from tansywood.fleet.share import Limits
 from tansywood.fleet.signals import Kind, Signals
 from tansywood.fleet.terms import SECOND, Terms
-from tansywood.lease.keeper import LeaseTerms
-from tansywood.lease.parcels import Parcel
-from tansywood.lease.side import SECOND as LEASE_SECOND
+from tansywood.lease.context import SECOND as LEASE_SECOND
+from tansywood.lease.fragments import Fragment
+from tansywood.lease.service import LeaseTerms
 
 __all__ = [
     "LEASE_SECOND",
@@ -32,19 +32,19 @@
     "Claim",
     "CountingWorld",
     "Envelope",
-    "Home",
+    "Allocator",
     "Kind",
     "LeaseTerms",
     "LeaseWorld",
-    "Parcel",
+    "Fragment",
     "Place",
-    "Rumour",
+    "MemberUpdate",
     "Seal",
     "Seen",
     "Signals",
     "Sync",
     "Terms",
-    "Want",
+    "ClaimEntry",
     "claim_of",
     "fleet_world",
     "instance_that_knows",
@@ -52,7 +52,7 @@
     "limits",
     "lost_by",
     "pack",
-    "rumour",
+    "member_update",
     "seal_of",
     "tenant_names",
     "use_tenants",
@@ -77,8 +77,8 @@
 
     def flush(self, name: str) -> None:
         """Count what is about to leave, then send it."""
-        made = self.seats[name].instance
-        for address, envelope in made.sends if made is not None else ():
+        made = self.hosts[name].instance
+        for address, envelope in made.messenger.sends if made is not None else ():
             size = len(pack(envelope)) + SEAL_BYTES
             self.datagrams += 1
             self.bytes_sent[name] += size
@@ -124,7 +124,7 @@
     From a common start that takes minutes where there are hundreds: each tells of each some twelve
     times, six pieces in a datagram.
     """
-    everybody = [seat.instance.members for seat in world.seats.values() if seat.instance]
+    everybody = [host.instance.members for host in world.hosts.values() if host.instance]
     for members in everybody:
         now = members._now
         for other in everybody:
@@ -139,16 +139,16 @@
 def use_tenants(world: CountingWorld, name: str, busy: Iterable[str]) -> None:
     """These tenants' callers ask for a little at an instance."""
     for tenant in busy:
-        world.seats[name].want |= {rate_pot(tenant): 10_000, open_pot(tenant): 2}
+        world.hosts[name].needs |= {rate_key(tenant): 10_000, open_key(tenant): 2}
 
 
 def knows_all(world: CountingWorld, but: Iterable[str] = ()) -> bool:
     """Whether every instance that is up takes all of those that are up for members."""
-    up = {name for name, seat in world.seats.items() if seat.instance is not None} - set(but)
+    up = {name for name, host in world.hosts.items() if host.instance is not None} - set(but)
     return all(
-        up <= set(seat.instance.members.live())
-        for name, seat in world.seats.items()
-        if seat.instance is not None and name in up
+        up <= set(host.instance.members.live())
+        for name, host in world.hosts.items()
+        if host.instance is not None and name in up
     )
 
 
@@ -156,41 +156,48 @@
     """Instances that take all of these for lost."""
     found = set()
     gone = list(dead)
-    for name, seat in world.seats.items():
-        if seat.instance is None:
+    for name, host in world.hosts.items():
+        if host.instance is None:
             continue
-        rows = seat.instance.members.rows
+        rows = host.instance.members.rows
         if all(name not in rows or rows[name].state >= State.LOST for name in gone):
             found.add(name)
     return found
 
 
-def rumour(number: int, zone: str = "zone-0") -> Rumour:
+def member_update(number: int, zone: str = "zone-0") -> MemberUpdate:
     """A record of one member of a large fleet."""
     address = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7946"
     life = Random(number).randbytes(16)
-    return Rumour(f"instance-{number:05}", address, life, 1_796_000_000_000, 0, 0, False, "1", zone)
+    return MemberUpdate(
+        f"instance-{number:05}", address, life, 1_796_000_000_000, 0, 0, False, "1", zone
+    )
 
 
 def instance_that_knows(count: int) -> Instance:
     """One instance that has heard of all others of a fleet of so many."""
-    own = rumour(0)
+    own = member_update(0)
     made = Instance(
         own.name, own.address, [own.address], Terms(), Random(1), own.life, own.born, 0, own.zone
     )
     for number in range(1, count):
-        made.members.hear(0, rumour(number), own.name)
+        made.members.hear(0, member_update(number), own.name)
     return made
 
 
 def seal_of(number: int) -> Seal:
     """The seal of one member, all under one key."""
-    return Seal([bytes(range(32))], bound_to("scale", ["10.0.0.1:7946"]), rumour(number).life)
+    return Seal(
+        [bytes(range(32))], bound_to("scale", ["10.0.0.1:7946"]), member_update(number).life
+    )
 
 
 def claim_of(seq: int, tenants: Iterable[str], applied: int) -> Claim:
     """A claim of a rate and open requests for each tenant, all from one home."""
     wants = []
     for tenant in tenants:
-        wants += [Want(rate_pot(tenant), 10_000, applied), Want(open_pot(tenant), 2, applied)]
+        wants += [
+            ClaimEntry(rate_key(tenant), 10_000, applied),
+            ClaimEntry(open_key(tenant), 2, applied),
+        ]
     return Claim(seq, wants, [], 0)
--- a/benchmarks/scale/signals.py
+++ b/benchmarks/scale/signals.py
@@ -27,7 +27,7 @@
     """A home that has heard of so many servers, each from all sources."""
     made = shipped.Signals()
     for source in range(SOURCES):
-        life = shipped.rumour(source).life
+        life = shipped.member_update(source).life
         made.hear(0, life, [shipped.Seen(name(n), int(shipped.Kind.GOOD), 0)
                             for n in range(servers)])  # fmt: skip
     return made
@@ -52,7 +52,7 @@
 def claim_ms(servers: int) -> float:
     """Processor time of one claim's evidence: hear it, and say what is doubted of its tenants."""
     made = filled(servers)
-    life = shipped.rumour(0).life
+    life = shipped.member_update(0).life
     seen = [shipped.Seen(name(n), int(shipped.Kind.GOOD), 0) for n in range(ROWS)]
     tenants = {row.server.partition("/")[0] for row in seen}
     began = time.process_time()
--- a/tests/scale/test_measures.py
+++ b/tests/scale/test_measures.py
@@ -24,7 +24,7 @@
 def test_a_fleet_that_is_acquainted_knows_all_and_has_no_news() -> None:
     world = shipped.fleet_world(9, 3, (), (), 1)
     assert shipped.knows_all(world)
-    assert all(not s.instance.members._news for s in world.seats.values() if s.instance)
+    assert all(not s.instance.members._news for s in world.hosts.values() if s.instance)
 
 
 def test_what_is_sent_is_received_where_nothing_is_lost() -> None:
@@ -37,7 +37,7 @@
 def test_a_dead_one_is_lost_by_all_others_and_no_other_is() -> None:
     world = shipped.fleet_world(6, 3, (), (), 1)
     world.run(5.0)
-    names = list(world.seats)
+    names = list(world.hosts)
     world.kill(names[-1])
     world.run(30.0)
     assert shipped.lost_by(world, names[-1:]) == set(names[:-1])
