The scale rig tells how long each kind of process stood still

Change: SourceServer.longest_standstill, in a distributor's counters and in the rig's last line.

Result: tests/scale_rig pass.

--- a/standins/scale/driver.py
+++ b/standins/scale/driver.py
@@ -115,6 +115,7 @@
 
     publisher: Command
     distributor_messages: int
+    distributor_standstill_ms: int
     hollows: list[Command]
 
 
@@ -306,9 +307,16 @@
 
     async def _counters(self) -> Snapshot:
         told = [row for d in self._distributors for row in d.counters()]
+        stopped = {
+            distributor_name(fault.distributor)
+            for fault in self._plan.faults
+            if isinstance(fault, StopDistributor)
+        }
+        standstills = [r["longest_standstill_ms"] for r in told if r["name"] not in stopped]
         return Snapshot(
             await self._publisher.ask("counters"),
             sum(row["messages_in"] + row["messages_out"] for row in told),
+            max(standstills, default=0),
             await self._tell_hollows("counters"),
         )
 
@@ -342,6 +350,11 @@
             left_stale=sum(row["left_stale"] for row in after.hollows),
             memory_bytes=self._memory(),
             refused=refused,
+            standstill_ms={
+                "publisher": after.publisher["standstill_ms"],
+                "a distributor": after.distributor_standstill_ms,
+                "hollow nodes": max(row["standstill_ms"] for row in after.hollows),
+            },
             load_before=load_before,
             load_after=os.getloadavg()[0],
         )
--- a/standins/scale/hollow.py
+++ b/standins/scale/hollow.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import gc
 import json
 import time
@@ -44,6 +45,7 @@
 from tansywood.fleet.keyfile import KeyFile
 
 ALIASES_MOST = 8  # of one lookup
+WATCH_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +200,15 @@
         self._bytes_before = private_bytes()
         self._nodes = {node.number: HollowNode(node, world) for node in mine}
         self._unread: list[Link] = []
+        self.longest_standstill_s = 0.0
+
+    async def watch_for_standstill(self) -> None:
+        """Measure how long this process does nothing else, as its nodes do not share one loop in
+        life."""
+        while True:
+            due = time.monotonic() + WATCH_S
+            await asyncio.sleep(WATCH_S)
+            self.longest_standstill_s = max(self.longest_standstill_s, time.monotonic() - due)
 
     async def perform(self, command: Command) -> Command:
         do = command["do"]
@@ -258,6 +269,7 @@
                 connections += client.subscriber.connections
                 stale += client.subscriber.left_stale
                 refused += client.refused
+        standstill, self.longest_standstill_s = self.longest_standstill_s, 0.0
         return {
             "nodes": len(self._nodes),
             "bytes_in": traffic.bytes_in,
@@ -268,6 +280,7 @@
             "refused": dict(refused),
             "held_bytes": private_bytes() - self._bytes_before,
             "processor_s": time.process_time(),
+            "standstill_ms": round(standstill * 1e3),
         }
 
     def _finish(self) -> None:
@@ -288,7 +301,9 @@
 
 async def _main(folder: Path, process: int, plan: Plan, addresses: list[str]) -> None:
     hollow = Hollow(folder, process, plan, addresses)
+    watch = asyncio.get_running_loop().create_task(hollow.watch_for_standstill())
     await serve({}, hollow.perform)
+    watch.cancel()
 
 
 def main() -> None:
--- a/standins/scale/publisher.py
+++ b/standins/scale/publisher.py
@@ -30,7 +30,7 @@
 from tansywood.distribution.rollout import RolloutBoard
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Session, Source
-from tansywood.distribution.terms import Terms
+from tansywood.distribution.terms import MS, Terms
 from tansywood.fleet.keyfile import KeyFile
 from tansywood.tenancy.registry import Actor, Change, Registry, Tenant
 from tansywood.tenancy.settings import ACTIVE, server_uid
@@ -138,12 +138,14 @@
 
     def _counters(self) -> Command:
         bytes_in, bytes_out = self.server.totals()
+        standstill, self.server.longest_standstill = self.server.longest_standstill, 0
         return {
             "messages_in": self.source.messages_in,
             "messages_out": self.source.messages_out,
             "bytes_in": bytes_in,
             "bytes_out": bytes_out,
             "processor_s": time.process_time(),
+            "standstill_ms": standstill // MS,
         }
 
     def _write_published(self) -> None:
--- a/tansywood/distribution/distributor.py
+++ b/tansywood/distribution/distributor.py
@@ -30,7 +30,7 @@
 from tansywood.distribution.source import Source
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Apply, Continued, HistoryChanged, Subscriber
-from tansywood.distribution.terms import Terms
+from tansywood.distribution.terms import MS, Terms
 from tansywood.fleet.keyfile import KeyFile
 from tansywood.fleet.seal import KeyFileError
 from windrelay.config import Address, parse_address
@@ -74,6 +74,7 @@
     revision: int
     serving: bool
     publisher_age_ms: int | None
+    longest_standstill_ms: int
 
 
 class Distributor:
@@ -139,7 +140,8 @@
             epoch=self.replica.epoch.number,
             revision=self.replica.revision,
             serving=self.source.serving,
-            publisher_age_ms=None if age is None else age // 1_000_000,
+            publisher_age_ms=None if age is None else age // MS,
+            longest_standstill_ms=self.server.longest_standstill // MS,
         )
 
     # ---- what the publisher says -----------------------------------------------------------
--- a/tansywood/distribution/server.py
+++ b/tansywood/distribution/server.py
@@ -46,6 +46,7 @@
         self._tick_due = 0
         self.bytes_out = 0  # of connections that have ended
         self.bytes_in = 0
+        self.longest_standstill = 0  # nanoseconds that this process did nothing else
 
     async def start(self, address: Address) -> Address:
         """Listen; returns the address, with the port that was free where 0 was asked for."""
@@ -138,6 +139,7 @@
         """Time in which this process stood still, and so read nothing, is nobody's silence."""
         now = time.monotonic_ns()
         late = now - self._tick_due
+        self.longest_standstill = max(self.longest_standstill, late)
         if late > STALLED:
             for session in self.source.sessions.values():
                 session.heard = min(session.heard + late, now)
