--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -50,8 +50,7 @@
 LIMITS = {"rate_per_s": 100_000, "burst": 100_000, "connections_per_s": 100_000}
 TIMEOUT_MS = 9_000
 SERVED = 92  # tenants of one node: 110,000 on three nodes each, of 3,600
-REST_S = 20.0
-CHANGING_S = 20.0
+SPAN_S = 20.0  # at rest, and as long under changes
 BATCH = 2_000
 AT_REST, CHANGING = "at rest", "changing"
 
@@ -273,19 +272,20 @@
         yield part, node.pid(part)
 
 
-async def size(tenants: int) -> SizeFigures:
-    """One node before two distributors of so many tenants."""
+async def size(tenants: int, seconds: float = SPAN_S) -> SizeFigures:
+    """One node before two distributors of so many tenants; `seconds` at rest and as many under
+    changes."""
     with tempfile.TemporaryDirectory(prefix="distribution-") as text:
         folder = Path(text)
         fill(folder / "publisher", tenants)
         async with distributed(folder, nodes=1, distributors=2) as machines:
-            return await _size(machines, tenants)
+            return await _size(machines, tenants, seconds)
 
 
-async def _size(machines: Distributed, tenants: int) -> SizeFigures:
+async def _size(machines: Distributed, tenants: int, seconds: float) -> SizeFigures:
     node = machines.nodes["n0"]
     ledger, random = Ledger(), Random(1)
-    server = TopupServer("s-0", ledger, random, Behaviour(work_s=0.0))
+    server = TopupServer("s-0", ledger, random, Behaviour(work_s=0.001))
     await server.start()
     operator = machines.publisher.operator()
     chosen = random.sample(range(tenants), min(SERVED, tenants))
@@ -297,9 +297,9 @@
     first = [await _asked(node, ledger, random, tenant, "a") for tenant in chosen]
     later = [await _asked(node, ledger, random, tenant, "b") for tenant in chosen]
     ends = Counter(end for entry in ledger.entries.values() for end in entry.ends)
-    await asyncio.sleep(2.0)
-    rest = await _span(node, AT_REST, REST_S, lambda _at: asyncio.sleep(0))
-    changing = await _changing(node, operator, tenants, chosen)
+    await asyncio.sleep(min(seconds, 2.0))
+    rest = await _span(node, AT_REST, seconds, lambda _at: asyncio.sleep(0))
+    changing = await _changing(node, operator, tenants, chosen, seconds)
     server.kill()
     distributor = machines.distributors["d0"]
     return SizeFigures(
@@ -328,7 +328,9 @@
     return took
 
 
-async def _changing(node: NodeMachine, operator: Operator, tenants: int, served: list[int]) -> Span:
+async def _changing(
+    node: NodeMachine, operator: Operator, tenants: int, served: list[int], seconds: float
+) -> Span:
     """Changes at a hundred times the expected rate, of any tenants; one in ten of those served."""
     random = Random(2)
 
@@ -338,7 +340,7 @@
         await asyncio.to_thread(operator.must, "PATCH", f"/v1/tenants/{uid_of(tenant)}", limits)
         await asyncio.sleep(1 / CHANGES_PER_S)
 
-    return await _span(node, CHANGING, CHANGING_S, change)
+    return await _span(node, CHANGING, seconds, change)
 
 
 async def _span(
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -25,6 +25,7 @@
     configuration,
     data_path,
     discovery,
+    distribution,
     knowledge,
     leases,
     limits,
@@ -42,11 +43,13 @@
     "leases": leases.measure,
     "health signals": signals.measure,
     "configuration": configuration.measure,
+    "configuration, distributed": distribution.measure,
     "discovery lists": discovery.measure,
     "administration": administration.measure,
     "platform's node": platform_node.measure,
 }
-ALONE = ("data path",)  # latency wants a quiet machine: after all others
+# Latency wants a quiet machine: after all others.
+ALONE = ("configuration, distributed", "data path")
 AT_ONCE = 3
 
 
