A tenant of ISO 8583 under an agent, and views that nest without end: tests

The agent refuses a view whose reading raises RecursionError instead of leaving its batch open. A bank bound to a node's listener is held without being asked for, stays over the agent's end, and is never given up: tested with a stand-in host and terminals.

--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -55,6 +55,16 @@
 LATE_S = 2.0  # between two questions after a tenant that only some follower holds
 LOOKUP_MOST = 8  # aliases of one lookup
 STATUSES = (ACTIVE, DRAINING, SUSPENDED)
+# What reading may raise of words that this node's code does not know.
+UNREADABLE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    OSError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 OWN = ""  # the asker of questions after this node's own listeners
 
 Answered = Callable[[Sequence[str] | None], None]
@@ -77,7 +87,7 @@
             Key(**record)
         if view["status"] not in STATUSES:
             raise ViewError(f"tenant {uid}: its status {view['status']!r} is not known")
-    except (ArithmeticError, AttributeError, LookupError, OSError, TypeError, ValueError) as err:
+    except UNREADABLE as err:
         if isinstance(err, ViewError):
             raise
         reason = f"{type(err).__name__}: {err}"
--- a/tests/service/agent_world.py
+++ b/tests/service/agent_world.py
@@ -38,8 +38,8 @@
 class Control:
     """The administration's registry and a publisher that nodes follow directly."""
 
-    def __init__(self, listeners: Sequence[str]) -> None:
-        self.registry = Registry(frozenset(listeners))
+    def __init__(self, listeners: Sequence[str], iso: Sequence[str]) -> None:
+        self.registry = Registry(frozenset(listeners), frozenset(iso))
         self.replica = Replica(Terms().window, Epoch(1, b"a"))
         self.source = Source(self.replica, Terms(), time.monotonic_ns(), is_publisher=True)
         self.server = self._made()
@@ -137,11 +137,17 @@
     """The parts of one node over its control."""
 
     def __init__(
-        self, folder: Path, workers: int, listeners: Sequence[str], options: Sequence[str]
+        self,
+        folder: Path,
+        workers: int,
+        listeners: Sequence[str],
+        iso: Sequence[str],
+        options: Sequence[str],
     ) -> None:
+        listeners = (*listeners, *iso)
         self.folder = folder
         self.log = folder / "node.log"
-        self.control = Control(listeners)
+        self.control = Control(listeners, iso)
         self.rng = Random(1)
         self.sides: list[Side] = []
         self.made = 0  # tenants
@@ -154,15 +160,17 @@
         self.lifeline, self._held = os.pipe()
         names = [f"worker-{i}" for i in range(workers)]
         run = str(folder)
+        isos = [f"--iso-listener={name}" for name in iso]
         self.parts = {
-            name: NodePart(name, ["tansywood.service.worker", run, name, f"{run}/records"])
+            name: NodePart(name, ["tansywood.service.worker", run, name, f"{run}/records", *isos])
             for name in names
         }
         self.parts["door"] = NodePart(
             "door",
             ["tansywood.service.door", run]
             + [f"--listener={name}={sock.fileno()}" for name, sock in self.sockets.items()]
-            + [f"--worker={name}" for name in names],
+            + [f"--worker={name}" for name in names]
+            + isos,
             [sock.fileno() for sock in self.sockets.values()],
         )
 
@@ -254,9 +262,10 @@
     folder: Path,
     workers: int = 2,
     listeners: Sequence[str] = ("public",),
+    iso: Sequence[str] = (),
     options: Sequence[str] = (),
 ) -> AsyncIterator[Node]:
-    made = Node(folder, workers, listeners, options)
+    made = Node(folder, workers, listeners, iso, options)
     try:
         await made.start()
         yield made
--- a/tests/service/test_agent.py
+++ b/tests/service/test_agent.py
@@ -5,15 +5,21 @@
 import asyncio
 from collections import Counter
 from pathlib import Path
+from random import Random
 from typing import Any
 
-from standins.ledger import End
+from standins.iso8583 import IsoTopup
+from standins.ledger import End, Ledger
 from standins.platform import request
+from standins.service import document
 from tansywood.distribution.messages import alias_of_host
+from tansywood.iso8583.machine import APPROVED
 from tansywood.service.tenant import FULL, UNKNOWN
 
+from ..iso8583.world import CODEC, FRAMING, Terminal
 from .agent_world import OPERATOR, Node, comes, node
-from .world import Side
+from .test_iso import ISO
+from .world import PATIENT, WIDE, Side
 
 
 def served(side: Side) -> int:
@@ -63,6 +69,43 @@
     asyncio.run(main())
 
 
+def test_terminals_of_iso_8583_reach_their_tenant_and_stay_over_an_agents_end(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        options = ["--idle-s=0.05"]
+        async with node(tmp_path, iso=("pos",), options=options) as n:
+            server = IsoTopup("s-0", Ledger(), Random(1), CODEC, FRAMING)
+            await server.start()
+            settings = {
+                "callers": {"listeners": ["pos"], "key_required": False},
+                "classes": PATIENT,
+                "limits": WIDE,
+                "iso8583": ISO,
+            }
+            made = document("bank", [("s-0", server.port)], **settings)
+            made["servers"][0]["started_ms"] = 1
+            n.control.do(n.control.registry.create(OPERATOR, made, "uid-bank"))
+            try:
+                # Its listener was nobody's a moment ago: the agent asks again by itself.
+                await n.until(lambda s: s["tenants"] == 1)
+                first = Terminal(n.ports["pos"], "TERM0001")
+                await first.connect()
+                assert (await first.ask(first.message())).fields[39] == APPROVED
+                n.parts["agent"].kill()
+                await n.begin("agent")
+                second = Terminal(n.ports["pos"], "TERM0002")
+                await second.connect()
+                for terminal in (first, second):
+                    assert (await terminal.ask(terminal.message())).fields[39] == APPROVED
+                    await terminal.close()
+                assert "given up" not in (await n.ask("status"))["counts"]
+            finally:
+                server.kill()
+
+    asyncio.run(main())
+
+
 async def classes(n: Node, tenant: str) -> list[dict[str, Any]]:
     """A tenant's counters, as its workers have told them."""
     return list((await n.ask("report", tenant=tenant))["report"]["classes"].values())
--- a/tests/service/test_agent_views.py
+++ b/tests/service/test_agent_views.py
@@ -59,6 +59,11 @@
     assert str(caught.value).startswith("tenant t: ")
 
 
+def test_what_nests_without_end_is_refused() -> None:
+    with pytest.raises(ViewError):
+        read_view("t", b'{"uid":"t","document":' + b"[" * 100_000)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_whatever_is_spoilt_it_is_refused_or_can_be_taken_over(seed: int) -> None:
     rng = Random(seed)
