--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -220,7 +220,8 @@
         else:
             due = self._due
         for question in self._questions.values():
-            due = min(due, question.until, question.again)
+            again = question.again if self.link is Link.UP else NEVER
+            due = min(due, question.until, again)
         return due
 
     def _choose_address(self, now: int) -> bool:
