--- a/tansywood/distribution/distributor.py
+++ b/tansywood/distribution/distributor.py
@@ -67,6 +67,7 @@
     upstream_bytes_in: int
     upstream_bytes_out: int
     upstream_connections: int
+    upstream_last_loss: str
     sessions: int
     refused: dict[str, int]
     entries: int
@@ -134,6 +135,7 @@
             upstream_bytes_in=upstream_in,
             upstream_bytes_out=upstream_out,
             upstream_connections=subscriber.connections,
+            upstream_last_loss=subscriber.last_loss,
             sessions=len(self.source.sessions),
             refused=dict(self.server.refused + self.client.refused),
             entries=len(self.replica.entries),
