--- a/standins/relay.py
+++ b/standins/relay.py
@@ -55,7 +55,8 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self._forward(reader, back), self._forward(there, writer))
+        with contextlib.suppress(asyncio.CancelledError):  # the relay was stopped
+            await asyncio.gather(self._forward(reader, back), self._forward(there, writer))
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Until either side ends; what was read before a cut is written after it."""
