--- a/standins/scale/driver.py
+++ b/standins/scale/driver.py
@@ -16,6 +16,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -215,10 +216,10 @@
         """All changes and faults at their times; a step that fails ends the run."""
         steps: list[tuple[float, Step]] = []
         for change in self._plan.changes:
-            steps.append((change.at, lambda change=change: self._change(change)))  # type: ignore[misc]
+            steps.append((change.at, partial(self._change, change)))
         for fault in self._plan.faults:
-            steps.append((fault.at, lambda fault=fault: self._begin(fault)))  # type: ignore[misc]
-            steps.append((fault.until, lambda fault=fault: self._undo(fault)))  # type: ignore[misc]
+            steps.append((fault.at, partial(self._begin, fault)))
+            steps.append((fault.until, partial(self._undo, fault)))
         steps.sort(key=lambda step: step[0])
         self._began = time.monotonic_ns()
         async with asyncio.TaskGroup() as group:
