--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -31,20 +31,17 @@
     alias_of_name,
 )
 from tansywood.distribution.replica import Replica
-from tansywood.distribution.resources import ViewError, aliases_of, decode
+from tansywood.distribution.resources import ViewError, aliases_of
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Answer, Apply, Link, Subscriber
 from tansywood.distribution.terms import MS, SECOND, Terms
 from tansywood.fleet.keyfile import KeyFile
-from tansywood.iso8583.codec import Codec
-from tansywood.service import part, shape
-from tansywood.service.isotenant import dialect_of, mapping_of
+from tansywood.service import part
 from tansywood.service.placed import PlacedView, from_feed, load_held
+from tansywood.service.readable import read_view
 from tansywood.service.releases import DOOR, Releases
 from tansywood.service.restore import Restore
 from tansywood.service.wire import WireError, frame, read_frame
-from tansywood.tenancy.identity import Key
-from tansywood.tenancy.settings import ACTIVE, DRAINING, SUSPENDED, read
 
 BOUND = 500  # tenants held
 BOUND_MOST = 10_000
@@ -54,47 +51,11 @@
 LISTENERS_S = 5.0  # between two questions whose this node's listeners are
 LATE_S = 2.0  # between two questions after a tenant that only some follower holds
 LOOKUP_MOST = 8  # aliases of one lookup
-STATUSES = (ACTIVE, DRAINING, SUSPENDED)
-# What reading may raise of words that this node's code does not know.
-UNREADABLE = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    OSError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 OWN = ""  # the asker of questions after this node's own listeners
 
 Answered = Callable[[Sequence[str] | None], None]
 
 
-def read_view(uid: str, body: bytes) -> dict[str, Any]:
-    """A view that door and workers can take over. ViewError says why they can't.
-
-    A publisher checks what it publishes; it may be of another version than this node, though.
-    """
-    try:
-        view = decode(uid, body)
-        settings = read(view["document"])
-        shape.config(uid, settings)
-        shape.members(settings, view["since"], 1)
-        if settings.iso8583 is not None:
-            Codec(dialect_of(settings.iso8583))
-            mapping_of(settings.iso8583)
-        for record in view["keys"]:
-            Key(**record)
-        if view["status"] not in STATUSES:
-            raise ViewError(f"tenant {uid}: its status {view['status']!r} is not known")
-    except UNREADABLE as err:
-        if isinstance(err, ViewError):
-            raise
-        reason = f"{type(err).__name__}: {err}"
-        raise ViewError(f"tenant {uid}: it can't be put into force: {reason}"[:300]) from None
-    return view
-
-
 def log(text: str) -> None:
     print(f"agent: {text}", file=sys.stderr, flush=True)
 
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -134,11 +134,13 @@
     # ---- the node's agent ------------------------------------------------------------------------
 
     def fed(self) -> None:
+        """A feed has told all: an agent that was started again has to be asked anew."""
         self.nobodys = frozenset()
         if self.follower.partial:
             self.lookups.ask_again()
 
     def told(self, message: dict[str, Any]) -> None:
+        """The agent's answers, and what it knows of listeners and owners."""
         if "answer" in message:
             visitor = self.lookups.answered(message["answer"])
             if isinstance(visitor, Visitor):
@@ -246,6 +248,7 @@
             self.decide(visitor, UNKNOWN)
 
     def identify(self, visitor: Visitor) -> str | None:
+        """The tenant whose connection this is, as far as is known here."""
         return self.directory.identify(visitor.shown, time.time_ns() // MS)
 
     def decide(self, visitor: Visitor, nobodys: bytes) -> None:
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -289,6 +289,7 @@
                 self.awaited.append((since, one))
 
     def turn_away(self, one: Handed) -> None:
+        """Tell a connection to come again: its tenant can't be served here now."""
         if one.listener in self.iso:
             one.sock.close()
         else:
--- a/tests/service/test_agent_views.py
+++ b/tests/service/test_agent_views.py
@@ -10,7 +10,7 @@
 
 from tansywood.distribution.resources import ViewError, aliases_of
 from tansywood.service import shape
-from tansywood.service.agent import read_view
+from tansywood.service.readable import read_view
 from tansywood.service.worker import keys_of, known_of
 from tansywood.tenancy.identity import Key
 from tansywood.tenancy.settings import ACTIVE, read
