--- a/tansywood/distribution/rollout.py
+++ b/tansywood/distribution/rollout.py
@@ -38,6 +38,7 @@
 @dataclass(slots=True)
 class _Distributor:
     connections: int = 0  # a new one may be there before the end of the old one is known
+    told_elsewhere: bool = False  # which instances are at others
     reported: int = 0  # the revision up to which it has told its sums
     rows: OrderedDict[str, Rollout] = field(default_factory=OrderedDict)  # of each uid's last
 
@@ -54,6 +55,7 @@
         known = self._distributors.setdefault(distributor, _Distributor())
         known.connections += 1
         known.reported = 0
+        known.told_elsewhere = False
 
     def disconnected(self, distributor: str) -> None:
         """Its last words stay: its instances may lack what comes now, until they are heard of."""
@@ -76,16 +78,24 @@
         known.reported = revision or known.reported
 
     def joined(self, distributor: str, names: Iterable[str]) -> dict[str, list[str]]:
-        """Instances have come to a distributor; returns whom to tell that they left there. Where
-        it is not known where one was before, as after the publisher's start, all are told."""
-        others = [name for name in self._distributors if name != distributor]
+        """Instances have come to a distributor; returns whom to tell that they left there.
+
+        Where an instance was before may not be known, as after a start: then all others are told.
+        """
         tell: dict[str, list[str]] = {}
+        others = [other for other in self._distributors if other != distributor]
         for name in names:
             before = self._at.get(name)
             self._at[name] = distributor
-            for left in others if before is None else [before]:
-                if left != distributor:
-                    tell.setdefault(left, []).append(name)
+            for other in others if before is None else [before]:
+                if other != distributor:
+                    tell.setdefault(other, []).append(name)
+        known = self._distributors.setdefault(distributor, _Distributor())
+        if not known.told_elsewhere:
+            known.told_elsewhere = True
+            elsewhere = [name for name, at in self._at.items() if at != distributor]
+            if elsewhere:
+                tell[distributor] = elsewhere
         return tell
 
     def summary(self, uid: str, revision: int) -> Summary:
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -49,6 +49,7 @@
 COME_BACK_MOST = 5 * SECOND  # that one who is turned away is told to wait
 FETCH_AGAIN_MS = 500
 REFUSALS_MOST = 1_024  # kept of one session
+MOVED_MOST = 4_096  # names in one message
 CONTROL_MOST = 1_024  # answers that wait for one subscriber; more questions are not answered
 RECENT = 256  # changes whose rollout is followed
 RECENT_FOR = 60 * SECOND
@@ -286,8 +287,10 @@
     def tell_moved(self, distributor: str, names: list[str]) -> None:
         """Tell a distributor so."""
         number = self._by_name.get(distributor)
-        if number is not None and names:
-            self.sessions[number].control.append(Moved(names))
+        if number is None:
+            return
+        for start in range(0, len(names), MOVED_MOST):
+            self.sessions[number].control.append(Moved(names[start : start + MOVED_MOST]))
             self.ready.add(number)
 
     def tick(self, now: int) -> list[int]:
--- /dev/null
+++ b/tests/distribution/test_source.py
@@ -0,0 +1,244 @@
+"""A source's sessions: admission, bounded queues, lookups, names, rollouts."""
+
+from __future__ import annotations
+
+import pytest
+
+from tansywood.distribution.messages import (
+    Acknowledge,
+    Busy,
+    Changes,
+    Epoch,
+    Found,
+    Hello,
+    Kind,
+    Lookup,
+    Message,
+    Position,
+    Progress,
+    Refusal,
+    Resource,
+    Unsubscribe,
+    Versions,
+    Welcome,
+    alias_of_host,
+)
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.source import COME_BACK_MOST, CONTROL_MOST, ProtocolError, Source
+from tansywood.distribution.terms import MS, SECOND, Terms
+
+EPOCH = Epoch(1, b"a")
+NOW = SECOND
+TERMS = Terms(admit_per_s=10, admit_burst=2, lookups_per_s=5, away=SECOND, batch_bytes=100)
+
+
+def content(uid: str, revision: int, body: bytes = b"body") -> Resource:
+    return Resource(uid, revision, Kind.CONTENT, body, [alias_of_host(uid)])
+
+
+class Bench:
+    """A publisher's source with three tenants, and its sessions."""
+
+    def __init__(self, terms: Terms = TERMS) -> None:
+        self.replica = Replica(terms.window, EPOCH)
+        for revision, uid in enumerate(("t1", "t2", "t3"), 1):
+            self.replica.commit(content(uid, revision))
+        self.source = Source(self.replica, terms, NOW, is_publisher=True)
+
+    def hello(self, name: str, now: int = NOW, *subscriptions: str) -> int:
+        number = self.source.opened(now)
+        position = Position(EPOCH, self.replica.revision)
+        self.source.received(number, now, Hello(name, False, position, list(subscriptions)))
+        return number
+
+    def change(self, uid: str, revision: int, body: bytes) -> None:
+        self.replica.commit(content(uid, revision, body))
+        self.source.changed(uid, revision, NOW)
+
+    def told(self, number: int, now: int = NOW) -> list[Message]:
+        messages = []
+        while (message := self.source.next_message(number, now)) is not None:
+            messages.append(message)
+        return messages
+
+
+def test_more_than_the_burst_are_told_times_to_come_back_one_after_the_other() -> None:
+    bench = Bench()
+    answers = [bench.told(bench.hello(f"n{i}"))[0] for i in range(5)]
+    assert [type(answer) for answer in answers] == [Welcome, Welcome, Busy, Busy, Busy]
+    waits = [answer.retry_after_ms for answer in answers if isinstance(answer, Busy)]
+    assert waits == [101, 201, 301]
+    later = bench.hello("n2", NOW + waits[0] * MS)
+    assert isinstance(bench.told(later)[0], Welcome)
+
+
+def test_the_time_to_come_back_is_bounded() -> None:
+    bench = Bench()
+    answers = [bench.told(bench.hello(f"n{i}"))[0] for i in range(200)]
+    waits = [answer.retry_after_ms for answer in answers if isinstance(answer, Busy)]
+    assert max(waits) <= COME_BACK_MOST // MS + 1
+
+
+def test_a_slow_subscriber_has_one_place_for_each_resource_and_gets_the_latest() -> None:
+    bench = Bench()
+    number = bench.hello("n", NOW, "t1", "t2")
+    bench.told(number)
+    for revision in range(4, 1004):
+        bench.change(("t1", "t2", "t3")[revision % 3], revision, str(revision).encode())
+    assert len(bench.source.sessions[number].pending) == 2
+    (changes,) = bench.told(number)
+    assert isinstance(changes, Changes) and changes.progress == 1003
+    assert [r.revision for r in changes.resources] == [1002, 1003]
+    assert [r.body for r in changes.resources] == [b"1002", b"1003"]
+
+
+def test_progress_stays_before_what_waits() -> None:
+    bench = Bench()
+    number = bench.hello("n", NOW, "t1", "t2")
+    bench.told(number)
+    bench.change("t1", 4, bytes(200))
+    bench.change("t2", 5, bytes(200))
+    bench.change("t3", 6, b"")
+    bench.change("t1", 7, bytes(300))  # goes behind t2
+    first, second = bench.told(number)
+    assert isinstance(first, Changes) and isinstance(second, Changes)
+    assert ([r.uid for r in first.resources], first.progress) == (["t2"], 6)
+    assert ([r.uid for r in second.resources], second.progress) == (["t1"], 7)
+
+
+def test_lookups_beyond_the_bucket_are_not_answered() -> None:
+    bench = Bench()
+    number = bench.hello("n")
+    bench.told(number)
+    for question in range(8):
+        bench.source.received(number, NOW, Lookup(question, [alias_of_host("t1")]))
+    assert [type(m) for m in bench.told(number)] == [Found] * 5
+
+
+def test_answers_that_wait_are_bounded() -> None:
+    bench = Bench(Terms(lookups_per_s=1e6))
+    number = bench.hello("n")
+    for question in range(2 * CONTROL_MOST):
+        bench.source.received(number, NOW, Lookup(question, [alias_of_host("t1")]))
+    assert len(bench.source.sessions[number].control) == CONTROL_MOST
+
+
+def test_what_is_found_and_has_no_room_follows_by_itself() -> None:
+    bench = Bench()
+    bench.change("t1", 4, bytes(80))
+    bench.change("t2", 5, bytes(80))
+    number = bench.hello("n")
+    bench.told(number)
+    bench.source.received(number, NOW, Lookup(1, [alias_of_host("t1"), alias_of_host("t2")]))
+    found, rest = bench.told(number)
+    assert isinstance(found, Found) and isinstance(rest, Changes)
+    assert found.uids == ["t1", "t2"]
+    assert [r.uid for r in found.resources] == ["t1"]
+    assert [r.uid for r in rest.resources] == ["t2"]
+
+
+def test_a_second_session_of_a_name_ends_the_first() -> None:
+    bench = Bench()
+    first, second = bench.hello("n", NOW, "t1"), bench.hello("n", NOW, "t1")
+    assert bench.source.sessions[first].ends and not bench.source.sessions[second].ends
+    bench.source.received(second, NOW, Acknowledge(3))
+    bench.change("t1", 4, b"")
+    assert bench.source.rollout("t1", 4).waiting == 1
+    bench.source.closed(first, NOW)
+    assert bench.source.rollout("t1", 4).lagging == ["n"]
+
+
+def test_an_instance_that_is_away_lags_until_it_has_moved_or_for_so_long() -> None:
+    bench = Bench()
+    for name in ("a", "b"):
+        number = bench.hello(name, NOW, "t1")
+        bench.source.closed(number, NOW)
+    bench.change("t1", 4, b"")
+    assert bench.source.rollout("t1", 4).lagging == ["a", "b"]
+    bench.source.moved(["a"])
+    assert bench.source.rollout("t1", 4).lagging == ["b"]
+    bench.source.tick(NOW + TERMS.away)
+    assert bench.source.rollout("t1", 4).waiting == 0
+
+
+def test_a_refusal_is_counted_with_its_reason_until_a_later_state_is_taken() -> None:
+    bench = Bench()
+    number = bench.hello("n", NOW, "t1")
+    bench.change("t1", 4, b"bad")
+    bench.source.received(number, NOW, Acknowledge(4, [Refusal("t1", 4, "no document")]))
+    row = bench.source.rollout("t1", 4)
+    assert (row.have, row.waiting, row.refusing) == (0, 0, [("n", "no document")])
+    bench.change("t1", 5, b"good")
+    bench.source.received(number, NOW, Acknowledge(5))
+    assert bench.source.rollout("t1", 5).have == 1
+
+
+def test_a_removal_waits_until_it_is_in_force_and_is_counted_then() -> None:
+    bench = Bench()
+    number = bench.hello("n", NOW, "t1")
+    bench.replica.commit(Resource("t1", 4, Kind.REMOVED))
+    bench.source.changed("t1", 4, NOW)
+    bench.told(number)
+    assert bench.source.rollout("t1", 4).waiting == 1
+    bench.source.received(number, NOW, Unsubscribe(["t1"]))
+    row = bench.source.rollout("t1", 4)
+    assert (row.have, row.waiting) == (1, 0)
+
+
+def test_a_report_says_what_is_news_and_again_all_of_it_where_asked() -> None:
+    bench = Bench()
+    number = bench.hello("n", NOW, "t1")
+    bench.change("t1", 4, b"")
+    first = bench.source.report(NOW)
+    assert first is not None and first.joined == ["n"] and first.rows[0].waiting == 1
+    assert bench.source.report(NOW) is None
+    bench.source.received(number, NOW, Acknowledge(4))
+    second = bench.source.report(NOW)
+    assert second is not None and second.rows[0].have == 1 and second.joined == []
+    assert bench.source.report(NOW) is None
+    bench.source.report_again()
+    third = bench.source.report(NOW)
+    assert third is not None and third.rows == second.rows and third.joined == ["n"]
+
+
+def test_one_who_is_silent_is_named_and_one_who_is_idle_hears_a_heartbeat() -> None:
+    bench = Bench()
+    number = bench.hello("n")
+    bench.told(number)
+    assert bench.source.tick(NOW + TERMS.heartbeat) == []
+    assert bench.told(number, NOW + TERMS.heartbeat) == [Progress(3)]
+    assert bench.source.tick(NOW + TERMS.silence) == [number]
+
+
+@pytest.mark.parametrize("message", [Versions([]), Progress(1)])
+def test_what_may_not_be_said_ends_a_session(message: Message) -> None:
+    bench = Bench()
+    number = bench.hello("n")
+    with pytest.raises(ProtocolError):
+        bench.source.received(number, NOW, message)
+    with pytest.raises(ProtocolError):
+        bench.source.received(bench.source.opened(NOW), NOW, message)
+
+
+def test_a_later_history_is_not_served_and_is_remembered() -> None:
+    bench = Bench()
+    number = bench.source.opened(NOW)
+    later = Position(Epoch(2), 1)
+    bench.source.received(number, NOW, Hello("n", False, later))
+    assert isinstance(bench.told(number)[0], Busy)
+    assert bench.source.outdated_by == later
+
+
+def test_who_must_compare_waits_while_the_source_is_behind_its_epochs_beginning() -> None:
+    bench = Bench()
+    bench.source.is_publisher = False
+    bench.replica.begin_epoch(Epoch(2), Position(EPOCH, 10))  # and stands at 3
+    answers = []
+    for position, newest in (((EPOCH, 8), 8), ((EPOCH, 8), 11)):
+        number = bench.source.opened(NOW)
+        bench.source.received(
+            number, NOW, Hello(f"n{newest}", False, Position(*position), ["t1"], newest)
+        )
+        answers.append(bench.told(number)[0])
+    assert isinstance(answers[0], Welcome) and not answers[0].compare
+    assert isinstance(answers[1], Busy)
