--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -466,9 +466,22 @@
 
     def _resume(self, session: Session, revision: int) -> None:
         session.progress = min(revision, self.replica.revision)
-        for changed, uid in self.replica.changes_behind(revision):
-            if session.everything or uid in session.subscriptions:
-                session.pending[uid] = _Pending(changed)
+        if session.everything:
+            behind = self.replica.changes_behind(revision)
+        else:
+            behind = self._subscribed_behind(session, revision)
+        for changed, uid in behind:
+            session.pending[uid] = _Pending(changed)
+
+    def _subscribed_behind(self, session: Session, revision: int) -> list[tuple[int, str]]:
+        """What has changed of some subscriptions, in the order of the last changes. An instance
+        has far fewer of them than there are recent changes, and many come back at once."""
+        known = ((self._last_change(uid), uid) for uid in session.subscriptions)
+        return sorted(change for change in known if change[0] > revision)
+
+    def _last_change(self, uid: str) -> int:
+        entry = self.replica.entries.get(uid)
+        return entry.revision if entry is not None else self.replica.resource(uid).revision
 
     def _compare(self, session: Session, versions: Versions) -> None:
         if not session.comparing:
