--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -49,6 +49,7 @@
 COME_BACK_MOST = 5 * SECOND  # that one who is turned away is told to wait
 FETCH_AGAIN_MS = 500
 REFUSALS_MOST = 1_024  # kept of one session
+MOVED_MOST = 4_096  # names in one message
 CONTROL_MOST = 1_024  # answers that wait for one subscriber; more questions are not answered
 RECENT = 256  # changes whose rollout is followed
 RECENT_FOR = 60 * SECOND
@@ -286,8 +287,10 @@
     def tell_moved(self, distributor: str, names: list[str]) -> None:
         """Tell a distributor so."""
         number = self._by_name.get(distributor)
-        if number is not None and names:
-            self.sessions[number].control.append(Moved(names))
+        if number is None:
+            return
+        for start in range(0, len(names), MOVED_MOST):
+            self.sessions[number].control.append(Moved(names[start : start + MOVED_MOST]))
             self.ready.add(number)
 
     def tick(self, now: int) -> list[int]:
@@ -463,9 +466,22 @@
 
     def _resume(self, session: Session, revision: int) -> None:
         session.progress = min(revision, self.replica.revision)
-        for changed, uid in self.replica.changes_behind(revision):
-            if session.everything or uid in session.subscriptions:
-                session.pending[uid] = _Pending(changed)
+        if session.everything:
+            behind = self.replica.changes_behind(revision)
+        else:
+            behind = self._subscribed_behind(session, revision)
+        for changed, uid in behind:
+            session.pending[uid] = _Pending(changed)
+
+    def _subscribed_behind(self, session: Session, revision: int) -> list[tuple[int, str]]:
+        """What has changed of some subscriptions, in the order of the last changes. An instance
+        has far fewer of them than there are recent changes, and many come back at once."""
+        known = ((self._last_change(uid), uid) for uid in session.subscriptions)
+        return sorted(change for change in known if change[0] > revision)
+
+    def _last_change(self, uid: str) -> int:
+        entry = self.replica.entries.get(uid)
+        return entry.revision if entry is not None else self.replica.resource(uid).revision
 
     def _compare(self, session: Session, versions: Versions) -> None:
         if not session.comparing:
