A view without servers is refused with its place, not by an IndexError

resources.decode let an IndexError through: nobody would have told what was wrong. A case in tests/distribution/test_resources.py fails without it.

--- a/tansywood/distribution/resources.py
+++ b/tansywood/distribution/resources.py
@@ -48,7 +48,7 @@
         read(view["document"])
         if not {"status", "version", "since", "keys"} <= view.keys():
             raise ViewError(f"tenant {uid}: its view lacks status, version, since or keys")
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError) as err:
+    except (msgspec.MsgspecError, LookupError, TypeError, ValueError, AttributeError) as err:
         if isinstance(err, ViewError):
             raise
         raise ViewError(f"tenant {uid}: its view can't be read: {err!r}"[:300]) from None
--- a/tests/distribution/test_resources.py
+++ b/tests/distribution/test_resources.py
@@ -54,6 +54,10 @@
         (msgspec.json.encode(view(uid="u2")), "it is the view of u2"),
         (msgspec.json.encode(view(document={})), "can't be read"),
         (msgspec.json.encode(view(document=None)), "can't be read"),
+        (
+            msgspec.json.encode(view(document={"name": "n", "classes": [], "servers": []})),
+            "can't be read",
+        ),
         (
             msgspec.json.encode({k: v for k, v in view().items() if k != "keys"}),
             "lacks status, version, since or keys",
