A distributor claims a removal only as of where it was whole

Progress says which last changes have been sent; a resource that changed again waits behind it, so the state at a distributor's revision is no cut of the history. For the same reason a distributor past its epoch's beginning could still compare with content from before it.

Changes and Progress say where nothing waits (`whole`); Replica.whole is the last such revision. Removals that are not known by themselves are claimed as of there, and who must compare over epochs is told to come again until the source was whole behind its epoch's beginning.

--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -166,11 +166,13 @@
 
 
 class Changes(Struct, array_like=True, frozen=True, tag="c"):
-    """The latest state of some resources. With these, all of the session's up to `progress`
-    has been sent."""
+    """The latest state of some resources. With these, all of the session's whose last change is
+    not behind `progress` has been sent; with `whole` nothing else waits, so that what was sent
+    is the state at `progress`."""
 
     resources: Annotated[list[Resource], Meta(max_length=4096)]
     progress: Count
+    whole: bool = False
 
 
 class Progress(Struct, array_like=True, frozen=True, tag="p"):
@@ -178,6 +180,7 @@
 
     progress: Count
     age_ms: Count = 0
+    whole: bool = False  # as of Changes
 
 
 class Found(Struct, array_like=True, frozen=True, tag="f"):
--- a/tansywood/distribution/replica.py
+++ b/tansywood/distribution/replica.py
@@ -45,6 +45,7 @@
         self.epoch = epoch or Epoch()
         self.revision = revision
         self.newest = revision  # of all that was taken in this history
+        self.whole = revision  # here all was held in its state of this revision, or a later one
         self.parent = Position()
         self.entries: dict[str, Entry] = {}
         self.aliases: dict[str, str] = {}
@@ -60,10 +61,11 @@
     # ---- reading ---------------------------------------------------------------------------
 
     def resource(self, uid: str, with_aliases: bool = False) -> Resource:
-        """What a subscriber is told of it: removed, at our revision where it was never known."""
+        """What a subscriber is told of it. What was never known was removed before we were whole:
+        it may have been created since, and have changed again so that it still waits for us."""
         entry = self.entries.get(uid)
         if entry is None:
-            return Resource(uid, self._gone.get(uid, self.revision), Kind.REMOVED)
+            return Resource(uid, self._gone.get(uid, self.whole), Kind.REMOVED)
         aliases = list(entry.aliases) if with_aliases else []
         return Resource(uid, entry.revision, Kind.CONTENT, entry.body, aliases)
 
@@ -123,6 +125,7 @@
         """Changes were missed that nobody can tell any more: only a comparison helps, and who
         follows us can't resume behind what we know until it is over."""
         self.revision = 0
+        self.whole = 0
         self._floor = 0
         self._window.clear()
 
@@ -164,14 +167,17 @@
         """A change of the publisher's own: take it, remember it, and stand there."""
         self.take(resource)
         self.record(resource.revision, resource.uid)
-        self.advance(resource.revision)
+        self.advance(resource.revision, whole=True)
 
     def set_floor(self, revision: int) -> None:
         """Say from where on all changes have been recorded."""
         self._floor = revision
 
-    def advance(self, revision: int) -> None:
-        """All that is held now holds up to there."""
+    def advance(self, revision: int, whole: bool = False) -> None:
+        """All that is held now holds up to there, but for what has changed behind it as well;
+        with `whole` for that too."""
+        if whole:
+            self.whole = max(self.whole, revision)
         self.revision = max(self.revision, revision)
         self.newest = max(self.newest, revision)
 
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -233,7 +233,7 @@
             if not session.welcomed or session.ends:
                 continue
             compare = session.comparing or max(session.ahead, session.progress) > parent
-            if compare and self.replica.revision < parent:
+            if compare and self.replica.whole < parent:
                 self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
                 continue
             if compare:
@@ -331,10 +331,11 @@
     def _progress(self, session: Session, now: int) -> Progress:
         """Due each heartbeat, whatever else is said: only this tells the publisher's age."""
         session.told_age = now
-        if not session.comparing and not session.waits:
+        whole = not session.comparing and not session.waits
+        if whole:
             session.catching_up = False
             session.progress = self.replica.revision
-        return Progress(session.progress, self._age_ms(now))
+        return Progress(session.progress, self._age_ms(now), whole)
 
     def _batch(self, session: Session) -> Changes:
         resources: list[Resource] = []
@@ -352,7 +353,7 @@
         elif not session.catching_up:
             waits = next(iter(session.pending.values())).revision
             session.progress = max(session.progress, min(waits - 1, self.replica.revision))
-        return Changes(resources, session.progress)
+        return Changes(resources, session.progress, not session.waits)
 
     def _take_first(self, session: Session) -> Resource | None:
         while session.backlog:
@@ -390,7 +391,7 @@
             return
         compare = not self.replica.covers(hello.position, hello.newest)
         holds = theirs != Epoch() or bool(hello.subscriptions)
-        if compare and holds and self.replica.revision < self.replica.parent.revision:
+        if compare and holds and self.replica.whole < self.replica.parent.revision:
             self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
             return
         if compare and hello.everything and self._fetching() >= self.terms.fetches:
@@ -495,7 +496,7 @@
                 self._subscribe(session, row.uid)
             entry = self.replica.entries.get(row.uid)
             if entry is None:
-                session.pending[row.uid] = _Pending(self.replica.revision)
+                session.pending[row.uid] = _Pending(self._last_change(row.uid))
             else:
                 same = entry.digest == row.digest
                 session.pending[row.uid] = _Pending(entry.revision, unchanged=same)
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -335,7 +335,7 @@
         # What was given up may have been on its way.
         wanted = [r for r in changes.resources if self.everything or r.uid in self.subscriptions]
         self._take(wanted, changes.progress)
-        self.replica.advance(changes.progress)
+        self.replica.advance(changes.progress, changes.whole)
         self._acknowledge_what_is_done(now)
 
     def _take(self, resources: Sequence[Resource], progress: int) -> None:
@@ -356,7 +356,7 @@
             self.actions.append(Apply(batch.number, uids))
 
     def _progressed(self, now: int, progress: Progress) -> None:
-        self.replica.advance(progress.progress)
+        self.replica.advance(progress.progress, progress.whole)
         self._batches.append(_Batch(0, progress.progress, done=True))
         if len(self._batches) > 1 and self._batches[-2].number == 0:
             del self._batches[-2]  # the later heartbeat says all that the earlier one did
--- a/tests/distribution/test_source.py
+++ b/tests/distribution/test_source.py
@@ -206,7 +206,7 @@
     number = bench.hello("n")
     bench.told(number)
     assert bench.source.tick(NOW + TERMS.heartbeat) == []
-    assert bench.told(number, NOW + TERMS.heartbeat) == [Progress(3)]
+    assert bench.told(number, NOW + TERMS.heartbeat) == [Progress(3, whole=True)]
     assert bench.source.tick(NOW + TERMS.silence) == [number]
 
 
