A removal that is known already ends the subscription as well

An instance that asks a source that is behind, for what it knows to be removed, is subscribed there and takes nothing; the removal that followed was no news to it, so nothing was put into force and the subscription stayed (seed 5763: the source had one that the instance had not).

--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -335,6 +335,7 @@
         # What was given up may have been on its way.
         wanted = [r for r in changes.resources if self.everything or r.uid in self.subscriptions]
         self._take(wanted, changes.progress)
+        self._unsubscribe_absent(wanted, now)
         self.replica.advance(changes.progress, changes.whole)
         self._acknowledge_what_is_done(now)
 
@@ -417,6 +418,12 @@
             held = self.replica.entries
             self._unsubscribe([u for u in uids if u not in held and u in self.subscriptions], now)
 
+    def _unsubscribe_absent(self, resources: Sequence[Resource], now: int) -> None:
+        """Of a removal that was known there is nothing to put into force."""
+        applying = {uid for batch in self._batches for uid in batch.uids}
+        removed = [r.uid for r in resources if r.kind is Kind.REMOVED and r.uid not in applying]
+        self._unsubscribe_removed(removed, now)
+
     def _acknowledge_what_is_done(self, now: int) -> None:
         before = self._acknowledged
         while self._batches and self._batches[0].done:
