--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -482,7 +482,10 @@
 
     def _last_change(self, uid: str) -> int:
         entry = self.replica.entries.get(uid)
-        return entry.revision if entry is not None else self.replica.resource(uid).revision
+        if entry is not None:
+            return entry.revision
+        # A removal that is known may be that of an earlier one: where we were whole it was not.
+        return max(self.replica.resource(uid).revision, self.replica.whole)
 
     def _compare(self, session: Session, versions: Versions) -> None:
         if not session.comparing:
