--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -335,7 +335,8 @@
         # What was given up may have been on its way.
         wanted = [r for r in changes.resources if self.everything or r.uid in self.subscriptions]
         self._take(wanted, changes.progress)
-        self.replica.advance(changes.progress)
+        self._unsubscribe_absent(wanted, now)
+        self.replica.advance(changes.progress, changes.whole)
         self._acknowledge_what_is_done(now)
 
     def _take(self, resources: Sequence[Resource], progress: int) -> None:
@@ -356,7 +357,7 @@
             self.actions.append(Apply(batch.number, uids))
 
     def _progressed(self, now: int, progress: Progress) -> None:
-        self.replica.advance(progress.progress)
+        self.replica.advance(progress.progress, progress.whole)
         self._batches.append(_Batch(0, progress.progress, done=True))
         if len(self._batches) > 1 and self._batches[-2].number == 0:
             del self._batches[-2]  # the later heartbeat says all that the earlier one did
@@ -417,6 +418,12 @@
             held = self.replica.entries
             self._unsubscribe([u for u in uids if u not in held and u in self.subscriptions], now)
 
+    def _unsubscribe_absent(self, resources: Sequence[Resource], now: int) -> None:
+        """Of a removal that was known there is nothing to put into force."""
+        applying = {uid for batch in self._batches for uid in batch.uids}
+        removed = [r.uid for r in resources if r.kind is Kind.REMOVED and r.uid not in applying]
+        self._unsubscribe_removed(removed, now)
+
     def _acknowledge_what_is_done(self, now: int) -> None:
         before = self._acknowledged
         while self._batches and self._batches[0].done:
