--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -1,6 +1,7 @@
-"""Configuration: how a change comes to be in force, and what it costs at each instance.
+"""Configuration where each instance has its own administration: what a change costs there.
 
-Between instances there is no distribution: each is told by a call of its own administration.
+Between such instances nothing is distributed. What control machines change in that is measured by
+`benchmarks.scale.distribution`.
 """
 
 from __future__ import annotations
@@ -13,10 +14,7 @@
 from benchmarks.scale.processes import total
 from benchmarks.scale.whole_node import NodeAt, sweep
 
-CARRIED_BY = (
-    "a log of changes on the control machines, relays in each zone that nodes hold a connection "
-    "to, and a summary by which a node that was away finds what it lacks"
-)
+CARRIED_BY = "configuration distribution, which is built: its own role, below"
 CALLERS = 64  # connections over which one tool would call the instances at a time
 
 
@@ -82,8 +80,8 @@
         Figure("frame of one change", nodes[-1].change_bytes, "bytes", From.WHOLE),
     )  # fmt: skip
     none = Gap(
-        "no distribution between instances: two of them agree on a change only as far as whoever "
-        "calls both does; nothing brings an instance that was away to what it missed",
+        "without control machines no distribution between instances: two of them agree on a "
+        "change only as far as whoever calls both does; nothing brings an instance that was away to what it missed",
         2,
         CARRIED_BY,
     )
@@ -91,7 +89,8 @@
         "configuration",
         "how a change comes to be in force everywhere within 4 s",
         "the last change that each process of the instance has applied",
-        "nothing between instances; within one the administration's feed to its processes",
+        "without control machines nothing between instances; within one the administration's feed "
+        "to its processes",
         CARRIED_BY,
         tuple(found),
         tuple(effects(named["change_cpu"].full, named["whole"].full, nodes[-1].change_bytes)),
--- a/benchmarks/scale/knowledge.py
+++ b/benchmarks/scale/knowledge.py
@@ -19,8 +19,8 @@
 }
 CONTROL = ("supervisor", "admin", "fleet")
 CARRIED_BY = (
-    "each node is told of the tenants that it serves alone, and of another when its first "
-    "caller comes"
+    "configuration distribution, which is built: a node holds the tenants that it serves, and asks "
+    "for another when its first caller comes"
 )
 
 
--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -58,8 +58,8 @@
     history = await begin_epoch(store, registry.seq, now_ms())
     terms = Terms()
     publisher = Publisher(replica_of(registry, history, terms.window), keys, options.fleet, terms)
-    # What was loaded stays: looked through again by the collector, 110,000 tenants stop the loop for
-    # a second, and distributors would take the publisher for silent.
+    # What was loaded stays: looked through again by the collector, 110,000 tenants stop the loop
+    # for a second, and distributors would take the publisher for silent.
     gc.collect()
     gc.freeze()
     host, port = await publisher.start(parse_address(options.publish))
