--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -81,7 +81,8 @@
     )  # fmt: skip
     none = Gap(
         "without control machines no distribution between instances: two of them agree on a "
-        "change only as far as whoever calls both does; nothing brings an instance that was away to what it missed",
+        "change only as far as whoever calls both does; nothing brings an instance that was away "
+        "to what it missed",
         2,
         CARRIED_BY,
     )
