Capacity: every request of the data path's caller has an id of its own

Need: 32 of 32,962 requests through the node were answered 400. The caller gave two requests one id where both waited for a new connection; the node was right to turn the second away.

--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -50,12 +50,13 @@
     async def one(self) -> None:
         """One request on a connection that is free."""
         self.asked += 1
+        number = self.asked  # kept: others are asked while a connection is made
         # In turn: a connection that is not used for seconds is closed by the node, and rightly.
         pair = self.free.pop(0) if self.free else None
         if pair is None:
             pair = await asyncio.open_connection("127.0.0.1", self.port)
-        rid = f"{self.mark}-{self.asked}"
-        data = request(f"/balance/{self.asked}", timeout=2000, rid=rid, more=self.head)
+        rid = f"{self.mark}-{number}"
+        data = request(f"/balance/{number}", timeout=2000, rid=rid, more=self.head)
         began = time.perf_counter()
         try:
             status, stays = await ask(*pair, data)
