--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -21,8 +21,9 @@
 from tansywood.fleet.demands import Demand
 from tansywood.fleet.granting import allocator_lease
 from tansywood.fleet.instance import Instance
+from tansywood.fleet.keyfile import KeyFile
 from tansywood.fleet.messages import MessageError, pack, unpack
-from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to, read_keys
+from tansywood.fleet.seal import MOST, WHYS, KeyFileError, Seal, SealError, bound_to
 from tansywood.fleet.settings import LEASE_MS, FleetSettings
 from tansywood.fleet.share import Limits, limits_of
 from tansywood.fleet.signals import Kind
@@ -59,9 +60,10 @@
         self.settings = settings
         self.clock = clock
         life = os.urandom(16)
-        self.keys_seen = 0
+        self.key_file = KeyFile(settings.key_file, self.log)
+        self.keys = self.key_file()
         self.bound = bound_to(settings.name, settings.first, settings.hand_on)
-        self.seal = Seal(self.read_keys(), self.bound, life)
+        self.seal = Seal(self.keys, self.bound, life)
         self.instance = Instance(
             settings.instance,
             settings.address,
@@ -103,30 +105,13 @@
 
     # ---- keys ------------------------------------------------------------------------
 
-    def read_keys(self) -> list[bytes]:
-        """From the key file; KeyFileError where it is not fit."""
-        path = self.settings.key_file
-        try:
-            found = path.stat()
-            if found.st_mode & 0o077:
-                raise KeyFileError("others may read it: chmod 600")
-            self.keys_seen = found.st_mtime_ns
-            return read_keys(path.read_text())
-        except (OSError, UnicodeDecodeError) as err:
-            raise KeyFileError(f"can't be read: {err}") from None
-
     def look_at_keys(self) -> None:
-        """A key in rotation: the file is read anew when it changes; a bad one changes nothing."""
-        with contextlib.suppress(OSError):
-            if self.settings.key_file.stat().st_mtime_ns == self.keys_seen:
-                return
-        try:
-            self.seal.rekey(self.read_keys())
+        """A key in rotation: go on with what the file says now; a bad one changes nothing."""
+        keys = self.key_file()
+        if keys is not self.keys:
+            self.keys = keys
+            self.seal.rekey(keys)
             self.log("keys read anew")
-        except KeyFileError as err:
-            self.log(f"{self.settings.key_file}: {err}; the old keys stay in force")
-            with contextlib.suppress(OSError):
-                self.keys_seen = self.settings.key_file.stat().st_mtime_ns
 
     # ---- the feed --------------------------------------------------------------------
 
