--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -34,6 +34,7 @@
 from standins.callers import Caller
 from standins.distributed import Distributed, NodeMachine, distributed
 from standins.ledger import Ledger
+from standins.memory import private_bytes
 from standins.scale.plan import CHANGES_PER_S, host_of, uid_of
 from standins.scale.publisher import records
 from standins.servers import Behaviour, TopupServer
@@ -260,8 +261,7 @@
 
 
 def private_mb(pid: int) -> float:
-    rows = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
-    return sum(int(row.split()[1]) for row in rows if row.startswith("Private_")) / 1024
+    return private_bytes(pid) / (1 << 20)
 
 
 def parts_of(node: NodeMachine) -> Iterator[tuple[str, int]]:
--- a/benchmarks/scale/platform_node.py
+++ b/benchmarks/scale/platform_node.py
@@ -14,7 +14,8 @@
 from benchmarks.scale.fit import Point
 from benchmarks.scale.judge import judge
 from benchmarks.scale.model import Effect, Event, Resource, Role, Series, Source
-from benchmarks.scale.processes import cpu_seconds, pss_bytes
+from benchmarks.scale.processes import cpu_seconds
+from standins.memory import proportional_bytes
 from standins.process import NodeProcess
 from standins.registry import Registry
 
@@ -44,7 +45,7 @@
             await asyncio.sleep(seconds)
             spent = cpu_seconds(node.pid) - before
             cpu_percent = 100 * spent / (time.monotonic() - began)
-            return AtRest(backends, pss_bytes(node.pid), cpu_percent)
+            return AtRest(backends, proportional_bytes(node.pid), cpu_percent)
         finally:
             node.kill()
             registry.close()
--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -10,19 +10,12 @@
 from pathlib import Path
 
 from standins.fleet.instances import free_port
+from standins.memory import proportional_bytes
 from standins.service import ServiceProcess, document
 
 WORKERS = 2
 
 
-def pss_bytes(pid: int) -> int:
-    """Proportional memory of a process (`Pss` of smaps_rollup): shared pages by their sharers."""
-    for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
-        if line.startswith("Pss:"):
-            return int(line.split()[1]) * 1024
-    raise RuntimeError(f"the kernel tells no Pss of process {pid}")
-
-
 def cpu_seconds(pid: int) -> float:
     """Processor time of all threads of a process, to the nanosecond (`schedstat`)."""
     rows = Path(f"/proc/{pid}/task").iterdir()
@@ -49,7 +42,7 @@
 
 def memory(service: ServiceProcess) -> dict[str, float]:
     """Bytes (Pss) of each part now."""
-    return {name: float(pss_bytes(pid)) for name, pid in parts_of(service).items()}
+    return {name: float(proportional_bytes(pid)) for name, pid in parts_of(service).items()}
 
 
 def free_address() -> str:
--- a/standins/scale/driver.py
+++ b/standins/scale/driver.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.memory import proportional_bytes
 from standins.process import ROOT
 from standins.scale.control import Child, Command
 from standins.scale.plan import (
@@ -366,9 +367,7 @@
         total = 0
         for process in running:
             with contextlib.suppress(OSError):
-                for line in Path(f"/proc/{process.pid}/smaps_rollup").read_text().splitlines():
-                    if line.startswith("Pss:"):
-                        total += int(line.split()[1]) * 1024
+                total += proportional_bytes(process.pid)
         return total
 
     async def _gather(self, cost: Cost, problems: list[str]) -> Gathered:
--- a/standins/scale/hollow.py
+++ b/standins/scale/hollow.py
@@ -23,6 +23,7 @@
 
 import uvloop
 
+from standins.memory import private_bytes
 from standins.scale.control import Command, serve
 from standins.scale.links import Link, NodeLinks
 from standins.scale.plan import (
@@ -197,7 +198,7 @@
             self._applied,
         )
         mine = plan.nodes_of_process(process)
-        self._bytes_before = private_bytes()
+        self._bytes_before = held_bytes()
         self._nodes = {node.number: HollowNode(node, world) for node in mine}
         self._unread: list[Link] = []
         self.longest_standstill_s = 0.0
@@ -278,7 +279,7 @@
             "connections": connections,
             "left_stale": stale,
             "refused": dict(refused),
-            "held_bytes": private_bytes() - self._bytes_before,
+            "held_bytes": held_bytes() - self._bytes_before,
             "processor_s": time.process_time(),
             "standstill_ms": round(standstill * 1e3),
         }
@@ -291,12 +292,10 @@
                     file.write(row.pack())
 
 
-def private_bytes() -> int:
+def held_bytes() -> int:
     """Memory that this process alone has, after what is not used any more is given back."""
     gc.collect()
-    text = Path("/proc/self/smaps_rollup").read_text()
-    rows = [line.split() for line in text.splitlines() if line.startswith("Private_")]
-    return sum(int(row[1]) for row in rows) * 1024
+    return private_bytes()
 
 
 async def _main(folder: Path, process: int, plan: Plan, addresses: list[str]) -> None:
--- a/tansywood/distribution/rollout.py
+++ b/tansywood/distribution/rollout.py
@@ -63,10 +63,6 @@
         if known is not None:
             known.connections = max(known.connections - 1, 0)
 
-    def forget(self, distributor: str) -> None:
-        """It was taken out of service."""
-        self._distributors.pop(distributor, None)
-
     def report(self, distributor: str, rows: Iterable[Rollout], revision: int = 0) -> None:
         """Sums of a distributor; `revision` where all up to there have been told by now."""
         known = self._distributors.setdefault(distributor, _Distributor())
