The agent's test world closes its control's server in the loop that owns it

The world's end ran whole in a thread, to wait there for processes, and closed the control's server from that thread too, while the loop detached the last connection of the same server: both found it without connections and woke its waiters. Only the waiting for processes is left to the thread.

--- a/tests/service/agent_world.py
+++ b/tests/service/agent_world.py
@@ -189,9 +189,9 @@
     async def begin(self, name: str) -> None:
         await asyncio.to_thread(self.parts[name].start, self.lifeline, self.log)
 
-    def end(self) -> None:
-        for one in self.parts.values():
-            one.kill()
+    async def end(self) -> None:
+        """The waiting is a thread's; what belongs to the loop is closed in the loop."""
+        await asyncio.to_thread(self._kill_parts)
         os.close(self.lifeline)
         os.close(self._held)
         for sock in self.sockets.values():
@@ -201,6 +201,10 @@
             for server in side.servers:
                 server.kill()
 
+    def _kill_parts(self) -> None:
+        for one in self.parts.values():
+            one.kill()
+
     async def tenant(self, name: str, servers: int = 1, **over: Any) -> Side:
         """A tenant at control, with a key; the node knows nothing of it yet."""
         side = Side(name, Random(self.rng.random()))
@@ -270,5 +274,5 @@
         await made.start()
         yield made
     finally:
-        await asyncio.to_thread(made.end)
+        await made.end()
         await asyncio.sleep(0)
