A worker ends the connection whose callback raised, on uvloop too

Cause: Worker.loop_failed aborted a transport only where it was an asyncio.Transport. Workers run on uvloop, whose transports are no instances of it, so nothing under that check ever ran. Where data_received or eof_received raise, uvloop closes the connection itself; where pause_writing or resume_writing raise it only reports, and the connection stayed open.

Change: what the loop names as transport is aborted if it can be.

Shown: tests/service/test_worker.py raises in each of the four callbacks on uvloop's own transports. Without the change pause_writing and resume_writing fail, with it all four pass; tests/service/test_hosted.py passes.

--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -325,12 +325,15 @@
         print(f"{self.name}: {text}", file=sys.stderr, flush=True)
 
     def loop_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Count a callback that raised, log it, and end the connection that it belonged to: one
+        whose `pause_writing` or `resume_writing` failed would otherwise stay open for good."""
         self.crashes += 1
         error = context.get("exception")
         self.log(f"a callback raised: {context.get('message')}: {error!r}")
-        transport = context.get("transport")
-        if isinstance(transport, asyncio.Transport):
-            transport.abort()
+        # uvloop's transports are not instances of asyncio.Transport.
+        abort = getattr(context.get("transport"), "abort", None)
+        if abort is not None:
+            abort()
 
     async def run(self) -> int:
         if self.sharing is None:
