Messages of leases have the field's names

Need: Here, Poke, Told, Ask, Said and the like are names of a house style that was withdrawn; a newcomer can't tell a request from a reply by them.

Change, of names and comments alone: LeaseRequest and LeaseReply (were Ask, Told), VoterAnnouncement (Here), GrantNotice (Poke), DiskBehind (Behind), TableQuery and TableReply (Question, Answer), ClientMessage and AnyMessage (Said, Anything); receive_reply for both methods `told`. Tags on the wire, counters and events are as before: tests/lease/test_layout.py holds the bytes of each message, unchanged.

--- a/tansywood/lease/client.py
+++ b/tansywood/lease/client.py
@@ -1,9 +1,9 @@
 """The lease client of one instance: its voter if it is one, its holder, who it hears. Pure.
 
-Told what comes, who is there and what time it is, it says what goes (`sends`) and what happened
-(`events`). The disk is asked by `voter.next_write`; sockets and tasks are the service's. Its parts
-are `holding` (what is asked for and held), `placement` (what belongs where), `electorate` (who
-votes), `exchange` (messages) and `status` (what people are told).
+It takes messages, members and the time, and gives messages to send (`take_sends`) and what
+happened (`events`). The disk is asked by `voter.next_write`; sockets and tasks are the service's.
+Its parts are `holding` (what is asked for and held), `placement` (what belongs where), `electorate`
+(who votes), `exchange` (messages) and `status` (what people are told).
 """
 
 from __future__ import annotations
@@ -18,12 +18,20 @@
 from tansywood.lease.disk import Kept
 from tansywood.lease.electorate import Electorate
 from tansywood.lease.exchange import Admission, Exchange
-from tansywood.lease.fragments import LOG, Answer, Behind, Fragment, Here, Poke, Question, Said
+from tansywood.lease.fragments import (
+    LOG_MESSAGES,
+    AnyMessage,
+    DiskBehind,
+    Fragment,
+    GrantNotice,
+    TableQuery,
+    TableReply,
+    VoterAnnouncement,
+)
 from tansywood.lease.holding import Holding
-from tansywood.lease.log import Message
 from tansywood.lease.placement import Placement
 from tansywood.lease.raft import LEADER, MS, Timing
-from tansywood.lease.service import Ask, Holder, LeaseTerms, Told
+from tansywood.lease.service import Holder, LeaseReply, LeaseRequest, LeaseTerms
 from tansywood.lease.spread import Waiting
 from tansywood.lease.table import Change
 from tansywood.lease.voter import Voter
@@ -53,7 +61,7 @@
         self.exchange = Exchange(self.context, self._take)
         self.admission = Admission(self.context)
         self.electorate = Electorate(self.context, self._send)
-        self.holding = Holding(self.context, self._send_ask)
+        self.holding = Holding(self.context, self._send_request)
         self.placement = Placement(self.context)
         self.waiting = Waiting(WAITING_FOR * terms.renew)
         self.table: tuple[tuple[str, str, int], ...] = ()  # at one that does not vote: as told last
@@ -129,8 +137,7 @@
         self.down = ""
         self.aside = ""
         self.electorate.announce_at = now
-        told = f"votes as {kept.id}, {kept.saves} saves, term {kept.saved.term}"
-        self.events.add(now, told)
+        self.events.add(now, f"votes as {kept.id}, {kept.saves} saves, term {kept.saved.term}")
 
     def stop_voter(self, now: int, why: str) -> None:
         """Its disk is away or can't be gone by: it is as if it had crashed."""
@@ -158,7 +165,7 @@
         self.start_voter(now, group.kept)
         assert self.voter is not None
         self.voter.begin_alone(now, group.snapshot)
-        self.events.add(now, group.told)
+        self.events.add(now, group.event)
         self.flush(now)
         return ""
 
@@ -198,30 +205,31 @@
 
     # ---- the network ---------------------------------------------------------------------------
 
-    def send(self, now: int, sender: str, to: str, message: Message | Said) -> None:
+    def send(self, now: int, sender: str, to: str, message: AnyMessage) -> None:
         """To a voter's or a holder's id, or to whatever votes at an instance of that name."""
         self.exchange.send(now, sender, to, message, self.voter)
 
-    def _send(self, now: int, to: str, message: Message | Said) -> None:
+    def _send(self, now: int, to: str, message: AnyMessage) -> None:
         """In the voter's name where there is one, in the holder's otherwise."""
         self.send(now, self.voter.id if self.voter is not None else self.holder.name, to, message)
 
-    def _send_ask(self, now: int, to: str, ask: Ask) -> None:
-        self.send(now, self.holder.name, to, ask)
+    def _send_request(self, now: int, to: str, request: LeaseRequest) -> None:
+        self.send(now, self.holder.name, to, request)
 
     def receive(self, now: int, name: str, life: bytes, fragment: Fragment) -> None:
         """What that life of that instance sent; the fleet's seal says that it did."""
         message = self.exchange.read(now, name, life, fragment)
         if message is None:
             return
-        if isinstance(message, (*LOG, Here, Behind)) and not self._honest(now, life, fragment):
+        of_a_disk = isinstance(message, (*LOG_MESSAGES, VoterAnnouncement, DiskBehind))
+        if of_a_disk and not self._honest(now, life, fragment):
             return
-        if isinstance(message, LOG):
+        if isinstance(message, LOG_MESSAGES):
             ours, aside = self.admission.ours(self.voter, fragment, message)
             self.aside = aside or self.aside
             if not ours:
                 return
-        if isinstance(message, Here):
+        if isinstance(message, VoterAnnouncement):
             self.electorate.hear(now, name, fragment.sender, fragment.group, message)
         else:
             self._take(now, name, life, fragment.sender, fragment.to, message)
@@ -233,41 +241,41 @@
             return True
         behind = self.admission.honest(self.voter, life, fragment)
         if behind > 0:
-            self._send(now, fragment.sender, Behind(behind))
+            self._send(now, fragment.sender, DiskBehind(behind))
         return not behind
 
     def _take(
-        self, now: int, name: str, life: bytes, sender: str, to: str, message: Message | Said
+        self, now: int, name: str, life: bytes, sender: str, to: str, message: AnyMessage
     ) -> None:
         """A whole message, of another instance or of this one."""
-        if isinstance(message, Told):
+        if isinstance(message, LeaseReply):
             if to == self.holder.name:
-                self.holding.told(now, sender, message)
-        elif isinstance(message, Poke):
+                self.holding.receive_reply(now, sender, message)
+        elif isinstance(message, GrantNotice):
             if to == self.holder.name:
                 self.holding.ask_soon(now)
-        elif isinstance(message, Answer):
+        elif isinstance(message, TableReply):
             self.table = message.rows
             self.table_at = now
         elif self.voter is None:
             return
-        elif isinstance(message, Ask):
+        elif isinstance(message, LeaseRequest):
             if message.holder != holder_id(name, life):
                 self.counts["stale"] += 1  # nobody asks in another's name
                 return
             self._asked(now, self.voter, message)
-        elif isinstance(message, Behind):
+        elif isinstance(message, DiskBehind):
             if to == self.voter.id and message.saves > self.voter.kept.saves:
                 saves = self.voter.kept.saves
                 self.aside = f"its disk has {saves} saves, others know of {message.saves}"
-        elif isinstance(message, Question):
+        elif isinstance(message, TableQuery):
             rows = self.voter.service.table.leases
-            told = tuple((n, le.holder, le.token) for n, le in sorted(rows.items()))
-            self._send(now, sender, Answer(told))
-        elif isinstance(message, LOG):
+            held = tuple((n, le.holder, le.token) for n, le in sorted(rows.items()))
+            self._send(now, sender, TableReply(held))
+        elif isinstance(message, LOG_MESSAGES):
             self.voter.receive(now, sender, message)
 
-    def _asked(self, now: int, voter: Voter, ask: Ask) -> None:
+    def _asked(self, now: int, voter: Voter, ask: LeaseRequest) -> None:
         """A holder's ask, at a voter; where that leads, what another has is waited for."""
         voter.ask(now, ask)
         if not voter.leads:
@@ -295,7 +303,7 @@
         waited = {w.ask.holder for w in voter.service.waits}
         for holder in {h for change in changes for _, h in change.granted} - waited:
             # It has not asked just now: it hears of what it has when it does.
-            self._send(now, holder, Poke())
+            self._send(now, holder, GrantNotice())
         table = voter.service.table
         free = [name for name in freed if name not in table.leases]
         rows = self.waiting.assign(now, free, {h: len(n) for h, n in table.of.items()})
@@ -323,7 +331,7 @@
     def question(self, now: int) -> None:
         """Ask the voters who holds what."""
         for name in self.wanted_voters:
-            self.send(now, self.holder.name, name, Question())
+            self.send(now, self.holder.name, name, TableQuery())
 
     def _move(self, now: int) -> None:
         """Hand on what belongs to another, if a look is due."""
--- a/tansywood/lease/context.py
+++ b/tansywood/lease/context.py
@@ -21,7 +21,7 @@
     address: str
     life: bytes
     since: int  # there since then
-    works: bool = True  # there, and told neither to drain nor to leave
+    works: bool = True  # there, neither draining nor leaving
     sure: bool = True  # and nobody suspects that it is gone
 
 
--- a/tansywood/lease/electorate.py
+++ b/tansywood/lease/electorate.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from tansywood.lease.context import SECOND, Context, name_of
-from tansywood.lease.fragments import Here, Said
+from tansywood.lease.fragments import ClientMessage, VoterAnnouncement
 from tansywood.lease.voter import Voter
 
-HERE_EVERY = SECOND  # a voter's disk is told to the other voters' machines
-HERE_FOR = 3 * SECOND  # it counts as there so long after its last word
+ANNOUNCE_EVERY = SECOND  # between two announcements of a voter's disk to the other voters' machines
+ANNOUNCED_FOR = 3 * SECOND  # it counts as there so long after its last announcement
 
 
 @dataclass(slots=True)
@@ -27,15 +27,17 @@
     """The voters' disks as one instance hears of them; where it leads, it makes the voters those
     that the settings want."""
 
-    def __init__(self, context: Context, send: Callable[[int, str, Said], None]) -> None:
-        self.announce_at = 0  # when this disk is told next
+    def __init__(self, context: Context, send: Callable[[int, str, ClientMessage], None]) -> None:
+        self.announce_at = 0  # when this disk is announced next
         self._context = context
         self._send = send
         self._heard: dict[str, _Heard] = {}  # by instance
 
-    def hear(self, now: int, name: str, sender: str, group: str, here: Here) -> None:
+    def hear(
+        self, now: int, name: str, sender: str, group: str, announcement: VoterAnnouncement
+    ) -> None:
         """Another instance's disk is there."""
-        self._heard[name] = _Heard(sender, now, group, here.learns)
+        self._heard[name] = _Heard(sender, now, group, announcement.learns)
 
     def grouped(self) -> tuple[str, str]:
         """A disk that is in a group, and that group; empty where none was heard of."""
@@ -44,11 +46,11 @@
 
     def announce(self, now: int, voter: Voter) -> None:
         """Tell the other voters' machines that this disk is there."""
-        self.announce_at = now + HERE_EVERY
-        here = Here(voter.id not in voter.raft.voters)
+        self.announce_at = now + ANNOUNCE_EVERY
+        announcement = VoterAnnouncement(voter.id not in voter.raft.voters)
         for name in self._context.wanted_voters:
             if name != self._context.name:
-                self._send(now, name, here)
+                self._send(now, name, announcement)
 
     def tend(self, now: int, voter: Voter) -> None:
         """Where this voter leads, make the voters those that the settings want, one at a time
@@ -57,7 +59,7 @@
         there = {
             name: heard.id
             for name, heard in self._heard.items()
-            if now - heard.at <= HERE_FOR and (heard.learns or heard.group == voter.group)
+            if now - heard.at <= ANNOUNCED_FOR and (heard.learns or heard.group == voter.group)
         }
         there[self._context.name] = voter.id
         if not self._take_out(now, voter, there):
--- a/tansywood/lease/exchange.py
+++ b/tansywood/lease/exchange.py
@@ -1,5 +1,5 @@
 """Messages between lease clients: cut in fragments on their way out, put together on their way in,
-and what of a voter's words is gone by. Pure."""
+and which messages of a voter are accepted. Pure."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 from tansywood.lease.context import Context, name_of
 from tansywood.lease.fragments import (
+    AnyMessage,
     Fragment,
     Reassembly,
-    Said,
     pack,
     split_message,
     unpack,
@@ -22,7 +22,7 @@
 from tansywood.lease.voter import Voter
 
 PAST_LIVES = 8  # of a voter's disk that are remembered
-Deliver = Callable[[int, str, bytes, str, str, Message | Said], None]
+Deliver = Callable[[int, str, bytes, str, str, AnyMessage], None]
 
 
 class Exchange:
@@ -37,7 +37,7 @@
         self._number = context.rng.getrandbits(48)  # of the last message
 
     def send(
-        self, now: int, sender: str, to: str, message: Message | Said, voter: Voter | None
+        self, now: int, sender: str, to: str, message: AnyMessage, voter: Voter | None
     ) -> None:
         """To a voter's or a holder's id, or to whatever votes at an instance of that name. `voter`
         is the one here, of whose group and disk every fragment tells."""
@@ -58,7 +58,7 @@
             )  # fmt: skip
             self.sends.append((address, fragment))
 
-    def read(self, now: int, name: str, life: bytes, fragment: Fragment) -> Message | Said | None:
+    def read(self, now: int, name: str, life: bytes, fragment: Fragment) -> AnyMessage | None:
         """The message that this fragment of an instance makes whole, if it does. Instances that go
         by another length of leases are not heard, and nobody speaks in another's name."""
         counts = self._context.counts
--- a/tansywood/lease/founding.py
+++ b/tansywood/lease/founding.py
@@ -14,11 +14,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NewGroup:
-    """What a disk begins a group of its own with, and what is told of it."""
+    """What a disk begins a group of its own with, and the event that reports it."""
 
     kept: Kept
     snapshot: Snapshot
-    told: str
+    event: str
 
 
 def found(voter: Voter, group: str, grouped: tuple[str, str]) -> NewGroup | str:
--- a/tansywood/lease/fragments.py
+++ b/tansywood/lease/fragments.py
@@ -14,7 +14,7 @@
 from msgspec import Meta, Struct
 
 from tansywood.lease.log import Append, Appended, Install, Message, PreVote, PreVoted, Vote, Voted
-from tansywood.lease.service import Ask, Told
+from tansywood.lease.service import LeaseReply, LeaseRequest
 
 Count = Annotated[int, Meta(ge=0, le=1 << 62)]
 Id = Annotated[str, Meta(max_length=100)]  # of a voter's disk or of a holder
@@ -24,38 +24,43 @@
 KEPT = 2_000_000_000  # nanoseconds until the rest of one is no longer waited for
 
 
-class Here(Struct, array_like=True, frozen=True, tag="here"):
-    """A voter's disk that is there."""
+class VoterAnnouncement(Struct, array_like=True, frozen=True, tag="here"):
+    """A voter whose disk is in use, to the other voters' machines."""
 
     learns: bool = False  # it is in no group's voters that it knows of
 
 
-class Behind(Struct, array_like=True, frozen=True, tag="behind"):
+class DiskBehind(Struct, array_like=True, frozen=True, tag="behind"):
     """Your disk holds less than what it said before: it was restored, or lost what it synced."""
 
     saves: Count
 
 
-class Poke(Struct, array_like=True, frozen=True, tag="poke"):
-    """You have got something: ask."""
+class GrantNotice(Struct, array_like=True, frozen=True, tag="poke"):
+    """A holder was granted leases since its last request: it should ask now."""
 
 
-class Question(Struct, array_like=True, frozen=True, tag="q"):
-    """Somebody at a member that is no voter would like to know who holds what."""
+class TableQuery(Struct, array_like=True, frozen=True, tag="q"):
+    """A member that does not vote asks who holds what."""
 
 
-class Answer(Struct, array_like=True, frozen=True, tag="r"):
-    """To a question: all leases that are held."""
+class TableReply(Struct, array_like=True, frozen=True, tag="r"):
+    """To a `TableQuery`: all leases that are held."""
 
     rows: tuple[tuple[str, str, int], ...]  # name, holder, token
 
 
-Said = Ask | Told | Here | Behind | Poke | Question | Answer
-Anything = (
-    PreVote | PreVoted | Vote | Voted | Append | Appended | Install
-    | Ask | Told | Here | Behind | Poke | Question | Answer
-)  # fmt: skip
-LOG = (PreVote, PreVoted, Vote, Voted, Append, Appended, Install)
+ClientMessage = (
+    LeaseRequest
+    | LeaseReply
+    | VoterAnnouncement
+    | DiskBehind
+    | GrantNotice
+    | TableQuery
+    | TableReply
+)
+AnyMessage = Message | ClientMessage
+LOG_MESSAGES = (PreVote, PreVoted, Vote, Voted, Append, Appended, Install)
 
 
 class Fragment(Struct, array_like=True, frozen=True, tag="l"):
@@ -74,17 +79,17 @@
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decoder = msgspec.msgpack.Decoder(Anything)
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
 
 
-def pack(message: Message | Said) -> bytes:
+def pack(message: AnyMessage) -> bytes:
     """A message as bytes."""
     return _encode(message)
 
 
-def unpack(data: bytes) -> Message | Said:
+def unpack(data: bytes) -> AnyMessage:
     """msgspec.MsgspecError on what no version of this sends."""
-    made: Message | Said = _decoder.decode(data)
+    made: AnyMessage = _decoder.decode(data)
     return made
 
 
--- a/tansywood/lease/holding.py
+++ b/tansywood/lease/holding.py
@@ -6,7 +6,7 @@
 
 from tansywood.lease.context import Context, holder_id, name_of
 from tansywood.lease.raft import MS
-from tansywood.lease.service import Ask, Holder, Told
+from tansywood.lease.service import Holder, LeaseReply, LeaseRequest
 
 ASK_AGAIN = 20 * MS  # between two asks that were not due yet
 
@@ -14,10 +14,10 @@
 class Holding:
     """The holder of one life of one instance, and who leads as far as it was told."""
 
-    def __init__(self, context: Context, send: Callable[[int, str, Ask], None]) -> None:
+    def __init__(self, context: Context, send: Callable[[int, str, LeaseRequest], None]) -> None:
         self.holder = Holder(holder_id(context.name, context.life), context.terms)
         self.leader = ""  # the voter that answered last
-        self.deaf: set[str] = set()  # instances that ask and hear nothing, by its word
+        self.deaf: set[str] = set()  # instances that ask and hear nothing, by its replies
         self.got: dict[str, tuple[int, int]] = {}  # token and when, of what is held
         self.next_ask = 0
         self._last_ask = -1000 * MS
@@ -49,7 +49,7 @@
         self.next_ask = now + terms.renew
         if not (holder.want or holder.leases or holder.giving):
             return
-        # Where the last word was not answered whoever led may be gone: everybody is asked, and
+        # Where the last request was not answered whoever led may be gone: everybody is asked, and
         # soon again, but not by all at once.
         known = self.leader and holder.heard == holder.seq
         ask = holder.ask(now)
@@ -59,19 +59,19 @@
         for to in [self.leader] if known else self._context.wanted_voters:
             self._send(now, to, ask)
 
-    def told(self, now: int, sender: str, told: Told) -> None:
+    def receive_reply(self, now: int, sender: str, reply: LeaseReply) -> None:
         """A voter's answer: what is held, or who leads."""
         self._context.counts["told"] += 1
-        if not told.ok:
-            if told.leader and told.leader != self.leader:
-                self.leader = told.leader
+        if not reply.ok:
+            if reply.leader and reply.leader != self.leader:
+                self.leader = reply.leader
                 self.ask_soon(now)
             elif sender == self.leader:
                 self.leader = ""
             return
         self.leader = sender
-        self.deaf = {name_of(holder) for holder in told.deaf}
-        if self.holder.told(now, told):
+        self.deaf = {name_of(holder) for holder in reply.deaf}
+        if self.holder.receive_reply(now, reply):
             for name, token in self.holder.leases.items():
                 if self.got.get(name, (0, 0))[0] != token:
                     self.got[name] = (token, now)
--- a/tansywood/lease/service.py
+++ b/tansywood/lease/service.py
@@ -19,7 +19,7 @@
 
 SECOND = 1000 * MS
 DEAF_MOST = 16  # that are told of
-ASKED_MOST = 4096  # holders of which the latest word is remembered
+ASKED_MOST = 4096  # holders whose latest request is remembered
 Count = Annotated[int, Meta(ge=0, le=1 << 62)]
 
 
@@ -43,17 +43,17 @@
         return int(self.length * (1.0 - self.skew))
 
 
-class Ask(Struct, array_like=True, frozen=True, tag="ask"):
-    """A holder's whole word: keep what I have, and what I want or give back besides."""
+class LeaseRequest(Struct, array_like=True, frozen=True, tag="ask"):
+    """A holder's request: renew all that it has, grant or take back the leases named besides."""
 
     holder: str
     seq: Count
     take: tuple[str, ...] = ()
     give: tuple[tuple[str, int, str], ...] = ()  # name, token, to whom
-    heard: Count = 0  # the latest ask of which it has heard an answer
+    heard: Count = 0  # the latest request of which it has the reply
 
 
-class Told(Struct, array_like=True, frozen=True, tag="told"):
+class LeaseReply(Struct, array_like=True, frozen=True, tag="told"):
     """What the holder has, all of it, at a moment after it asked. `leader` where another leads."""
 
     seq: Count
@@ -69,10 +69,10 @@
 
 @dataclass(slots=True)
 class _Waits:
-    """An ask that is answered once a majority has confirmed this leader."""
+    """A request that is answered once a majority has confirmed this leader."""
 
     sender: str
-    ask: Ask
+    ask: LeaseRequest
     round: int
     index: int  # and once this place of the log is applied
     term: int
@@ -88,7 +88,7 @@
         self.table = Table.load(raft.snapshot.data)
         self.ends: dict[str, int] = {}  # by holder: before then the leader may not end it
         self.waits: list[_Waits] = []
-        self.answers: list[tuple[str, Told]] = []
+        self.answers: list[tuple[str, LeaseReply]] = []
         self.changed: Callable[[int, Change], None] = _nobody  # told of each entry, by its index
         self._led = 0  # the term in which `ends` was begun
         self._floor = 0  # the end of whoever has not asked in it
@@ -103,11 +103,11 @@
 
     # ---- from outside --------------------------------------------------------------------------
 
-    def ask(self, now: int, sender: str, ask: Ask) -> None:
-        """A holder's word. Where this one does not lead it is told who does, at once."""
+    def ask(self, now: int, sender: str, ask: LeaseRequest) -> None:
+        """A holder's request. Where this one does not lead the reply says who does, at once."""
         raft = self.raft
         if not raft.settled:
-            self.answers.append((sender, Told(ask.seq, False, (), raft.leader)))
+            self.answers.append((sender, LeaseReply(ask.seq, False, (), raft.leader)))
             return
         self._lead(now)
         if ask.seq <= self._asked.get(ask.holder, 0):
@@ -137,8 +137,9 @@
         self.after(now)
 
     def grant(self, now: int, name: str, holder: str) -> bool:
-        """Propose what is free for one that asked for it before and was too late: as if its word
-        had come again. It hears of it by its next ask, and lives for a whole length until then."""
+        """Propose what is free for one that asked for it before and was too late: as if its
+        request had come again. It hears of it by its next request, and lives for a whole length
+        until then."""
         if not self.raft.settled or holder in self._ending or name in self.table.leases:
             return False
         if self.deaf(now, holder):
@@ -161,7 +162,7 @@
         """After anything that happened to the log: answer what can be answered by now."""
         if not self.raft.settled:
             for w in self.waits:
-                self.answers.append((w.sender, Told(w.ask.seq, False, (), self.raft.leader)))
+                self.answers.append((w.sender, LeaseReply(w.ask.seq, False, (), self.raft.leader)))
             self.waits.clear()
             return
         self._lead(now)
@@ -179,7 +180,7 @@
         holder = w.ask.holder
         if holder in self._ending:
             # Its end is in the log: it is not to hear that it may go on.
-            self.answers.append((w.sender, Told(w.ask.seq, False, (), self.raft.name)))
+            self.answers.append((w.sender, LeaseReply(w.ask.seq, False, (), self.raft.name)))
             return
         names = sorted(self.table.of.get(holder, ()))
         if names and self.deaf(now, holder):
@@ -187,7 +188,7 @@
         self._unheard.setdefault(holder, (w.ask.seq, now, now))
         self._extend(now, holder)
         leases = tuple((name, self.table.leases[name].token) for name in names)
-        self.answers.append((w.sender, Told(w.ask.seq, True, leases, "", self._deaf)))
+        self.answers.append((w.sender, LeaseReply(w.ask.seq, True, leases, "", self._deaf)))
 
     def _extend(self, now: int, holder: str) -> None:
         self.ends[holder] = max(self.ends.get(holder, 0), now + self.terms.length)
@@ -267,7 +268,7 @@
         self.name = name
         self.terms = terms
         self.seq = 0
-        self.heard = 0  # the latest ask that was answered
+        self.heard = 0  # the latest request that was answered
         self.until = 0
         self.leases: dict[str, int] = {}  # tokens
         self.want: set[str] = set()
@@ -275,27 +276,27 @@
         self._sent: deque[tuple[int, int]] = deque()
         self.lost: list[str] = []  # that it had and has not any more, to end their tasks
 
-    def ask(self, now: int) -> Ask:
-        """The next word to whoever leads. It has to leave now, or never."""
+    def ask(self, now: int) -> LeaseRequest:
+        """The next request to whoever leads. It has to leave now, or never."""
         self.seq += 1
         self._sent.append((self.seq, now))
         while now - self._sent[0][1] > self.terms.used:
             self._sent.popleft()
         take = tuple(sorted(n for n in self.want if n not in self.leases))
         give = tuple((n, t, to) for n, (t, to) in sorted(self.giving.items()))
-        return Ask(self.name, self.seq, take, give, self.heard)
+        return LeaseRequest(self.name, self.seq, take, give, self.heard)
 
-    def told(self, now: int, told: Told) -> bool:
-        """Take an answer; False where it is nothing to go by: late, overtaken, or a refusal."""
-        sent = next((at for seq, at in self._sent if seq == told.seq), None)
-        if not told.ok or sent is None or told.seq <= self.heard:
+    def receive_reply(self, now: int, reply: LeaseReply) -> bool:
+        """Take a reply; False where it is nothing to go by: late, overtaken, or a refusal."""
+        sent = next((at for seq, at in self._sent if seq == reply.seq), None)
+        if not reply.ok or sent is None or reply.seq <= self.heard:
             return False
         end = sent + self.terms.used
         if end <= now:
             return False
-        self.heard = told.seq
+        self.heard = reply.seq
         self.until = end
-        new = {name: token for name, token in told.leases}
+        new = {name: token for name, token in reply.leases}
         for name, (token, _) in list(self.giving.items()):
             if new.get(name) != token:
                 del self.giving[name]  # it has gone where it was to go
@@ -304,7 +305,7 @@
         self.lost += [n for n, token in self.leases.items() if new.get(n) != token]
         self.leases = new
         for name in [n for n in new if n not in self.want]:
-            self.give(name)  # an old word of ours came late and took it once more
+            self.give(name)  # an old request of ours came late and took it once more
         return True
 
     def may(self, now: int, name: str) -> int:
@@ -319,7 +320,7 @@
             self.giving[name] = (token, to)
 
     def expire(self, now: int) -> list[str]:
-        """Names whose tasks have to end: lost by word, or by time."""
+        """Names whose tasks have to end: another has them, or their time is over."""
         if now >= self.until and self.leases:
             self.lost += list(self.leases)
             self.leases.clear()
--- a/tansywood/lease/status.py
+++ b/tansywood/lease/status.py
@@ -24,21 +24,21 @@
             "no group of voters was founded, or none has taken this disk in: "
             "`tansywood lease found FILE` at one instance, once"
         ]
-    told = _about_leader(voter, now)
+    sentences = _about_leader(voter, now)
     row = voter.service.table.leases.get(name)
     if row is None:
         asked = ", ".join(client.waiting.rows.get(name, {}))
-        told.append(
+        sentences.append(
             f"nobody holds {name}; "
             + (f"asked by {asked}" if asked else "nobody asked for it lately")
         )
-        return told
+        return sentences
     since = (now - voter.since.get(name, now)) / SECOND
-    told.append(f"{row.holder} holds {name} by token {row.token}, for {since:.1f} s here")
+    sentences.append(f"{row.holder} holds {name} by token {row.token}, for {since:.1f} s here")
     if voter.leads:
         left = (voter.service.ends.get(row.holder, now) - now) / SECOND
-        told.append(f"it may be ended in {max(left, 0):.1f} s unless it renews")
-    return told
+        sentences.append(f"it may be ended in {max(left, 0):.1f} s unless it renews")
+    return sentences
 
 
 def _about_leader(voter: Voter, now: int) -> list[str]:
@@ -58,7 +58,7 @@
 def status(client: LeaseClient, now: int) -> dict[str, Any]:
     """Of JSON's types. Times in it are seconds, but for `length_ms`."""
     holder = client.holder
-    told: dict[str, Any] = {
+    record: dict[str, Any] = {
         "name": client.name,
         "holder": holder.name,
         "wanted_voters": list(client.wanted_voters),
@@ -80,8 +80,8 @@
         ],
     }
     if client.voter is not None:
-        told["voter"] = _voter(client.voter, now)
-    told["leases"] = [
+        record["voter"] = _voter(client.voter, now)
+    record["leases"] = [
         {
             "name": name,
             "holder": who,
@@ -90,7 +90,7 @@
         }
         for name, who, token, since in _leases(client, now)
     ]
-    return told
+    return record
 
 
 def _voter(voter: Voter, now: int) -> dict[str, Any]:
--- a/tansywood/lease/voter.py
+++ b/tansywood/lease/voter.py
@@ -16,12 +16,12 @@
 from tansywood.lease.disk import Kept, changes
 from tansywood.lease.log import Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, Raft, Timing
-from tansywood.lease.service import Ask, LeaseService, LeaseTerms, Told
+from tansywood.lease.service import LeaseReply, LeaseRequest, LeaseService, LeaseTerms
 from tansywood.lease.table import Change, Table
 from tansywood.store.engine import Batch
 
 MOST = 4096  # messages that wait for a disk: beyond it the oldest are lost, as on a network
-Send = tuple[str, Message | Told]
+Send = tuple[str, Message | LeaseReply]
 
 
 class Voter:
@@ -89,7 +89,7 @@
         self.service.after(now)
         self._collect(now)
 
-    def ask(self, now: int, ask: Ask) -> None:
+    def ask(self, now: int, ask: LeaseRequest) -> None:
         """A holder's ask."""
         self._now = now
         self.service.ask(now, ask.holder, ask)
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -1,6 +1,6 @@
 """Leases on sockets, a disk and tasks: what `tansywood.lease` decides, done.
 
-It lives in the fleet's process, whose sealed datagrams carry its words. The disk is written in a
+It lives in the fleet's process, whose sealed datagrams carry its messages. The disk is written in a
 thread of its own, so one that is slow holds up nothing but this instance's own promises.
 """
 
@@ -183,7 +183,7 @@
     # ---- the network and time ----------------------------------------------------------------
 
     def know(self, members: Members) -> None:
-        """Who is there by the fleet's word; looked at ten times a second."""
+        """Who is there by the fleet's members; looked at ten times a second."""
         now = self.clock.now()
         if now - self._knew < KNOW:
             return
@@ -315,12 +315,12 @@
         while True:
             try:
                 async with self.lease(name, everybody) as held:
-                    told = 0
+                    reported = 0
                     while True:
                         held.check()
                         until = held.until()
-                        if until != told:
-                            told = until
+                        if until != reported:
+                            reported = until
                             writer.write(frame({"token": held.token, "until": until}))
                             await writer.drain()
                         await asyncio.sleep(self.client.terms.renew / SECOND / 4)
@@ -345,21 +345,21 @@
         if self.client.voter is None and what == "list":
             await self._ask_a_voter()
         now = self.clock.now()
-        told = ""
+        error = ""
         if what == "why":
             return {"why": self.client.why(now, name)}
         if what == "hand-over":
-            told = self.client.hand_over(now, name, to)
+            error = self.client.hand_over(now, name, to)
         elif what == "found":
-            told = self.client.found(now, os.urandom(8).hex())
+            error = self.client.found(now, os.urandom(8).hex())
         elif what == "refound":
-            # Whoever holds by the word of disks that are lost holds no longer than this.
+            # Whoever holds by disks that are lost holds no longer than this.
             self.log(f"lease: goes on alone in {REFOUND_LEASES:g} leases")
             await asyncio.sleep(REFOUND_LEASES * self.client.terms.length / SECOND)
-            told = self.client.refound(self.clock.now(), os.urandom(8).hex())
+            error = self.client.refound(self.clock.now(), os.urandom(8).hex())
         elif what not in ASKS:
-            told = f"{what!r} can't be asked: {', '.join(ASKS)}"
+            error = f"{what!r} can't be asked: {', '.join(ASKS)}"
         self.tick()
-        if told:
-            return {"error": told}
+        if error:
+            return {"error": error}
         return self.client.status(now)
--- a/tansywood/verify/leases.py
+++ b/tansywood/verify/leases.py
@@ -18,7 +18,7 @@
 
 from tansywood.lease.log import Append, Appended, Entry, Message, Saved, Snapshot
 from tansywood.lease.raft import FOLLOWER, LEADER, Out, Raft, Timing
-from tansywood.lease.service import Ask, Holder, LeaseService, LeaseTerms, Told
+from tansywood.lease.service import Holder, LeaseReply, LeaseRequest, LeaseService, LeaseTerms
 
 LEASE = "x"
 LATE = 1 << 50  # a time at which nobody has heard of a leader lately
@@ -194,7 +194,7 @@
                 made.kept = {**made.kept, name: self.keep(world.kept[name], out.saved)}
             net.update((name, to, message) for to, message in out.sends)
             answers, service.answers = service.answers, []
-            net.update((name, to, told) for to, told in answers)
+            net.update((name, to, reply) for to, reply in answers)
             for index, entry in out.committed:
                 made.log = self._commit(made, index, entry)
             if out.saved is None and not out.sends and not out.committed and not answers:
@@ -222,12 +222,12 @@
     def _deliver(self, world: World, a: str, b: str, what: Any) -> World | None:
         if b in world.holders:
             holder = fork_holder(world.holders[b])
-            if not holder.told(self.time_of(world, b), what):
+            if not holder.receive_reply(self.time_of(world, b), what):
                 return None
             made = copy(world)
             made.holders = {**world.holders, b: holder}
             return made
-        if isinstance(what, Ask):
+        if isinstance(what, LeaseRequest):
             return self.act(world, b, lambda k: k.ask(world.clock, a, what))
         late = LATE if type(what).__name__ in ("PreVote", "Vote") else world.clock
 
@@ -252,7 +252,7 @@
             a, b, what = packet
             if self.idle(world, packet):
                 continue
-            yield f"{b} gets {self.told(what)} of {a}", self._deliver_move(world, packet)
+            yield f"{b} gets {self.describe(what)} of {a}", self._deliver_move(world, packet)
         for name, service in world.voters.items():
             raft = service.raft
             may = raft.role != LEADER and raft.term < bounds.term
@@ -281,9 +281,9 @@
         refusal in a newer term would tell an old leader that it is none any more. It stays one
         for longer here than in the program, which is the dangerous side.
         """
-        if isinstance(what, Told):
+        if isinstance(what, LeaseReply):
             return what.seq <= world.holders[to].heard or not what.ok
-        if isinstance(what, Ask):
+        if isinstance(what, LeaseRequest):
             raft = world.voters[to].raft
             if raft.role == LEADER:
                 return what.seq <= world.voters[to]._asked.get(what.holder, 0)
@@ -347,10 +347,10 @@
     def idle(self, world: World, packet: Packet) -> bool:
         """Whether a delivery would lead back to this very state: its outcome need not be made."""
         a, b, what = packet
-        if isinstance(what, Told):
+        if isinstance(what, LeaseReply):
             return False
         raft = world.voters[b].raft
-        if isinstance(what, Ask):
+        if isinstance(what, LeaseRequest):
             return raft.role != LEADER  # it would only be told who leads
         if isinstance(what, Append):
             known = what.term == raft.term and raft.role == FOLLOWER and raft.leader == a
@@ -499,5 +499,6 @@
             tuple((seq, now - at) for seq, at in h._sent if now - at <= self.terms.used),
         )  # fmt: skip
 
-    def told(self, what: Any) -> str:
+    def describe(self, what: Any) -> str:
+        """A message in one line of a run."""
         return f"{type(what).__name__}{tuple(getattr(what, f) for f in what.__struct_fields__)}"
--- a/tests/lease/test_checker.py
+++ b/tests/lease/test_checker.py
@@ -125,13 +125,13 @@
 
 
 def test_with_a_lease_counted_from_the_answer(monkeypatch: Patch) -> None:
-    told = Holder.told
+    receive_reply = Holder.receive_reply
 
     def late(self: Holder, now: int, answer: Any) -> bool:
         self._sent = deque((seq, now) for seq, _ in self._sent)
-        return told(self, now, answer)
+        return receive_reply(self, now, answer)
 
-    monkeypatch.setattr(Holder, "told", late)
+    monkeypatch.setattr(Holder, "receive_reply", late)
     # Its answer lies on the network while its time runs out.
     made = found(TWO)
     assert made.broken.startswith("two holders may act")
--- a/tests/lease/test_client.py
+++ b/tests/lease/test_client.py
@@ -13,7 +13,7 @@
 from tansywood.lease.disk import Kept
 from tansywood.lease.fragments import FRAGMENT_BYTES, Fragment, Reassembly, split_message
 from tansywood.lease.raft import MS
-from tansywood.lease.service import Ask, LeaseService, LeaseTerms
+from tansywood.lease.service import LeaseRequest, LeaseService, LeaseTerms
 from tansywood.lease.spread import NEAR, Ranking
 
 TERMS = LeaseTerms(length=SECOND, renew=SECOND // 4)
@@ -205,7 +205,7 @@
     mine, other = w.places["d"].client, w.places["e"].client
     assert mine is not None and other is not None
     give = tuple((n, t, mine.holder.name) for n, t in w.leader_table() if n in w.held())
-    ask = Ask(other.holder.name, 1 << 40, (), give)
+    ask = LeaseRequest(other.holder.name, 1 << 40, (), give)
     mine.send(w.clock(w.places["d"]), mine.holder.name, w.leader().name, ask)
     w.flush(w.places["d"])
     table = w.leader_table()
--- a/tests/lease/test_layout.py
+++ b/tests/lease/test_layout.py
@@ -7,39 +7,39 @@
 import pytest
 
 from tansywood.lease.fragments import (
-    Answer,
-    Behind,
+    ClientMessage,
+    DiskBehind,
     Fragment,
-    Here,
-    Poke,
-    Question,
-    Said,
+    GrantNotice,
+    TableQuery,
+    TableReply,
+    VoterAnnouncement,
     pack,
     unpack,
 )
-from tansywood.lease.service import Ask, Told
+from tansywood.lease.service import LeaseReply, LeaseRequest
 
 
 @pytest.mark.parametrize(
     ("message", "data"),
     [
-        (Here(True), "92a468657265c3"),
-        (Behind(4), "92a6626568696e6404"),
-        (Poke(), "91a4706f6b65"),
-        (Question(), "91a171"),
-        (Answer((("t", "a/1", 5),)), "92a1729193a174a3612f3105"),
+        (VoterAnnouncement(True), "92a468657265c3"),
+        (DiskBehind(4), "92a6626568696e6404"),
+        (GrantNotice(), "91a4706f6b65"),
+        (TableQuery(), "91a171"),
+        (TableReply((("t", "a/1", 5),)), "92a1729193a174a3612f3105"),
         (
-            Ask("a/1", 2, ("t",), (("u", 3, "b/2"),), 1),
+            LeaseRequest("a/1", 2, ("t",), (("u", 3, "b/2"),), 1),
             "96a361736ba3612f310291a1749193a17503a3622f3201",
         ),
         (
-            Told(2, True, (("t", 5),), "a/1", ("b/2",)),
+            LeaseReply(2, True, (("t", 5),), "a/1", ("b/2",)),
             "96a4746f6c6402c39192a17405a3612f3191a3622f32",
         ),
     ],
     ids=lambda value: None if isinstance(value, str) else type(value).__name__,
 )
-def test_a_message_is_these_bytes_and_is_read_from_them(message: Said, data: str) -> None:
+def test_a_message_is_these_bytes_and_is_read_from_them(message: ClientMessage, data: str) -> None:
     assert pack(message).hex() == data
     assert unpack(bytes.fromhex(data)) == message
 
--- a/tests/lease/test_raft.py
+++ b/tests/lease/test_raft.py
@@ -11,7 +11,15 @@
 
 from tansywood.lease.log import COMMAND, Message, Saved, Snapshot
 from tansywood.lease.raft import LEADER, MS, Raft, Timing
-from tansywood.lease.service import Ask, Fence, Holder, LeaseService, LeaseTerms, Refused, Told
+from tansywood.lease.service import (
+    Fence,
+    Holder,
+    LeaseReply,
+    LeaseRequest,
+    LeaseService,
+    LeaseTerms,
+    Refused,
+)
 from tansywood.lease.table import End, Give, Table, TableError, Take, pack
 
 SECOND = 1000 * MS
@@ -62,8 +70,8 @@
             for index, entry in out.committed:
                 assert self.log.setdefault(index, entry) == entry, index
             answers, service.answers = service.answers, []
-            for to, told in answers:
-                self.send(name, to, told)
+            for to, reply in answers:
+                self.send(name, to, reply)
 
     def hold(self, name: str, *want: str) -> Holder:
         holder = self.holders.setdefault(name, Holder(name, TERMS))
@@ -76,11 +84,11 @@
             self.now += 10 * MS
             while self.heap and self.heap[0][0] <= self.now:
                 _, _, a, b, what = heappop(self.heap)
-                if isinstance(what, Told):
+                if isinstance(what, LeaseReply):
                     if b in self.holders:
-                        self.holders[b].told(self.now, what)
+                        self.holders[b].receive_reply(self.now, what)
                 elif b in self.services:
-                    if isinstance(what, Ask):
+                    if isinstance(what, LeaseRequest):
                         self.services[b].ask(self.now, a, what)
                     else:
                         message: Message = what
@@ -290,7 +298,7 @@
     for name in [n for n in c.kept if n != leader.raft.name]:
         del c.services[name]
     for seq in range(1, 60):  # a round for each puts off the next heartbeat
-        leader.ask(c.now, "A", Ask("A", seq))
+        leader.ask(c.now, "A", LeaseRequest("A", seq))
         c.flush(leader.raft.name)
         c.run(0.05)
     assert leader.raft.role != LEADER
@@ -314,13 +322,14 @@
     h.want.add("x")
     ask = h.ask(0)
     assert ask.take == ("x",)
-    assert h.told(5, Told(ask.seq, True, (("x", 7),)))
+    assert h.receive_reply(5, LeaseReply(ask.seq, True, (("x", 7),)))
     assert h.may(TERMS.used - 1, "x") == 7 and not h.may(TERMS.used, "x")
     late = h.ask(SECOND)
-    assert not h.told(9 * SECOND, Told(late.seq, True, (("x", 7),)))  # after its own end
+    after_its_end = LeaseReply(late.seq, True, (("x", 7),))
+    assert not h.receive_reply(9 * SECOND, after_its_end)
     assert h.expire(9 * SECOND) == ["x"] and h.expire(9 * SECOND) == []
-    older = Told(ask.seq, True, (("x", 7),))
-    assert not h.told(9 * SECOND, older)
+    older = LeaseReply(ask.seq, True, (("x", 7),))
+    assert not h.receive_reply(9 * SECOND, older)
 
 
 def test_an_act_under_an_older_token_is_refused() -> None:
