The store's engine is divided into modules with one job each

Need: store/engine.py had 937 lines; whoever looked for recovery read compaction and locking along.

The rule that a write which meets rot is not to blame moved to Compactor.pay_share. On the disk nothing differs.

tests/store names the constant of compaction by its new module; nothing else in tests changed. tests/store (every crash point, every cut), tests/admin, tests/tenancy, test_recall and tests/lease's disk and client pass.

--- a/tests/store/test_crash.py
+++ b/tests/store/test_crash.py
@@ -164,7 +164,7 @@
             raise Crash
 
     disk.before = before
-    with patch("tansywood.store.engine.COPY_BATCH", 100), pytest.raises(Crash):
+    with patch("tansywood.store.compaction.COPY_BATCH", 100), pytest.raises(Crash):
         store.compact()
     store._let_go()
     disk.before = lambda _n, _what: None
