The registry of tenants is divided by what its parts do

Change, of unchanged behaviour: model (Tenant, Change, Actor, Refused), records (names and bytes of what is stored, how much is kept), state (tables: from records, changes, reading), drafts (number, trail entry and records of a change), tenant_commands and key_commands; registry.py joins them and its importers stay as they are. Registry.change and create are short functions over named checks. What stood twice or more is once: the refusals of an unfit document and of what is not there, when a server was first listed, names of records, rows of differences (changes.difference_records).

One test names the bound of the trail by its new module. tests/tenancy, tests/admin and two files of tests/service over the agent pass.

--- a/tansywood/tenancy/changes.py
+++ b/tansywood/tenancy/changes.py
@@ -62,6 +62,11 @@
     return new.repeat == "keyed" and new.window_ms > old.window_ms
 
 
+def difference_records(old: Any, new: Any) -> list[dict[str, Any]]:
+    """The same of JSON's types."""
+    return [{"path": d.path, "old": d.old, "new": d.new} for d in differences(old, new)]
+
+
 def consequences(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
     """Both checked: what the change does to requests that are under way, in words."""
     return list(_consequences(read(old), read(new)))
--- a/tests/tenancy/test_registry.py
+++ b/tests/tenancy/test_registry.py
@@ -324,7 +324,7 @@
 def test_the_trail_has_a_bound_in_memory_and_in_the_records(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("tansywood.tenancy.registry.AUDIT", 10)
+    monkeypatch.setattr("tansywood.tenancy.records.AUDIT", 10)
     assert AUDIT > 10
     w = World()
     uid = w.create()
