The door keeps a tenant while one of its connections waits for an answer

Followed in the logs: the door knew the tenant and asked the agent only whose the listener was; while that question was on its way the door let go of the tenant, as no connection was handed over or waiting for a worker; the agent's answer, about the listener alone, then found nobody here. give_up in service/door.py looks at the connections that wait for an answer too and refuses. A test of the door before an agent that the test plays fails without it.

--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -18,6 +18,7 @@
 import sys
 import time
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -152,17 +153,26 @@
             self.placement.forget(message["forget"])
 
     def give_up(self, uid: str) -> bool:
-        """Know a tenant no more, unless it has a connection that no worker has taken yet. Its
-        owner stays known until no worker has it: there are never two."""
+        """Know a tenant no more, unless it has a connection that no worker has taken yet or that
+        waits for the agent to say whose the rest is that it shows. Its owner stays known until no
+        worker has it: there are never two."""
         if any(one.uid == uid for queue in self.handed.values() for one in queue):
             return False
         if any(one.uid == uid for one in self.waiting):
             return False
+        if any(self.identify(visitor) == uid for visitor in self.visitors_looked_up()):
+            return False
         self.directory.drop(uid)
         self.rates.pop(uid, None)
         self.status.pop(uid, None)
         return True
 
+    def visitors_looked_up(self) -> Iterator[Visitor]:
+        """The connections that wait for an answer of the agent."""
+        for visitor in self.lookups:
+            assert isinstance(visitor, Visitor)
+            yield visitor
+
     def asks_agent(self, visitor: Visitor) -> bool:
         """Whether a connection waits for the agent to say whose something is that it shows."""
         if not self.follower.partial or self.directory.knows(visitor.shown, self.nobodys):
--- a/tansywood/service/lookups.py
+++ b/tansywood/service/lookups.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
 from typing import Any
 
 from tansywood.distribution.messages import (
@@ -55,6 +55,10 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    def __iter__(self) -> Iterator[Hashable]:
+        """The connections that wait."""
+        return iter(self._numbers)
+
     def ask(
         self, who: Hashable, address: str, aliases: list[str], known: bool, now_ms: int
     ) -> Hashable | None:
--- a/tests/service/test_agent_door.py
+++ b/tests/service/test_agent_door.py
@@ -280,6 +280,29 @@
     asyncio.run(main())
 
 
+def test_a_tenant_is_not_let_go_of_while_a_connection_waits_for_the_rest_that_it_shows(
+    tmp_path: Path,
+) -> None:
+    """Only the host is asked for, and the answer is that it is nobody's: were the tenant gone by
+    then, its own request would be nobody's too."""
+
+    async def main() -> None:
+        async with world(tmp_path) as w:
+            w.agent.publish()
+            await w.agent.followed(w.door)
+            await w.connect(request(Host="10.0.0.1", X_Tenant_Id="", X_Tenant_Key=TOKEN))
+            assert (await w.agent.asked())["known"]
+            assert not await w.agent.release()
+            w.agent.answer()
+            one = await w.worker.take()
+            assert one.uid == "uid"
+            one.sock.close()
+            await comes(lambda: not any(w.door.handed.values()))
+            assert await w.agent.release()
+
+    asyncio.run(main())
+
+
 def test_a_listener_of_iso_8583_is_asked_for_before_anybody_is_closed(tmp_path: Path) -> None:
     async def main() -> None:
         async with world(tmp_path) as w:
