What raised in a callback ends its connection on uvloop too

Cause: Node.loop_failed aborted the transport that the loop names only where it is an asyncio.Transport. uvloop's transports are no instances of it, so it never did. uvloop closes a connection itself where data_received raises, and our guard closes it around connection_made and connection_lost; where pause_writing or resume_writing raise, uvloop only reports, and the connection stayed open with its writer held up. Whatever transport is named is aborted now. A test on uvloop's own transport fails without it. The line runs only after an exception that nobody foresaw: no cost to a request.

--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -214,6 +215,31 @@
         assert "Fault" in one.logged[-2] and "no exception" in one.logged[-1]
 
 
+def test_what_raised_in_a_callback_ends_its_connection_on_uvloop_too(tmp_path: Path) -> None:
+    """Its transports are no instances of asyncio's; an error in `pause_writing` or
+    `resume_writing` it only reports, and the connection would stay open for good."""
+
+    async def drive(loop: asyncio.AbstractEventLoop) -> None:
+        near, far = socket.socketpair()
+        with far:
+            raised = asyncio.Event()
+
+            class Raising(asyncio.Protocol):
+                def pause_writing(self) -> None:
+                    raised.set()
+                    raise Fault("pause_writing")
+
+            transport, _ = await loop.create_connection(Raising, sock=near)
+            transport.write(bytes(8 << 20))  # more than a socket pair holds
+            await raised.wait()
+            await asyncio.sleep(0)
+            assert transport.is_closing()
+
+    with inside(tmp_path, roster()) as one:
+        one.run(drive(one.loop))
+        assert one.node.crashes == 1
+
+
 def test_a_client_told_of_a_fault_gets_no_second_answer(tmp_path: Path) -> None:
     """What raised came after the request was taken: its own answer arrives all the same."""
     with inside(tmp_path, roster()) as one:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -579,8 +579,9 @@
         else:
             self.crashes += 1
             self.log(f"the loop: {context.get('message')}")
-        if isinstance(transport, asyncio.Transport):
-            transport.abort()
+        abort = getattr(transport, "abort", None)  # uvloop's are no asyncio.Transport
+        if abort is not None:
+            abort()
 
     def sweep(self) -> None:
         now = time.monotonic_ns()
