--- a/standins/asking.py
+++ b/standins/asking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 
 from standins.callers import Caller
@@ -48,10 +48,14 @@
             if not entry.ends:
                 entry.ends.append(End.LEFT)
 
-    async def served_by(self, server: str, limit_s: float) -> None:
-        """Until every node's last answer is this server's. TimeoutError."""
+    async def served_by(
+        self, server: str, limit_s: float, nodes: Collection[str] | None = None
+    ) -> None:
+        """Until the last answer of each of these nodes, or of all, is this server's.
+        TimeoutError after `limit_s` seconds."""
+        asked = self._ports if nodes is None else nodes
         async with asyncio.timeout(limit_s):
-            while any(self.last_ran.get(node) != server for node in self._ports):
+            while any(self.last_ran.get(node) != server for node in asked):
                 await asyncio.sleep(0.002)
 
     async def _ask_for_ever(self, node: str) -> None:
--- a/standins/distributed.py
+++ b/standins/distributed.py
@@ -13,7 +13,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Collection, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -174,6 +174,30 @@
             if distributor == name:
                 relay.target = machine.address
 
+    # ---- faults ----------------------------------------------------------------------------
+
+    def cut_node_off(self, node: str, distributor: str) -> None:
+        """Nothing crosses between these two any more."""
+        self.ways[node, distributor].cut()
+
+    def cut_region_off(self, distributor: str, nodes: Collection[str]) -> None:
+        """Distributor and nodes reach one another alone: neither the publisher nor the rest."""
+        self.upward[distributor].cut()
+        for (node, other), relay in self.ways.items():
+            if (node in nodes) != (other == distributor):
+                relay.cut()
+
+    def heal(self) -> None:
+        """Every way is whole again."""
+        for relay in (*self.upward.values(), *self.ways.values()):
+            relay.heal()
+
+    def other_distributor(self, than: str) -> str:
+        """Another one, where there are two."""
+        return next(name for name in self.distributors if name != than)
+
+    # ---- the end ---------------------------------------------------------------------------
+
     def stop(self) -> None:
         machines = [*self.nodes.values(), *self.distributors.values(), self.publisher]
         for machine in machines:
