A state that door or workers can't take over is refused to the agent and upwards

Cause: a follower that failed on a tenant's news logged it and said all the same that it had applied it, so the API counted the node as having the change. A worker with connections of a tenant whose protocol was another went on half changed. Now the follower goes back to the state before, tells the agent the place and the reason, and only then how far it has come; the agent goes back at all of the node's processes, counts it, names process and reason in its status, and refuses the state upwards. What all have gone by before is not taken from them when one that comes back can't take it over.

--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -2,9 +2,9 @@
 
 `python -m tansywood.service.agent`. It stands in the administration's place on a node whose
 settings name control addresses: it follows one distributor, puts what changes into force over the
-feed, acknowledges it once all that follow go by it, and refuses what can't be read, whose last good
-state stays in force. The door asks it whose unknown hosts, names, keys and listeners are. While
-control is away everything that is held goes on.
+feed, acknowledges it once all that follow go by it, and refuses what can't be read or what one of
+them can't take over; the last good state stays in force then. The door asks it whose unknown hosts,
+names, keys and listeners are. While control is away everything that is held goes on.
 
 It touches no caller. `interest` decides what is held, `releases` how a tenant is given up.
 """
@@ -16,6 +16,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -37,7 +38,8 @@
 from tansywood.distribution.terms import MS, SECOND, Terms
 from tansywood.fleet.keyfile import KeyFile
 from tansywood.service import part
-from tansywood.service.placed import PlacedView, from_feed, load_held
+from tansywood.service.inforce import Refused, ViewsInForce
+from tansywood.service.placed import PlacedView, from_feed, load_held, place_of
 from tansywood.service.readable import read_view
 from tansywood.service.releases import DOOR, Releases
 from tansywood.service.restore import Restore
@@ -51,11 +53,21 @@
 LISTENERS_S = 5.0  # between two questions whose this node's listeners are
 LATE_S = 2.0  # between two questions after a tenant that only some follower holds
 LOOKUP_MOST = 8  # aliases of one lookup
+REASON_MOST = 300  # characters of a refusal's reason: messages.Reason
 OWN = ""  # the asker of questions after this node's own listeners
 
 Answered = Callable[[Sequence[str] | None], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """States that were told to followers, the last of them as message `sequence` of the feed."""
+
+    number: int
+    sequence: int
+    uids: tuple[str, ...]
+
+
 def log(text: str) -> None:
     print(f"agent: {text}", file=sys.stderr, flush=True)
 
@@ -88,11 +100,11 @@
         self.interest = Interest(terms, now, bound, round(idle_s * SECOND))
         self.releases = Releases(self.feed.tell, self._given_up, self._called_off)
         self.restore = Restore()
-        self.refused: dict[str, str] = {}  # why the newest state of a tenant is not in force
+        self.views = ViewsInForce()
+        self.refused: dict[str, Refusal] = {}  # why the newest state of a tenant is not in force
         self.ended: asyncio.Future[int] = loop.create_future()
-        self._good: dict[str, PlacedView] = {}  # views in force
         self._questions: dict[int, Answered] = {}
-        self._batches: asyncio.Queue[tuple[int, int, tuple[Refusal, ...]]] = asyncio.Queue()
+        self._batches: asyncio.Queue[_Batch] = asyncio.Queue()
         self._followers = {DOOR}  # all that ever followed: each comes back
         self._nobodys: set[str] = set()
         self._own_questions = 0
@@ -103,37 +115,43 @@
 
     def _do(self, action: Action) -> None:
         if isinstance(action, Apply):
-            refusals = [r for uid in action.uids if (r := self._apply(uid)) is not None]
-            self._batches.put_nowait((action.batch, self.feed.seq, tuple(refusals)))
+            for uid in action.uids:
+                self._apply(uid)
+            self._batches.put_nowait(_Batch(action.batch, self.feed.seq, action.uids))
         elif isinstance(action, Answer):
             self._questions.pop(action.question)(action.uids)
 
-    def _apply(self, uid: str) -> Refusal | None:
-        """Put a tenant's newest state into force, or say why it can't be."""
+    def _apply(self, uid: str) -> None:
+        """Put a tenant's newest state into force, or refuse it."""
         entry = self.subscriber.replica.entries.get(uid)
         if entry is None:
             self._removed(uid)
-            return None
-        place = Position(self.subscriber.replica.epoch, entry.revision)
+            return
+        placed = PlacedView(entry.body, Position(self.subscriber.replica.epoch, entry.revision))
         try:
-            self._in_force(uid, PlacedView(entry.body, place))
+            self._hold(uid, placed)
         except ViewError as err:
-            reason = str(err)[:300]
-            self.refused[uid] = reason
-            log(f"refused: {reason}")
+            self._refuse(uid, entry.revision, str(err))
             if uid not in self.interest:
                 self.interest.hold(uid, (), time.monotonic_ns())
-            return Refusal(uid, entry.revision, reason)
-        return None
+            return
+        self.refused.pop(uid, None)
+        self.views.put(uid, placed, self.feed.seq + 1)
+        self._tell_state(uid, placed)
+
+    def _refuse(self, uid: str, revision: int, reason: str) -> None:
+        self.refused[uid] = Refusal(uid, revision, reason[:REASON_MOST])
+        log(f"refused: {reason}")
 
-    def _in_force(self, uid: str, placed: PlacedView) -> None:
+    def _hold(self, uid: str, placed: PlacedView) -> None:
+        """Answer questions by this state. ViewError says why door and workers can't go by it."""
         view = read_view(uid, placed.body)
         aliases = tuple(aliases_of(view))
         pinned = any(alias_of_listener(name) in aliases for name in self.listeners)
         self.interest.hold(uid, aliases, time.monotonic_ns(), pinned)
-        self.refused.pop(uid, None)
         self.restore.settled(uid)
-        self._good[uid] = placed
+
+    def _tell_state(self, uid: str, placed: PlacedView) -> None:
         if uid in self.releases:
             self.releases.call_off(uid)  # which tells it
         else:
@@ -144,7 +162,7 @@
         self.interest.drop(uid)
         self.restore.settled(uid)
         self.refused.pop(uid, None)
-        self._good.pop(uid, None)
+        self.views.drop(uid)
         self._publish(uid, None)
 
     def _publish(self, uid: str, view: dict[str, Any] | None) -> None:
@@ -153,13 +171,15 @@
     async def _acknowledge(self) -> None:
         """Each batch once every follower goes by it; one that is away comes back."""
         while True:
-            batch, seq, refusals = await self._batches.get()
-            while any(self.feed.applied.get(name, -1) < seq for name in self._followers):
+            batch = await self._batches.get()
+            while any(self.feed.applied.get(n, -1) < batch.sequence for n in self._followers):
                 await self.feed.moved()
-            self.client.applied(batch, refusals)
+            self.views.all_applied(batch.sequence)
+            refusals = tuple(self.refused[uid] for uid in batch.uids if uid in self.refused)
+            self.client.applied(batch.number, refusals)
 
     def _views(self) -> dict[str, dict[str, Any]]:
-        return {uid: placed.for_feed() for uid, placed in self._good.items()}
+        return {uid: placed.for_feed() for uid, placed in self.views.newest.items()}
 
     # ---- followers ---------------------------------------------------------------------------
 
@@ -168,7 +188,9 @@
         self.interest.forget_askers(name)
         self.releases.call_off_all()
         self.restore.joined(name, seq)
-        wanted = held if self.restore.collecting else [u for u in held if u not in self._good]
+        wanted = (
+            held if self.restore.collecting else [u for u in held if u not in self.views.newest]
+        )
         if wanted:
             self.feed.tell(name, {"give": wanted})
         if name == DOOR:
@@ -183,11 +205,33 @@
             self._asked(name, message)
         elif "release" in message:
             self.releases.answered(name, message)
-        elif "given" in message and message["given"] not in self._good:
+        elif "given" in message and message["given"] not in self.views.newest:
             self.restore.given(name, message["given"], message["view"])
+        elif "refused" in message:
+            self._refused_by(name, message)
         used = (*message.get("used", ()), *message.get("reports", ()))
         self.interest.use(used, time.monotonic_ns())
 
+    def _refused_by(self, name: str, message: dict[str, Any]) -> None:
+        """A follower can't take over a state that could be read: all go back to the one before."""
+        uid = message["refused"]
+        try:
+            place = place_of(message["place"])
+        except (TypeError, ValueError):
+            return  # of an earlier agent's feed, which told no places
+        outcome = self.views.refuse(uid, place)
+        if outcome is Refused.SUPERSEDED:
+            return
+        self.interest.counts["refused by followers"] += 1
+        self._refuse(uid, place.revision, f"tenant {uid}: {name}: {message['reason']}")
+        if outcome is Refused.BACK:
+            before = self.views.newest[uid]
+            self._hold(uid, before)
+            self._tell_state(uid, before)
+        elif outcome is Refused.NONE_LEFT:
+            self.interest.hold(uid, (), time.monotonic_ns())
+            self._publish(uid, None)
+
     # ---- lookups -----------------------------------------------------------------------------
 
     def _asked(self, name: str, message: dict[str, Any]) -> None:
@@ -246,7 +290,7 @@
     def _given_up(self, uid: str) -> None:
         """Nobody on this node has it any more."""
         self.interest.given_up(uid)
-        self._good.pop(uid, None)
+        self.views.drop(uid)
         self.refused.pop(uid, None)
         self.feed.reports.pop(uid, None)
         self.feed.tell(DOOR, {"forget": uid})
@@ -254,8 +298,8 @@
 
     def _called_off(self, uid: str) -> None:
         self.interest.kept(uid, time.monotonic_ns())
-        if uid in self._good:
-            self._publish(uid, self._good[uid].for_feed())
+        if uid in self.views.newest:
+            self._publish(uid, self.views.newest[uid].for_feed())
 
     # ---- after a start -------------------------------------------------------------------------
 
@@ -264,10 +308,13 @@
         held = {uid: from_feed(view) for uid, view in self.restore.collected().items()}
         for uid, placed in list(held.items()):
             try:
-                self._in_force(uid, placed)
+                self._hold(uid, placed)
             except ViewError as err:
                 log(f"not taken over: {err}")
                 del held[uid]
+                continue
+            self.views.restore(uid, placed)
+            self._tell_state(uid, placed)
         load_held(self.subscriber.replica, held)
         self.client.start()
 
@@ -281,7 +328,7 @@
                 self._ask_control([alias_of_name(name)], partial(self._late, uid))
 
     def _late(self, uid: str, uids: Sequence[str] | None) -> None:
-        if uids is not None and uids[0] != uid and uid not in self._good:
+        if uids is not None and uids[0] != uid and uid not in self.views.newest:
             self._removed(uid)
 
     # ---- status ------------------------------------------------------------------------------
@@ -300,13 +347,13 @@
             "epoch": [position.epoch.number, position.epoch.identity.hex()],
             "revision": position.revision,
             "age_ms": None if age is None else age // MS,
-            "tenants": len(self._good),
+            "tenants": len(self.views.newest),
             "bound": self.interest.bound,
             "lookups_open": self.interest.lookups_open,
             "waiting": self.interest.waiting,
             "unknown_cached": self.interest.unknown_cached,
             "counts": dict(self.interest.counts),
-            "refused_views": dict(self.refused),
+            "refused_views": {uid: refusal.reason for uid, refusal in self.refused.items()},
             "refused_messages": dict(self.client.refused),
             "connections": subscriber.connections,
             "losses": subscriber.losses,
--- a/tansywood/service/follow.py
+++ b/tansywood/service/follow.py
@@ -5,7 +5,8 @@
 
 On a node that holds only what it serves the feed is the agent's, and partial: a tenant that it does
 not name at first is kept, and the agent is told of it (an agent that was started again knows
-nothing). Such a tenant goes when its deletion is told, or when the agent asks for its release.
+nothing). Such a tenant goes when its deletion is told, or when the agent asks for its release. A
+state that can't be taken over is refused to the agent, and the one before it stays in force.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from tansywood.service.wire import WireError, frame, read_frame
 
 AGAIN_S = 0.05
+REASON_MOST = 200  # characters of a refusal's reason
 
 Changed = Callable[[str, dict[str, Any] | None], None]
 
@@ -98,16 +100,31 @@
             self._take(uid, view)
 
     def _take(self, uid: str, view: dict[str, Any] | None) -> None:
-        if self.views.get(uid) == view:
+        before = self.views.get(uid)
+        if before == view:
             return
+        try:
+            self._change(uid, view)
+        except Exception as err:  # that tenant's trouble alone: the others' news go on
+            self._log(f"news of {uid} not taken: {err!r}")
+            if self.partial and view is not None:
+                self._go_back(uid, before)
+                reason = f"{type(err).__name__}: {err}"[:REASON_MOST]
+                self.tell({"refused": uid, "place": view.get("place"), "reason": reason})
+
+    def _change(self, uid: str, view: dict[str, Any] | None) -> None:
         if view is None:
-            del self.views[uid]
+            self.views.pop(uid, None)
         else:
             self.views[uid] = view
+        self._changed(uid, view)
+
+    def _go_back(self, uid: str, before: dict[str, Any] | None) -> None:
+        """To the state before the one that was refused."""
         try:
-            self._changed(uid, view)
-        except Exception as err:  # that tenant's trouble alone: the others' news go on
-            self._log(f"news of {uid} not taken: {err!r}")
+            self._change(uid, before)
+        except Exception as err:
+            self._log(f"{uid} can't go back to the state before: {err!r}")
 
     def _take_request(self, message: dict[str, Any]) -> None:
         """What an agent asks or tells beside the tenants' views."""
--- a/tansywood/service/placed.py
+++ b/tansywood/service/placed.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +16,7 @@
 from tansywood.distribution.replica import Replica
 
 PLACE = "place"  # the key that is added to a view: epoch's number and identity, revision
+NOWHERE = (0, "", 0)  # of a view that tells none
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,10 +36,14 @@
 
 def from_feed(view: dict[str, Any]) -> PlacedView:
     """What a follower gives back; at no place where it does not tell one."""
-    number, identity, revision = view.get(PLACE, (0, "", 0))
     bare = {key: value for key, value in view.items() if key != PLACE}
-    place = Position(Epoch(number, bytes.fromhex(identity)), revision)
-    return PlacedView(msgspec.json.encode(bare), place)
+    return PlacedView(msgspec.json.encode(bare), place_of(view.get(PLACE, NOWHERE)))
+
+
+def place_of(words: Sequence[Any]) -> Position:
+    """Of a place as the feed carries it. ValueError and TypeError where it is none."""
+    number, identity, revision = words
+    return Position(Epoch(number, bytes.fromhex(identity)), revision)
 
 
 def load_held(replica: Replica, views: dict[str, PlacedView]) -> None:
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -106,15 +106,24 @@
                 self.leaving.append(hosted)
             return
         self.directory.set(known_of(view), keys_of(view))
-        if hosted is not None:
-            try:
-                hosted.change(view)
-                self.limit(hosted)
-            except Exception as err:
-                hosted.node.crashed("a change of settings", err)
-        waiting, self.awaited = self.awaited, []
-        for since, handed in waiting:
-            self.take_over(handed, since)
+        try:
+            if hosted is not None:
+                self.change_hosted(hosted, view)
+        finally:
+            waiting, self.awaited = self.awaited, []
+            for since, handed in waiting:
+                self.take_over(handed, since)
+
+    def change_hosted(self, hosted: Hosted | IsoHosted, view: dict[str, Any]) -> None:
+        """A tenant at work goes on under other settings, or raises what is wrong with them."""
+        try:
+            if ("iso8583" in view["document"]) != isinstance(hosted, IsoHosted):
+                raise ValueError("its protocol is another than that of the connections open here")
+            hosted.change(view)
+            self.limit(hosted)
+        except Exception as err:
+            hosted.node.crashed("a change of settings", err)
+            raise
 
     def give_up(self, uid: str) -> bool:
         """Hold a tenant no more, unless it has a connection or a request. The door has let go
--- a/tests/service/agent_world.py
+++ b/tests/service/agent_world.py
@@ -80,6 +80,15 @@
         self.publish(Resource(uid, self.registry.seq, Kind.CONTENT, b'{"uid":', aliases))
         return self.registry.seq
 
+    def publish_over(self, uid: str, document: dict[str, Any]) -> int:
+        """Publish a tenant with this document, which no check has seen; returns the revision."""
+        self.registry.seq += 1
+        view = self.registry.view(uid)
+        assert view is not None
+        body = view | {"document": document, "version": 1_000 + self.registry.seq}
+        self.publish(encode(uid, self.registry.seq, body))
+        return self.registry.seq
+
     def uid(self, name: str) -> str:
         return self.registry.names[name]
 
--- a/tests/service/test_agent.py
+++ b/tests/service/test_agent.py
@@ -243,6 +243,65 @@
     asyncio.run(main())
 
 
+def test_a_state_that_a_worker_cant_take_over_is_refused_upwards_and_the_last_good_stays(
+    tmp_path: Path,
+) -> None:
+    """It can be read, so the agent's trial passes it; a worker has terminals of the protocol that
+    the tenant has no more."""
+
+    async def main() -> None:
+        async with node(tmp_path, iso=("pos",)) as n:
+            server = IsoTopup("s-0", Ledger(), Random(1), CODEC, FRAMING)
+            await server.start()
+            callers = {"listeners": ["pos"], "key_required": False}
+            good = document(
+                "bank",
+                [("s-0", server.port)],
+                callers=callers,
+                classes=PATIENT,
+                limits=WIDE,
+                iso8583=ISO,
+            )
+            good["servers"][0]["started_ms"] = 1
+            control, uid = n.control, "uid-bank"
+            control.do(control.registry.create(OPERATOR, good, uid))
+            try:
+                await n.until(lambda s: s["tenants"] == 1)
+                terminal = Terminal(n.ports["pos"], "TERM0001")
+                await terminal.connect()
+                assert (await terminal.ask(terminal.message())).fields[39] == APPROVED
+                other = document("bank", [("s-0", server.port)], callers={"hosts": ["a.example"]})
+                revision = control.publish_over(uid, other)
+                await comes(lambda: control.source.rollout(uid, revision).refused == 1)
+                node_name, reason = control.source.rollout(uid, revision).refusing[0]
+                assert node_name == "node-1" and "worker-" in reason and "protocol" in reason
+                status = await n.ask("status")
+                assert status["refused_views"] == {uid: reason}
+                assert status["counts"]["refused by followers"] == 1 and status["tenants"] == 1
+                # Door and workers go by the state before, on this connection and on new ones.
+                assert (await terminal.ask(terminal.message())).fields[39] == APPROVED
+                second = Terminal(n.ports["pos"], "TERM0002")
+                await second.connect()
+                assert (await second.ask(second.message())).fields[39] == APPROVED
+                # Whose this host is can be said at control; here it is not served.
+                assert await n.raw(stranger("a.example")) == FULL
+                # So it is over a restart of the agent, which is told the newest state again.
+                n.parts["agent"].kill()
+                await n.begin("agent")
+                await comes(lambda: control.source.rollout(uid, revision).refused == 1)
+                assert (await terminal.ask(terminal.message())).fields[39] == APPROVED
+                revision = control.publish_over(uid, good | {"title": "good again"})
+                await comes(lambda: control.source.rollout(uid, revision).have == 1)
+                await n.until(lambda s: not s["refused_views"])
+                for one in (terminal, second):
+                    assert (await one.ask(one.message())).fields[39] == APPROVED
+                    await one.close()
+            finally:
+                server.kill()
+
+    asyncio.run(main())
+
+
 def test_a_deleted_tenant_is_gone_from_the_node_and_its_name_may_be_anothers(
     tmp_path: Path,
 ) -> None:
--- a/tests/service/test_follow.py
+++ b/tests/service/test_follow.py
@@ -93,6 +93,42 @@
     asyncio.run(main())
 
 
+def test_a_state_that_is_not_taken_over_is_refused_to_an_agent_and_the_last_good_stays(
+    tmp_path: Path,
+) -> None:
+    class Choosy(Follower):
+        def __init__(self) -> None:
+            self.news: list[Any] = []
+            super().__init__(str(tmp_path / "feed.sock"), "f", self.take)
+
+        def take(self, uid: str, view: dict[str, Any] | None) -> None:
+            self.news.append((uid, view))
+            if view is not None and view["v"] == "bad":
+                raise ValueError("not this one")
+
+    async def main() -> None:
+        agent = Agent()
+        good, bad = {"v": 1, "place": [1, "aa", 7]}, {"v": "bad", "place": [1, "aa", 8]}
+        refusal = {"place": [1, "aa", 8], "reason": "ValueError: not this one"}
+        async with fed(tmp_path / "feed.sock", {"a": good, "new": bad}, agent, 5) as feed:
+            follower = Choosy()
+            task = asyncio.create_task(follower.run())
+            await comes(lambda: follower.seq == 5)
+            assert follower.views == {"a": good}
+            assert follower.news == [("a", good), ("new", bad), ("new", None)]
+            await comes(lambda: agent.events[1:] == [{"refused": "new"} | refusal])
+            follower.news.clear()
+            feed.publish(6, "a", bad)
+            await comes(lambda: feed.applied["f"] == 6)
+            # The refusal is heard before it says how far it has come.
+            assert agent.events[2:] == [{"refused": "a"} | refusal]
+            assert follower.views == {"a": good}
+            assert follower.news == [("a", bad), ("a", good)]
+            task.cancel()
+
+    asyncio.run(main())
+
+
 UIDS = ("used", "fails", "rests")
 
 
