--- a/tests/service/test_agent.py
+++ b/tests/service/test_agent.py
@@ -288,6 +288,7 @@
                 # So it is over a restart of the agent, which is told the newest state again.
                 n.parts["agent"].kill()
                 await n.begin("agent")
+                await n.until(lambda s: uid in s["refused_views"])
                 await comes(lambda: control.source.rollout(uid, revision).refused == 1)
                 assert (await terminal.ask(terminal.message())).fields[39] == APPROVED
                 revision = control.publish_over(uid, good | {"title": "good again"})
