--- a/standins/distributed.py
+++ b/standins/distributed.py
@@ -13,13 +13,14 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Collection, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
 from standins.process import LIMIT_S, ROOT
 from standins.relay import Address, Relay, address_of
 from standins.service import ServiceProcess
+from tansywood.service.fleettool import ask
 
 FLEET = "rig"
 NOWHERE = Address("127.0.0.1", 1)
@@ -125,12 +126,26 @@
 
     def status(self) -> Mapping[str, Any]:
         """What the operators' tool says of it."""
-        words = ["distribution", "status", "--json", str(self.folder / "service.toml")]
-        command = [sys.executable, "-m", "tansywood", *words]
+        return self._tool("status")
+
+    def report(self, tenant: str) -> Mapping[str, Any]:
+        """What its callers of a tenant got, by the same tool."""
+        return self._tool("report", tenant)
+
+    def _tool(self, what: str, *words: str) -> Mapping[str, Any]:
+        file = str(self.folder / "service.toml")
+        command = [sys.executable, "-m", "tansywood", "distribution", what, "--json", file, *words]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, check=True, timeout=LIMIT_S)
         told: Mapping[str, Any] = json.loads(done.stdout)
         return told
 
+    def agent_status(self) -> Mapping[str, Any]:
+        """The same of its agent without a process in between; empty where the agent is away."""
+        try:
+            return ask(f"{self.folder}/run/agent.sock", "status")
+        except (OSError, ValueError):
+            return {}
+
 
 class Distributed:
     """All of it. Each distributor has its own way from the publisher, each node a way of its own
@@ -174,6 +189,30 @@
             if distributor == name:
                 relay.target = machine.address
 
+    # ---- faults ----------------------------------------------------------------------------
+
+    def cut_node_off(self, node: str, distributor: str) -> None:
+        """Nothing crosses between these two any more."""
+        self.ways[node, distributor].cut()
+
+    def cut_region_off(self, distributor: str, nodes: Collection[str]) -> None:
+        """Distributor and nodes reach one another alone: neither the publisher nor the rest."""
+        self.upward[distributor].cut()
+        for (node, other), relay in self.ways.items():
+            if (node in nodes) != (other == distributor):
+                relay.cut()
+
+    def heal(self) -> None:
+        """Every way is whole again."""
+        for relay in (*self.upward.values(), *self.ways.values()):
+            relay.heal()
+
+    def other_distributor(self, than: str) -> str:
+        """Another one, where there are two."""
+        return next(name for name in self.distributors if name != than)
+
+    # ---- the end ---------------------------------------------------------------------------
+
     def stop(self) -> None:
         machines = [*self.nodes.values(), *self.distributors.values(), self.publisher]
         for machine in machines:
