The supervisor, the agent and the fleet process load only what they use

Cause: settings are checked by a library (jsonschema and what it brings) that takes more memory than the supervisor itself; the supervisor kept it, the modules of every verb, flinthatch, msgspec and uvloop for its whole life. The fleet process had the schema's library for the name of a fault, and leases with their store where no voters are named; the agent the store and the sockets of ISO 8583 for two functions that read settings.

Change: serve reads and checks the settings, makes a Layout of plain data, and becomes the supervisor by execve: same process id, nothing of it left. A fault's type stands apart from the checks; leases are loaded where voters are named; reading an ISO 8583 section stands apart from its sockets.

The tests of the modules loaded fail on the code before.

--- a/tansywood/__main__.py
+++ b/tansywood/__main__.py
@@ -37,7 +37,7 @@
 
 
 def run_service(options: argparse.Namespace) -> int:
-    from tansywood.service.supervisor import main as serve_main
+    from tansywood.service.serve import main as serve_main
 
     return serve_main(options.file)
 
--- a/tansywood/fleet/settings.py
+++ b/tansywood/fleet/settings.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from tansywood.tenancy.checks import Fault
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.schema import ADDRESS, NAME
 
 LEASE_MS = 4000
--- a/tansywood/service/fleet.py
+++ b/tansywood/service/fleet.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tansywood.fleet.allocation import open_key, places_key, rate_key
 from tansywood.fleet.demands import Demand
@@ -31,11 +31,13 @@
 from tansywood.service import part
 from tansywood.service.endpoint import Clock, Endpoint
 from tansywood.service.follow import Follower
-from tansywood.service.leases import LeaseLost, Leases
 from tansywood.service.wire import WireError, frame, read_frame
 from tansywood.tenancy.settings import read
 from windrelay.config import parse_address
 
+if TYPE_CHECKING:
+    from tansywood.service.leases import Leases
+
 VERSION = "1"
 TICK_S = 0.1  # at the latest
 TELL_S = 0.1  # workers, though nothing has changed: how long allocations hold is news
@@ -78,6 +80,8 @@
         )
         self.leases: Leases | None = None
         if settings.voters:
+            from tansywood.service.leases import Leases  # leases and their store: only with voters
+
             self.leases = Leases(
                 loop, clock, settings, life, promises, self.carry, self.wake, self.log
             )
@@ -174,6 +178,8 @@
     async def keep_allocating(self, leases: Leases, index: int) -> None:
         """Grant of an allocator's slice whenever we hold its lease. Cut off half way it ends with
         the lease: what is granted by then is over before whoever follows grants anything."""
+        from tansywood.service.leases import LeaseLost
+
         name = allocator_lease(index)
         leases.client.placement.prefers[name] = self.settings.first[index]
         while True:
--- a/tansywood/service/isotenant.py
+++ b/tansywood/service/isotenant.py
@@ -14,36 +14,20 @@
 from typing import Any
 
 from tansywood.iso8583.codec import Codec, Message
-from tansywood.iso8583.dialect import Dialect, built_in, parse
 from tansywood.iso8583.framing import Frame, Framing
 from tansywood.iso8583.front import Caller, IsoServer, TerminalConnection
 from tansywood.iso8583.link import IsoLink, IsoNode
-from tansywood.iso8583.mapping import Mapping, Rule
 from tansywood.iso8583.reversals import Fate
 from tansywood.service import shape
+from tansywood.service.isoshape import dialect_of, mapping_of
 from tansywood.service.records import StoreRecords
 from tansywood.service.report import Report
 from tansywood.service.tenant import AWAY
 from tansywood.tenancy.limits import Bucket
-from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, IsoSettings, TenantSettings, read
+from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
 from windrelay.discovery import Discovery
 
 
-def dialect_of(iso: IsoSettings) -> Dialect:
-    return built_in(iso.dialect) if isinstance(iso.dialect, str) else parse(iso.dialect)
-
-
-def mapping_of(iso: IsoSettings) -> Mapping:
-    return Mapping(
-        tuple(Rule(*rule) for rule in iso.rules),
-        turned_away=iso.turned_away,
-        in_doubt=iso.in_doubt,
-        approved=iso.approved,
-        by_field_7=iso.by_field_7,
-        retry_field=iso.retry_field,
-    )
-
-
 class Timed(TerminalConnection):
     """A terminal whose time in the loop counts against its tenant's share."""
 
--- a/tansywood/service/part.py
+++ b/tansywood/service/part.py
@@ -16,8 +16,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-import uvloop
-
 if TYPE_CHECKING:
     from tansywood.service.follow import Follower
 
@@ -95,6 +93,8 @@
 
 def run(name: str, main: Callable[[asyncio.AbstractEventLoop], Coroutine[Any, Any, int]]) -> None:
     """Run a part to its end, and end the process with its code."""
+    import uvloop  # not for the supervisor, which has the names above from here
+
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     code = 1
--- a/tansywood/service/readable.py
+++ b/tansywood/service/readable.py
@@ -10,7 +10,7 @@
 from tansywood.distribution.resources import ViewError, decode
 from tansywood.iso8583.codec import Codec
 from tansywood.service import shape
-from tansywood.service.isotenant import dialect_of, mapping_of
+from tansywood.service.isoshape import dialect_of, mapping_of
 from tansywood.tenancy.identity import Key
 from tansywood.tenancy.settings import ACTIVE, DRAINING, SUSPENDED, read
 
--- a/tansywood/service/supervisor.py
+++ b/tansywood/service/supervisor.py
@@ -2,28 +2,26 @@
 
 It serves nothing itself and so has little to die of. If it does, its parts see the end of the
 pipe that it held (see `part`), answer what they hold, and end: nobody is left over, and the
-next start finds the addresses and the store free.
+next start finds the addresses and the store free. It is small: `serve` has read the settings, and
+left here no more than a `Layout`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import os
+import pickle
 import signal
 import socket
 import subprocess
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from pathlib import Path
 
-from tansywood.distribution.settings import DistributionSettings, Role
-from tansywood.fleet.settings import FleetSettings
+from tansywood.service.layout import Layout, PartLayout, Place
 from tansywood.service.part import LIFELINE, READY
-from tansywood.service.settings import ServiceSettings, SettingsError, load
-from windrelay.config import Address
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BACKLOG = 1024
 STEADY_S = 10.0  # a part that lived so long is started again at once
 BACKOFF_S = 0.1
@@ -34,11 +32,12 @@
 FLEET_S = 2.0
 
 
-def bind(address: Address) -> socket.socket:
+def bind(place: Place) -> socket.socket:
+    """A socket that listens there; OSError where it can't."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
+        sock.bind(place)
         sock.listen(BACKLOG)
     except OSError:
         sock.close()
@@ -63,8 +62,8 @@
 class Supervisor:
     """One service."""
 
-    def __init__(self, settings: ServiceSettings, loop: asyncio.AbstractEventLoop) -> None:
-        self.settings = settings
+    def __init__(self, layout: Layout, loop: asyncio.AbstractEventLoop) -> None:
+        self.layout = layout
         self.loop = loop
         self.parts: dict[str, Part] = {}
         self.stopping = False
@@ -80,17 +79,15 @@
     # ---- starting ----
 
     async def run(self) -> int:
-        s = self.settings
-        s.run.mkdir(parents=True, exist_ok=True)
-        s.run.chmod(0o700)
-        if s.role in (None, Role.PUBLISHER):
-            self.add_administration()
-        if s.role is Role.DISTRIBUTOR:
-            self.add_distributor()
-        if s.role is Role.NODE:
-            self.add_agent()
-        if s.role in (None, Role.NODE):
-            self.add_traffic_side()
+        layout = self.layout
+        os.makedirs(layout.run, exist_ok=True)
+        os.chmod(layout.run, 0o700)
+        if layout.admin is not None:
+            self.admin = bind(layout.admin)
+        for name, place in layout.listeners.items():
+            self.sockets[name] = bind(place)
+        for told in layout.parts:
+            self.add(told)
         self.loop.add_signal_handler(signal.SIGCHLD, self.children)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
@@ -103,75 +100,18 @@
             self.admin.close()
         return code
 
-    # ---- which parts there are, by the machine's role ----
-
-    def add_administration(self) -> None:
-        """The API, its store and its feed; a publisher's speaks with distributors as well."""
-        s = self.settings
-        assert s.admin is not None
-        self.admin = bind(s.admin)
-        words = [str(s.run), str(s.store), str(self.admin.fileno()), str(s.admin_rate_per_s)]
-        words += [f"--listener={name}" for name in s.listeners]
-        words += self._iso()
-        if s.distribution is not None:
-            words += [f"--publish={s.distribution.listen}", *_identity(s.distribution)]
-        self.add("admin", ["tansywood.admin", *words], [self.admin.fileno()])
-
-    def add_distributor(self) -> None:
-        d = self.settings.distribution
-        assert d is not None
-        words = [str(self.settings.run), d.listen, *_identity(d)]
-        words += [f"--publisher={address}" for address in d.publisher]
-        self.add("distributor", ["tansywood.service.distributor", *words])
-
-    def add_agent(self) -> None:
-        """What follows a distributor in the place of an administration."""
-        s = self.settings
-        d = s.distribution
-        assert d is not None
-        words = [str(s.run), d.instance, d.fleet, str(d.key_file)]
-        words += [f"--control={address}" for address in d.control]
-        words += [f"--listener={name}" for name in s.listeners]
-        words += [f"--tenants={d.tenants}", f"--idle-s={d.idle_s}"]
-        self.add("agent", ["tansywood.service.agent", *words])
-
-    def add_traffic_side(self) -> None:
-        """Door and workers, and the fleet's process where there is a fleet."""
-        s = self.settings
-        for name, address in s.listeners.items():
-            self.sockets[name] = bind(address)
-        workers = [f"worker-{i}" for i in range(s.workers)]
-        run = str(s.run)
-        fleet = []
-        if s.fleet is not None:
-            self.add_fleet(s.fleet)
-            fleet = [f"--fleet={len(s.fleet.first)}:{s.fleet.index}"]
-        for name in workers:
-            words = [run, name, str(s.records), *self._iso(), *fleet]
-            self.add(name, ["tansywood.service.worker", *words])
-        self.add(
-            "door",
-            ["tansywood.service.door", run]
-            + [f"--listener={name}={sock.fileno()}" for name, sock in self.sockets.items()]
-            + [f"--worker={name}" for name in workers]
-            + self._iso(),
-            [sock.fileno() for sock in self.sockets.values()],
-        )
-
-    def add_fleet(self, f: FleetSettings) -> None:
-        words = [f.name, f.instance, f.address, str(f.key_file), f.zone]
-        firsts = [f"--first={address}" for address in f.first]
-        firsts += [f"--voter={name}" for name in f.voters]
-        leases = [f"--lease-ms={f.lease_ms}", f"--promises={self.settings.promises}"]
-        leases += ["--hand-on"] if f.hand_on else []
-        run = str(self.settings.run)
-        self.add("fleet", ["tansywood.service.fleet", run, *words, *firsts, *leases])
-
-    def _iso(self) -> list[str]:
-        return [f"--iso-listener={name}" for name in sorted(self.settings.iso_listeners)]
-
-    def add(self, name: str, arguments: Sequence[str], descriptors: Sequence[int] = ()) -> None:
-        self.parts[name] = Part(name, arguments, descriptors)
+    def add(self, part: PartLayout) -> None:
+        """A part, told the sockets that are its to use."""
+        arguments, descriptors = [part.module], []
+        for word in part.words:
+            if isinstance(word, str):
+                arguments.append(word)
+                continue
+            sock = self.admin if word.listener is None else self.sockets[word.listener]
+            assert sock is not None
+            arguments.append(f"{word.before}{sock.fileno()}")
+            descriptors.append(sock.fileno())
+        self.parts[part.name] = Part(part.name, arguments, descriptors)
 
     def start(self, part: Part) -> None:
         part.again = None
@@ -203,15 +143,12 @@
 
     def announcements(self) -> list[str]:
         """What this machine does now, and where, for its log."""
-        d = self.settings.distribution
         words = []
         if self.sockets:
             places = [f"{name} at {address_of(sock)}" for name, sock in self.sockets.items()]
             words.append(f"serving {', '.join(places)}")
-        if d is not None and d.role is Role.NODE:
-            words.append(f"configuration from {len(d.control)} control addresses")
-        elif d is not None:
-            words.append(f"{d.role.value} at {d.listen}")
+        if self.layout.role:
+            words.append(self.layout.role)
         if self.admin is not None:
             words.append(f"administration at {address_of(self.admin)}")
         return words
@@ -275,32 +212,27 @@
         return all(process.returncode == 0 for process in running)
 
 
-def _identity(distribution: DistributionSettings) -> list[str]:
-    """How a control machine's process is told who it is in the fleet."""
-    return [
-        f"--fleet={distribution.fleet}",
-        f"--instance={distribution.instance}",
-        f"--key-file={distribution.key_file}",
-    ]
-
-
 def address_of(sock: socket.socket) -> str:
     host, port = sock.getsockname()
     return f"{host}:{port}"
 
 
-def main(path: str) -> int:
-    """Serve to the end; 2 where the file can't be used or an address is taken."""
-    try:
-        settings = load(path)
-    except SettingsError as err:
-        for fault in err.faults:
-            print(f"{path}: {fault}", file=sys.stderr)
-        return 2
+def main() -> int:
+    """Serve to the end what the layout says; 2 where an address is taken.
+
+    The words are the settings' path, for whoever lists processes, and the number of the descriptor
+    that the layout is read from (see `serve`).
+    """
+    with os.fdopen(int(sys.argv[2]), "rb") as file:
+        layout = pickle.load(file)
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(Supervisor(settings, loop).run())
+        return loop.run_until_complete(Supervisor(layout, loop).run())
     except OSError as err:
         print(f"tansywood serve: {err}", file=sys.stderr)
         return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tansywood/tenancy/checks.py
+++ b/tansywood/tenancy/checks.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
 from typing import Any, TypeGuard
 
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
 from tansywood.iso8583.dialect import BUILT_IN, DialectError, FieldSpec, built_in, parse
+from tansywood.tenancy.fault import Fault as Fault  # as it has always been named here
 from tansywood.tenancy.schema import DEFAULT_LIMITS, MAX_ZONES, TENANT
 
 MAX_FAULTS = 100  # told of one document; a list of thousands helps nobody
@@ -22,18 +22,6 @@
 PART_MS = 2  # least room between an aim and its deadline, for the answer's way back
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """`path` is a JSON Pointer (RFC 6901), `what` the fault, `allowed` the remedy."""
-
-    path: str
-    what: str
-    allowed: str = ""
-
-    def __str__(self) -> str:
-        return f"{self.path or '/'}: {self.what}" + (f"; {self.allowed}" if self.allowed else "")
-
-
 def pointer(*parts: object) -> str:
     """A JSON Pointer; the parts are escaped."""
     return "".join("/" + str(p).replace("~", "~0").replace("/", "~1") for p in parts)
--- a/tests/tenancy/test_iso8583.py
+++ b/tests/tenancy/test_iso8583.py
@@ -13,7 +13,7 @@
 from tansywood.iso8583.codec import Codec
 from tansywood.iso8583.dialect import BUILT_IN, built_in
 from tansywood.iso8583.framing import Framing
-from tansywood.service.isotenant import dialect_of, mapping_of
+from tansywood.service.isoshape import dialect_of, mapping_of
 from tansywood.tenancy.checks import faults
 from tansywood.tenancy.settings import read
 
