Agent and fleet process load the message library without typing_extensions

Cause: msgspec takes three names from typing_extensions where that is installed; typing has the same ones, and the copy stays in memory.

Change: the supervisor starts both through tansywood.service.lean, which hides it while msgspec is loaded.

--- a/tansywood/service/planned.py
+++ b/tansywood/service/planned.py
@@ -7,6 +7,8 @@
 from tansywood.service.layout import Layout, PartLayout, SocketWord
 from tansywood.service.settings import ServiceSettings
 
+_LEAN = "tansywood.service.lean"  # starts what the next word names, in less memory
+
 
 def lay_out(settings: ServiceSettings) -> Layout:
     """The parts that a machine of this role has, in the order in which they are started."""
@@ -55,11 +57,11 @@
     """What follows a distributor in the place of an administration."""
     d = settings.distribution
     assert d is not None
-    words = [str(settings.run), d.instance, d.fleet, str(d.key_file)]
+    words = ["tansywood.service.agent", str(settings.run), d.instance, d.fleet, str(d.key_file)]
     words += [f"--control={address}" for address in d.control]
     words += [f"--listener={name}" for name in settings.listeners]
     words += [f"--tenants={d.tenants}", f"--idle-s={d.idle_s}"]
-    return PartLayout("agent", "tansywood.service.agent", tuple(words))
+    return PartLayout("agent", _LEAN, tuple(words))
 
 
 def _traffic_side(settings: ServiceSettings) -> list[PartLayout]:
@@ -82,13 +84,13 @@
 
 
 def _fleet(settings: ServiceSettings, fleet: FleetSettings) -> PartLayout:
-    words = [str(settings.run), fleet.name, fleet.instance, fleet.address]
-    words += [str(fleet.key_file), fleet.zone]
+    words = ["tansywood.service.fleet", str(settings.run), fleet.name, fleet.instance]
+    words += [fleet.address, str(fleet.key_file), fleet.zone]
     words += [f"--first={address}" for address in fleet.first]
     words += [f"--voter={name}" for name in fleet.voters]
     words += [f"--lease-ms={fleet.lease_ms}", f"--promises={settings.promises}"]
     words += ["--hand-on"] if fleet.hand_on else []
-    return PartLayout("fleet", "tansywood.service.fleet", tuple(words))
+    return PartLayout("fleet", _LEAN, tuple(words))
 
 
 def _iso(settings: ServiceSettings) -> list[str]:
--- a/tests/service/test_control_size.py
+++ b/tests/service/test_control_size.py
@@ -56,6 +56,31 @@
     assert [name for name in NOT_IN_CONTROL if name in names] == []
 
 
+LEAN = """
+import sys
+from tansywood.service.lean import load_messages
+load_messages()
+from tansywood.fleet.messages import Carried, Envelope, pack, unpack
+assert "typing_extensions" not in sys.modules
+envelope = Envelope("a", "127.0.0.1:1", b"", Carried(b"words"))
+assert unpack(pack(envelope)) == envelope
+import typing_extensions, jsonschema
+load_messages()
+assert "typing_extensions" in sys.modules
+"""
+
+
+def test_messages_are_read_and_written_without_what_takes_their_library_s_memory() -> None:
+    done = subprocess.run([sys.executable, "-c", LEAN], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+
+
+def test_a_part_that_is_started_lean_is_told_its_own_words() -> None:
+    words = [sys.executable, "-m", "tansywood.service.lean", "tansywood.service.fleet", "--help"]
+    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.returncode == 0 and done.stdout.startswith("usage: tansywood.service.fleet")
+
+
 def test_the_supervisor_is_the_started_process_without_what_read_its_settings(
     tmp_path: Path,
 ) -> None:
--- a/tests/service/test_planned.py
+++ b/tests/service/test_planned.py
@@ -69,13 +69,15 @@
     assert made.admin is None and made.listeners
     assert made.role == "configuration from 2 control addresses"
     agent, fleet, worker = made.parts[:3]
+    assert agent.module == fleet.module == "tansywood.service.lean"
     assert agent.words == (
-        "/run/tw", "n1", "topup", "/tmp/fleet.key", "--control=10.0.1.1:7001",
-        "--control=10.0.1.2:7001", "--listener=public", "--listener=cards", "--tenants=300",
-        "--idle-s=600",
+        "tansywood.service.agent", "/run/tw", "n1", "topup", "/tmp/fleet.key",
+        "--control=10.0.1.1:7001", "--control=10.0.1.2:7001", "--listener=public",
+        "--listener=cards", "--tenants=300", "--idle-s=600",
     )  # fmt: skip
     assert fleet.words == (
-        "/run/tw", "topup", "n1", "10.0.0.1:7000", "/tmp/fleet.key", "west",
+        "tansywood.service.fleet", "/run/tw", "topup", "n1", "10.0.0.1:7000", "/tmp/fleet.key",
+        "west",
         "--first=10.0.0.9:7000", "--first=10.0.0.1:7000", "--lease-ms=4000",
         "--promises=/var/tw/state-lease",
     )  # fmt: skip
