--- /dev/null
+++ b/tests/distribution/simulation.py
@@ -0,0 +1,335 @@
+"""Subscribers and sources in simulated time: an event queue in the place of sockets and clocks.
+
+The shipped cores run as they are, by the shipped terms. Time passes from event to event, so a test
+of thousands of seconds decides nothing by the wall clock. What a source's process or network does
+is set by the test: see `Condition`. `Records` keeps what was dialled, said and refused, and when.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from random import Random
+
+from tansywood.distribution.messages import Busy, Epoch, Hello, Kind, Message, Resource, Welcome
+from tansywood.distribution.replica import Replica
+from tansywood.distribution.source import Source
+from tansywood.distribution.subscriber import Action, Apply, Dial, HangUp, Link, Send, Subscriber
+from tansywood.distribution.terms import MS, SECOND, Terms
+
+LATENCY = 2 * MS  # of a message, one way
+SOURCE_TICK = 100 * MS
+EPOCH = Epoch(1, b"a")
+TENANT = "t1"
+BEFORE, CHANGED = b"before", b"changed"
+
+
+class Condition(Enum):
+    """What a source is to whoever is connected to it, or dials it."""
+
+    RUNS = "runs"
+    SILENT = "silent"  # stopped, or cut off: nothing is answered, nothing is closed
+    DEAD = "dead"  # its connections are closed, dials are refused
+    DEAF = "deaf"  # cut off from the publisher alone: it serves what it has
+
+
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """What a source said to a hello, or that one came."""
+
+    at: int  # time
+    name: str
+    address: str
+    retry_after: int = 0  # where it was turned away
+
+
+@dataclass(slots=True)
+class Records:
+    """What has happened, in the order of time."""
+
+    dials: list[Greeting] = field(default_factory=list)
+    hellos: list[Greeting] = field(default_factory=list)
+    welcomes: list[Greeting] = field(default_factory=list)
+    refusals: list[Greeting] = field(default_factory=list)
+    applied: dict[str, int] = field(default_factory=dict)  # when CHANGED came into force, by name
+
+
+class SimulatedSource:
+    """A distributor that holds one tenant and hears the publisher while it is told so."""
+
+    def __init__(self, simulation: Simulation, address: str, source_type: type[Source]) -> None:
+        self.simulation = simulation
+        self.address = address
+        self.condition = Condition.RUNS
+        replica = Replica(simulation.terms.window, EPOCH)
+        replica.commit(Resource(TENANT, 1, Kind.CONTENT, BEFORE))
+        self.core = source_type(replica, simulation.terms, simulation.now, is_publisher=False)
+        self.core.serving = True
+        self.connections: dict[int, Connection] = {}
+        simulation.after(0, self.tick)
+
+    @property
+    def answers(self) -> bool:
+        return self.condition in (Condition.RUNS, Condition.DEAF)
+
+    def become(self, condition: Condition) -> None:
+        self.condition = condition
+        if condition is Condition.DEAD:
+            for connection in list(self.connections.values()):
+                connection.end()
+
+    def commit(self, body: bytes) -> None:
+        """A change arrives from the publisher."""
+        revision = self.core.replica.revision + 1
+        self.core.replica.commit(Resource(TENANT, revision, Kind.CONTENT, body))
+        self.core.changed(TENANT, revision, self.simulation.now)
+        self.pump()
+
+    def tick(self) -> None:
+        now = self.simulation.now
+        if self.condition is Condition.RUNS:
+            self.core.publisher_heard(now)
+        if self.answers:
+            for number in self.core.tick(now):
+                self.connections[number].end()
+            self.pump()
+        self.simulation.after(SOURCE_TICK, self.tick)
+
+    def accept(self, subscriber: SimulatedSubscriber, attempt: int) -> Connection:
+        connection = Connection(self, subscriber, attempt, self.core.opened(self.simulation.now))
+        self.connections[connection.number] = connection
+        return connection
+
+    def received(self, connection: Connection, message: Message) -> None:
+        simulation, name = self.simulation, connection.subscriber.core.name
+        if isinstance(message, Hello):
+            simulation.records.hellos.append(Greeting(simulation.now, name, self.address))
+        self.core.received(connection.number, simulation.now, message)
+        self.pump()
+
+    def pump(self) -> None:
+        for number in sorted(self.core.ready):
+            connection = self.connections[number]
+            while (message := self.core.next_message(number, self.simulation.now)) is not None:
+                connection.send_down(message)
+            if self.core.sessions[number].ends:
+                self.simulation.after(2 * LATENCY, connection.end)
+
+
+class Connection:
+    """One that was accepted; an end that is silent takes and says nothing."""
+
+    def __init__(
+        self, source: SimulatedSource, subscriber: SimulatedSubscriber, attempt: int, number: int
+    ) -> None:
+        self.source = source
+        self.subscriber = subscriber
+        self.attempt = attempt
+        self.number = number
+        self.open = True
+
+    def send_down(self, message: Message) -> None:
+        self.source.simulation.after(LATENCY, lambda: self._arrive_down(message))
+
+    def send_up(self, message: Message) -> None:
+        self.source.simulation.after(LATENCY, lambda: self._arrive_up(message))
+
+    def end(self) -> None:
+        """Closed at the source's end; the subscriber hears of it."""
+        if self._close_source():
+            self.source.simulation.after(LATENCY, lambda: self.subscriber.lost(self.attempt))
+
+    def hang_up(self) -> None:
+        """Closed at the subscriber's end; a source that answers hears of it."""
+        if self.source.answers and not self.subscriber.silent:
+            self.source.simulation.after(LATENCY, self._close_source)
+
+    def _close_source(self) -> bool:
+        was_open, self.open = self.open, False
+        if was_open:
+            del self.source.connections[self.number]
+            self.source.core.closed(self.number, self.source.simulation.now)
+        return was_open
+
+    def _arrive_down(self, message: Message) -> None:
+        if self.source.answers and not self.subscriber.silent:
+            self.subscriber.received(self, message)
+
+    def _arrive_up(self, message: Message) -> None:
+        if self.open and self.source.answers and not self.subscriber.silent:
+            self.source.received(self, message)
+
+
+class SimulatedSubscriber:
+    """An instance that holds the tenant and puts into force at once what it is told."""
+
+    def __init__(self, simulation: Simulation, core: Subscriber) -> None:
+        self.simulation = simulation
+        self.core = core
+        self.silent = False  # its machine is gone: nothing more is said, nothing is closed
+        self.connections: dict[int, Connection] = {}
+        self._timer = -1
+
+    @property
+    def body(self) -> bytes:
+        """Of the tenant, as it is in force."""
+        return self.core.replica.entries[TENANT].body
+
+    def start(self) -> None:
+        self.tick()
+
+    def tick(self) -> None:
+        if not self.silent:
+            self.core.tick(self.simulation.now)
+            self.flush()
+
+    def lost(self, attempt: int) -> None:
+        if self.connections.pop(attempt, None) is not None and not self.silent:
+            self.core.disconnected(attempt, self.simulation.now)
+            self.flush()
+
+    def received(self, connection: Connection, message: Message) -> None:
+        simulation, address = self.simulation, connection.source.address
+        if isinstance(message, Welcome):
+            greeting = Greeting(simulation.now, self.core.name, address)
+            simulation.records.welcomes.append(greeting)
+        elif isinstance(message, Busy):
+            wait = message.retry_after_ms * MS
+            greeting = Greeting(simulation.now, self.core.name, address, wait)
+            simulation.records.refusals.append(greeting)
+        self.core.received(connection.attempt, simulation.now, message)
+        self.flush()
+
+    def flush(self) -> None:
+        while self.core.actions:
+            actions, self.core.actions = self.core.actions, []
+            for action in actions:
+                self._do(action)
+        due = max(self.core.next_due(), self.simulation.now + MS)
+        if self._timer <= self.simulation.now or due < self._timer:
+            self._timer = due
+            self.simulation.after(due - self.simulation.now, lambda: self._ring(due))
+
+    def _ring(self, due: int) -> None:
+        if self._timer == due:
+            self._timer = -1
+            self.tick()
+
+    def _do(self, action: Action) -> None:
+        simulation = self.simulation
+        if isinstance(action, Dial):
+            greeting = Greeting(simulation.now, self.core.name, action.address)
+            simulation.records.dials.append(greeting)
+            simulation.after(2 * LATENCY, lambda: self._dialled(action))
+        elif isinstance(action, HangUp):
+            connection = self.connections.pop(action.attempt, None)
+            if connection is not None:
+                connection.hang_up()
+        elif isinstance(action, Send):
+            connection = self.connections.get(self.core.attempt)
+            if connection is not None:
+                connection.send_up(action.message)
+        elif isinstance(action, Apply):
+            if self.body == CHANGED:
+                simulation.records.applied[self.core.name] = simulation.now
+            self.core.applied(action.batch, simulation.now)
+
+    def _dialled(self, action: Dial) -> None:
+        source = self.simulation.sources[action.address]
+        if source.condition is Condition.DEAD:
+            self.core.disconnected(action.attempt, self.simulation.now, "refused")
+            self.flush()
+        elif source.answers:
+            connection = source.accept(self, action.attempt)
+            self.connections[action.attempt] = connection
+            self.core.connected(action.attempt, self.simulation.now)
+            self.flush()
+
+
+class Simulation:
+    """Some sources, any number of subscribers, one clock."""
+
+    def __init__(
+        self,
+        sources: int,
+        terms: Terms | None = None,
+        source_type: type[Source] = Source,
+        seed: int = 1,
+    ) -> None:
+        self.now = SECOND
+        self.terms = terms or Terms()
+        self.random = Random(seed)
+        self.records = Records()
+        self._events: list[tuple[int, int, Callable[[], object]]] = []
+        self._numbers = count()
+        self.sources: dict[str, SimulatedSource] = {}
+        for number in range(sources):
+            address = f"10.0.0.{number}:1"
+            self.sources[address] = SimulatedSource(self, address, source_type)
+        self.subscribers: list[SimulatedSubscriber] = []
+
+    def add_subscribers(
+        self,
+        number: int,
+        addresses: Sequence[str] = (),
+        subscriber_type: type[Subscriber] = Subscriber,
+    ) -> list[SimulatedSubscriber]:
+        """Instances that know all sources, or those at `addresses`; they don't dial yet."""
+        added = []
+        for _ in range(number):
+            name = f"node-{len(self.subscribers)}"
+            replica = Replica(self.terms.window, EPOCH, 1)
+            replica.load([Resource(TENANT, 1, Kind.CONTENT, BEFORE)])
+            core = subscriber_type(
+                name,
+                addresses or list(self.sources),
+                replica,
+                self.terms,
+                Random(self.random.random()),
+                self.now,
+            )
+            added.append(SimulatedSubscriber(self, core))
+            self.subscribers.append(added[-1])
+        return added
+
+    def start(self, over: int = 0) -> None:
+        """All subscribers that were added start, within the time `over`."""
+        for subscriber in self.subscribers:
+            self.after(self.random.randrange(over + 1), subscriber.start)
+
+    def connect_all(self, over: int) -> None:
+        """Start, and run until all are connected and every queue is empty."""
+        self.start(over)
+        self.run(over + 2 * SECOND)
+        assert all(subscriber.core.link is Link.UP for subscriber in self.subscribers)
+
+    def commit(self, body: bytes = CHANGED) -> None:
+        """A change, at every source that the publisher reaches."""
+        for source in self.sources.values():
+            if source.condition is Condition.RUNS:
+                source.commit(body)
+
+    def after(self, wait: int, call: Callable[[], object]) -> None:
+        heapq.heappush(self._events, (self.now + wait, next(self._numbers), call))
+
+    def run(self, time: int) -> None:
+        """Let time pass."""
+        until = self.now + time
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = until
+
+
+def most_in_a_window(times: Sequence[int], window: int) -> int:
+    """How many of these lie within the busiest stretch of that length."""
+    ordered = sorted(times)
+    most = begin = 0
+    for end, at in enumerate(ordered):
+        while ordered[begin] <= at - window:
+            begin += 1
+        most = max(most, end - begin + 1)
+    return most
