--- /dev/null
+++ b/tests/distribution/model/distributor.py
@@ -0,0 +1,89 @@
+"""A distributor: subscriber of everything and source for instances, over one replica."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from tansywood.distribution.messages import Message, Moved, Welcome
+from tansywood.distribution.subscriber import (
+    Action,
+    Apply,
+    Continued,
+    HistoryChanged,
+    Link,
+    Send,
+)
+from tests.distribution.model.network import Follower, Server, Wire
+from tests.distribution.model.parts import PUBLISHER
+
+if TYPE_CHECKING:
+    from tests.distribution.model.world import World
+
+
+class Distributor(Server, Follower):
+    """A subscriber of everything and a source over one replica."""
+
+    def __init__(self, world: World, name: str) -> None:
+        Server.__init__(self, world, name)
+        Follower.__init__(self, world, name)
+        self.isolated_until = 0
+        self.begin()
+
+    def begin(self) -> None:
+        """Start with nothing."""
+        parts, now = self.world.parts, self.world.now
+        self.replica = parts.replica(self.world.terms.window)
+        self.source = parts.source(self.replica, self.world.terms, now, is_publisher=False)
+        random = Random(self.world.random.random())
+        self.subscriber = parts.subscriber(
+            self.name, [PUBLISHER], self.replica, self.world.terms, random, now, everything=True
+        )
+        self.wires = {}
+        self.dials = []
+
+    def handle(self, action: Action) -> None:
+        now = self.world.now
+        if isinstance(action, Apply):
+            for uid in action.uids:
+                self.note_coalescing(uid)
+                self.source.changed(uid, self.replica.resource(uid).revision, now)
+            self.subscriber.applied(action.batch, now)
+        elif isinstance(action, Continued):
+            self.world.counts["epochs continued"] += 1
+            self.source.epoch_continued(now)
+        elif isinstance(action, HistoryChanged):
+            self.world.counts["histories changed"] += 1
+            self.source.stop_serving()
+
+    def received(self, wire: Wire, message: Message) -> None:
+        """Both ends come here: one from below, one from above."""
+        if wire.server is self:
+            Server.received(self, wire, message)
+        else:
+            Follower.received(self, wire, message)
+
+    def overheard(self, *what: object) -> None:
+        message = what[-1]
+        if len(what) == 1:
+            self._heard_above(message)
+
+    def _heard_above(self, message: object) -> None:
+        self.source.publisher_heard(self.world.now)
+        self.flush()
+        if self.replica.revision and not self.source.serving:
+            self.replica.set_floor(self.replica.revision)
+            self.source.serving = True
+        if isinstance(message, Moved):
+            self.source.moved(message.names)
+        elif isinstance(message, Welcome):
+            self.source.report_again()
+
+    def tick(self) -> None:
+        Server.tick(self)
+        Follower.tick(self)
+        if self.subscriber.link is Link.UP:
+            report = self.source.report(self.world.now)
+            if report is not None:
+                self.subscriber.actions.append(Send(report))
+                self.flush()
--- /dev/null
+++ b/tests/distribution/model/publisher.py
@@ -0,0 +1,119 @@
+"""The publisher: the source of everything, on a disk that may be lost or restored."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tansywood.distribution.messages import (
+    Epoch,
+    Hello,
+    Kind,
+    Message,
+    Position,
+    Resource,
+    Rollouts,
+)
+from tansywood.distribution.rollout import RolloutBoard
+from tansywood.distribution.source import Session
+from tests.distribution.model.network import Server
+from tests.distribution.model.parts import PUBLISHER, TENANTS
+
+if TYPE_CHECKING:
+    from tests.distribution.model.world import World
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What the publisher has of one tenant."""
+
+    revision: int
+    body: bytes
+    aliases: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Disk:
+    """What the publisher has kept; a copy of it may be restored."""
+
+    epoch: Epoch
+    revision: int = 0
+    parent: Position = field(default_factory=Position)
+    contents: dict[str, Content] = field(default_factory=dict)
+    changes: list[tuple[int, str]] = field(default_factory=list)
+
+    def copy(self) -> Disk:
+        return Disk(self.epoch, self.revision, self.parent, dict(self.contents), list(self.changes))
+
+
+class Publisher(Server):
+    """The source of everything; its disk is a plain table."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world, PUBLISHER)
+        self.disk = Disk(Epoch(1, b"1"))
+        self.board = RolloutBoard()
+        self.copies: list[Disk] = []
+        self.begin()
+
+    def begin(self) -> None:
+        """Start on what the disk holds."""
+        disk, random = self.disk, self.world.random
+        self.replica = self.world.parts.replica(self.world.terms.window, disk.epoch, disk.revision)
+        self.replica.load(self._resource(uid, c) for uid, c in disk.contents.items())
+        forgotten = max(len(disk.changes) - random.randrange(self.world.terms.window + 1), 0)
+        self.replica.set_floor(forgotten)  # revisions count the changes
+        for revision, uid in disk.changes[forgotten:]:
+            self.replica.record(revision, uid)
+        self.replica.begin_epoch(disk.epoch, disk.parent)
+        self.source = self.world.parts.source(
+            self.replica, self.world.terms, self.world.now, is_publisher=True
+        )
+        self.board = RolloutBoard()
+        self.wires = {}
+
+    def _resource(self, uid: str, content: Content) -> Resource:
+        aliases = list(content.aliases)
+        return Resource(uid, content.revision, Kind.CONTENT, content.body, aliases)
+
+    def commit(self, uid: str, body: bytes | None, aliases: Iterable[str]) -> None:
+        """Change, create or remove (`body` None) a tenant."""
+        disk = self.disk
+        disk.revision += 1
+        disk.changes.append((disk.revision, uid))
+        if body is None:
+            del disk.contents[uid]
+            resource = Resource(uid, disk.revision, Kind.REMOVED)
+        else:
+            disk.contents[uid] = Content(disk.revision, body, tuple(aliases))
+            resource = self._resource(uid, disk.contents[uid])
+        self.world.oracle.became(uid, body)
+        self.note_coalescing(uid)
+        self.replica.commit(resource)
+        self.source.changed(uid, disk.revision, self.world.now)
+
+    def restart(self, disk: Disk, parent: Position) -> None:
+        """Go on with this disk in a new epoch, which begins behind `parent`."""
+        for wire in list(self.wires.values()):
+            self.world.cut(wire)
+        self.world.epochs += 1
+        self.disk = disk
+        disk.epoch = Epoch(self.world.epochs, str(self.world.epochs).encode())
+        disk.parent = parent
+        for uid in TENANTS:
+            content = disk.contents.get(uid)
+            self.world.oracle.became(uid, content.body if content is not None else None)
+        self.begin()
+
+    def overheard(self, session: Session, message: Message) -> None:
+        if isinstance(message, Rollouts):
+            self.board.report(session.name, message.rows, message.revision)
+            for distributor, names in self.board.joined(session.name, message.joined).items():
+                self.source.tell_moved(distributor, names)
+        elif isinstance(message, Hello) and session.welcomed:
+            self.board.connected(session.name)
+
+    def gone(self, session: Session) -> None:
+        if session.name:
+            self.board.disconnected(session.name)
--- a/tests/distribution/test_histories.py
+++ b/tests/distribution/test_histories.py
@@ -9,7 +9,8 @@
 from tansywood.distribution.messages import Position
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.source import Source
-from tests.distribution.model import Parts, PropertyError, World
+from tests.distribution.model.parts import Parts, PropertyError
+from tests.distribution.model.world import World
 
 SEEDS = range(240)
 ONCE_BROKEN = (1865, 5342, 5763, 6086, 7822, 10477)  # before what they found was mended
