The scale rig calls the administration, and its links take time

Need: the rig made document changes and two deletions a run, fed into a publisher of its own without a store or an API, over links without delay. So a change's time left out the call, the sync and the way, and creations, keys and names that are used again were never checked.

Change: the publisher's process runs the shipped administration (tansywood.admin.__main__.serve) over a store that is filled before; each change is a call of its API, and its time counts from the call's beginning. A node goes on asking for what is nobody's, as its callers do, at the pace of Terms.unknown. What nodes hold is compared with what the store holds once the publisher has ended; each entry of its trail has to be a call that was answered, and the reverse.

driver.py and hollow.py are divided (rig, processes, faults, costs, life, history).

tests/test_rooms.py: the rig may import tansywood.admin.__main__ and tansywood.store, which it runs and reads now; nothing else is let in.

--- a/standins/scale/hollow.py
+++ b/standins/scale/hollow.py
@@ -2,9 +2,8 @@
 
     python -m standins.scale.hollow FOLDER PROCESS DISTRIBUTORS.json --nodes N ...
 
-Each node is the product's Subscriber and SubscriberClient. It asks for its tenants by their hosts,
-as a node does when their first requests come, and puts into force at once. What it put into force
-and when is written to FOLDER/applied-PROCESS, in the end what it holds to FOLDER/held-PROCESS.
+What each node put into force and when is written to FOLDER/applied-PROCESS, in the end what it
+holds to FOLDER/held-PROCESS. What a node does is in `life`.
 """
 
 from __future__ import annotations
@@ -19,46 +18,21 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
-from typing import BinaryIO
 
 import uvloop
 
 from standins.memory import private_bytes
 from standins.scale.control import Command, serve
+from standins.scale.life import Life, World
 from standins.scale.links import Link, NodeLinks
-from standins.scale.plan import (
-    NodePlan,
-    Plan,
-    distributor_name,
-    draw,
-    host_of,
-    region_of_distributor,
-    tenant_of,
-)
-from standins.scale.records import ABSENT, DOWN, NO_TENANT, UP, Applied, Held
-from standins.scale.sizes import FLEET, add_size, read_size
-from tansywood.distribution.client import SubscriberClient
-from tansywood.distribution.messages import Message, Welcome, alias_of_host
-from tansywood.distribution.replica import Replica
-from tansywood.distribution.stream import Keys
-from tansywood.distribution.subscriber import Action, Answer, Apply, Subscriber
+from standins.scale.places import region_of_distributor, zone_of_distributor
+from standins.scale.plan import NodePlan, Plan, distributor_name, draw
+from standins.scale.records import DOWN, NO_TENANT, UP, Applied, Held, digest_of_view
+from standins.scale.sizes import add_size, read_size
+from standins.scale.standstill import Watch
 from tansywood.distribution.terms import Terms
 from tansywood.fleet.keyfile import KeyFile
 
-ALIASES_MOST = 8  # of one lookup
-WATCH_S = 0.05
-
-
-@dataclass(frozen=True, slots=True)
-class World:
-    """What all nodes of a process share."""
-
-    addresses: tuple[str, ...]  # of the distributors, by number
-    keys: Keys
-    terms: Terms
-    random: Random
-    applied: BinaryIO
-
 
 @dataclass(slots=True)
 class Traffic:
@@ -74,78 +48,17 @@
         self.messages += totals[2]
 
 
-class Life:
-    """One start of a node, with nothing held before it."""
-
-    def __init__(self, node: NodePlan, links: NodeLinks, world: World) -> None:
-        self._node = node
-        self._world = world
-        self._asked: dict[int, list[int]] = {}
-        self._unasked = list(node.tenants)
-        self.replica = Replica(world.terms.window)
-        subscriber = Subscriber(
-            node.name,
-            world.addresses,
-            self.replica,
-            world.terms,
-            Random(world.random.random()),
-            time.monotonic_ns(),
-        )
-        self.client = SubscriberClient(
-            subscriber, world.keys, FLEET, self._handle, self._overheard, links.dial
-        )
-
-    @property
-    def complete(self) -> bool:
-        """Whether all questions have been answered."""
-        return not self._unasked and not self._asked
-
-    def _overheard(self, message: Message) -> None:
-        if isinstance(message, Welcome):
-            unasked, self._unasked = self._unasked, []
-            self._ask(unasked)
-
-    def _ask(self, tenants: list[int]) -> None:
-        for start in range(0, len(tenants), ALIASES_MOST):
-            some = tenants[start : start + ALIASES_MOST]
-            question = self.client.lookup([alias_of_host(host_of(tenant)) for tenant in some])
-            self._asked[question] = some
-
-    def _handle(self, action: Action) -> None:
-        if isinstance(action, Apply):
-            self._apply(action)
-        elif isinstance(action, Answer):
-            self._answered(action)
-
-    def _apply(self, action: Apply) -> None:
-        now = time.monotonic_ns()
-        for uid in action.uids:
-            revision = self.replica.resource(uid).revision
-            row = Applied(now, self._node.number, tenant_of(uid), revision)
-            self._world.applied.write(row.pack())
-        self.client.applied(action.batch)
-
-    def _answered(self, answer: Answer) -> None:
-        asked = self._asked.pop(answer.question)
-        if answer.uids is None:
-            if self.client.connected:
-                self._ask(asked)
-            else:
-                self._unasked += asked
-            return
-        now = time.monotonic_ns()
-        for tenant, uid in zip(asked, answer.uids, strict=True):
-            if not uid:
-                row = Applied(now, self._node.number, tenant, ABSENT)
-                self._world.applied.write(row.pack())
-
-
 class HollowNode:
     """One node over its lives."""
 
     def __init__(self, node: NodePlan, world: World) -> None:
         self.node = node
-        self.links = NodeLinks()
+        self.links = NodeLinks(
+            {
+                address: world.delays.one_way_s(node.zone, zone_of_distributor(number))
+                for number, address in enumerate(world.addresses)
+            }
+        )
         self.earlier = Traffic()
         self._world = world
         self.life: Life | None = None
@@ -158,7 +71,7 @@
     def stop(self) -> None:
         if self.life is not None:
             self.earlier.add(self.life.client.totals())
-            self.life.client.stop()
+            self.life.stop()
             self.life = None
             self._tell(DOWN)
 
@@ -176,10 +89,11 @@
     def held(self) -> Iterable[Held]:
         assert self.life is not None
         for uid, entry in self.life.replica.entries.items():
-            yield Held(self.node.number, tenant_of(uid), entry.revision, entry.digest)
+            tenant = self.life.tenant_of_uid(uid)
+            yield Held(self.node.number, tenant, entry.revision, digest_of_view(entry.body))
 
     def _tell(self, revision: int) -> None:
-        row = Applied(time.monotonic_ns(), self.node.number, NO_TENANT, revision)
+        row = Applied(time.monotonic_ns(), self.node.number, NO_TENANT, 0, revision)
         self._world.applied.write(row.pack())
 
 
@@ -194,6 +108,7 @@
             tuple(addresses),
             KeyFile(folder / "fleet.key"),
             Terms(),
+            plan.size.delays,
             Random(f"hollow {plan.seed} {process}"),
             self._applied,
         )
@@ -201,20 +116,12 @@
         self._bytes_before = held_bytes()
         self._nodes = {node.number: HollowNode(node, world) for node in mine}
         self._unread: list[Link] = []
-        self.longest_standstill_s = 0.0
-
-    async def watch_for_standstill(self) -> None:
-        """Measure how long this process does nothing else, as its nodes do not share one loop in
-        life."""
-        while True:
-            due = time.monotonic() + WATCH_S
-            await asyncio.sleep(WATCH_S)
-            self.longest_standstill_s = max(self.longest_standstill_s, time.monotonic() - due)
+        self.watch = Watch()
 
     async def perform(self, command: Command) -> Command:
         do = command["do"]
         if do == "state":
-            return self._state(command["revision"])
+            return self._state(command["revision"], command["since"])
         if do == "counters":
             return self._counters()
         if do == "finish":
@@ -246,13 +153,14 @@
         else:
             raise RuntimeError(f"no command: {do}")
 
-    def _state(self, revision: int) -> Command:
-        """How many nodes are not connected, do not have all they asked for, or are behind."""
+    def _state(self, revision: int, since: int) -> Command:
+        """How many nodes are not connected, do not have all they asked for (what was
+        nobody's: since then), or are behind."""
         lives = [node.life for node in self._nodes.values()]
         waiting = sum(
             life is None
             or not life.client.connected
-            or not life.complete
+            or not life.complete(since)
             or life.replica.revision < revision
             for life in lives
         )
@@ -270,7 +178,6 @@
                 connections += client.subscriber.connections
                 stale += client.subscriber.left_stale
                 refused += client.refused
-        standstill, self.longest_standstill_s = self.longest_standstill_s, 0.0
         return {
             "nodes": len(self._nodes),
             "bytes_in": traffic.bytes_in,
@@ -281,7 +188,7 @@
             "refused": dict(refused),
             "held_bytes": held_bytes() - self._bytes_before,
             "processor_s": time.process_time(),
-            "standstill_ms": round(standstill * 1e3),
+            "standstill_ms": self.watch.take_ms(),
         }
 
     def _finish(self) -> None:
@@ -300,7 +207,7 @@
 
 async def _main(folder: Path, process: int, plan: Plan, addresses: list[str]) -> None:
     hollow = Hollow(folder, process, plan, addresses)
-    watch = asyncio.get_running_loop().create_task(hollow.watch_for_standstill())
+    watch = asyncio.get_running_loop().create_task(hollow.watch.run())
     await serve({}, hollow.perform)
     watch.cancel()
 
--- a/standins/scale/links.py
+++ b/standins/scale/links.py
@@ -1,6 +1,7 @@
-"""Connections that can be cut or left unread, for the hollow nodes of one process.
+"""Connections that take time and can be cut or left unread, for the hollow nodes of one process.
 
-A link that is cut carries nothing in either direction and resets nothing: what is written waits,
+Whatever a link carries arrives after its delay, in order, the other end's closing too. A link that
+is cut carries nothing in either direction and resets nothing: what is written waits,
 what arrives stays in the kernel, and whoever gives it up closes it only for himself until the cut
 ends. A dial across a cut hangs.
 """
@@ -8,9 +9,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any, cast
 
+from standins.scale.delay import DelayLine
 from tansywood.distribution.stream import SealedStream
 from windrelay.config import parse_address
 
@@ -18,18 +21,24 @@
 class Link(asyncio.Transport):
     """A transport between a stream and the kernel's connection."""
 
-    def __init__(self, transport: asyncio.Transport, stream: SealedStream) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, stream: SealedStream, delay_s: float = 0.0
+    ) -> None:
+        """`delay_s` is one way."""
         super().__init__()
         self._transport = transport
         self._stream = stream
         self._cut = False
-        self._waits: list[bytes] = []
         self._given_up = False
+        self._outgoing = DelayLine[bytes](delay_s, self._send)
+        self._incoming = DelayLine[Callable[[], None]](delay_s, _call)
 
     def cut(self) -> None:
         if not self._cut and not self._transport.is_closing():
             self._cut = True
             self._transport.pause_reading()
+            self._outgoing.pause()
+            self._incoming.pause()
 
     def heal(self) -> None:
         if not self._cut:
@@ -37,11 +46,10 @@
         self._cut = False
         if self._given_up or self._transport.is_closing():
             self._transport.abort()
-            return
-        self._transport.resume_reading()
-        for data in self._waits:
-            self._transport.write(data)
-        self._waits.clear()
+        else:
+            self._transport.resume_reading()
+            self._outgoing.resume()
+        self._incoming.resume()
 
     def stop_reading(self) -> None:
         if not self._cut and not self._transport.is_closing():
@@ -54,10 +62,7 @@
     # ---- what a stream does with its transport ---------------------------------------------
 
     def write(self, data: Any) -> None:
-        if self._cut:
-            self._waits.append(bytes(data))
-        else:
-            self._transport.write(data)
+        self._outgoing.put(bytes(data))
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         self._transport.set_write_buffer_limits(high=high, low=low)
@@ -66,16 +71,38 @@
         self.abort()
 
     def abort(self) -> None:
+        """Close it. What is still on its way is lost; the stream is told at once."""
+        if self._given_up:
+            return
+        self._given_up = True
+        self._outgoing.clear()
+        self._incoming.clear()
         if not self._cut:
             self._transport.abort()
-        elif not self._given_up:
-            self._given_up = True
-            asyncio.get_running_loop().call_soon(self._stream.connection_lost, None)
+        asyncio.get_running_loop().call_soon(self._stream.connection_lost, None)
+
+    def _send(self, data: bytes) -> None:
+        if not self._transport.is_closing():  # else the other end is on its way to say so
+            self._transport.write(data)
+
+    # ---- what the kernel's connection does -------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        self._incoming.put(partial(self._stream.data_received, data))
 
     def lost(self, error: Exception | None) -> None:
         """The kernel's connection has ended."""
         if not self._given_up:
-            self._stream.connection_lost(error)
+            self._incoming.put(partial(self._lost, error))
+
+    def _lost(self, error: Exception | None) -> None:
+        self._given_up = True
+        self._outgoing.clear()
+        self._stream.connection_lost(error)
+
+
+def _call(call: Callable[[], None]) -> None:
+    call()
 
 
 class _Ends(asyncio.Protocol):
@@ -88,7 +115,8 @@
         self._link: Link | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._link = Link(cast(asyncio.Transport, transport), self._stream)
+        delay_s = self._network.delay_s(self._address)
+        self._link = Link(cast(asyncio.Transport, transport), self._stream, delay_s)
         self._network.add(self._address, self._link)
         self._stream.connection_made(self._link)
 
@@ -98,7 +126,8 @@
             self._network.remove(self._address, self._link)
 
     def data_received(self, data: bytes) -> None:
-        self._stream.data_received(data)
+        assert self._link is not None
+        self._link.received(data)
 
     def pause_writing(self) -> None:
         self._stream.pause_writing()
@@ -115,12 +144,21 @@
 class NodeLinks:
     """All connections of one node, by the address that each one goes to."""
 
-    def __init__(self) -> None:
+    def __init__(self, delays_s: Mapping[str, float] | None = None) -> None:
+        """`delays_s` tells the delay one way to an address, in seconds; to others it is none."""
+        self._delays_s = delays_s or {}
         self._links: dict[str, set[Link]] = {}
         self._cut_off: frozenset[str] = frozenset()
 
+    def delay_s(self, address: str) -> float:
+        return self._delays_s.get(address, 0.0)
+
     async def dial(self, address: str, made: Callable[[], SealedStream]) -> object:
         """A dialer for SubscriberClient: as `client.dial`, but what is cut off never answers."""
+        if address in self._cut_off:
+            await asyncio.Event().wait()
+        if delay_s := self.delay_s(address):
+            await asyncio.sleep(2 * delay_s)  # the system's own handshake
         if address in self._cut_off:
             await asyncio.Event().wait()
         loop = asyncio.get_running_loop()
--- a/standins/scale/plan.py
+++ b/standins/scale/plan.py
@@ -1,25 +1,29 @@
 """What happens in a run, drawn from a seed: the same in each process of the rig. Pure.
 
-Regions, zones and distributors are laid out in turn; each tenant is on a few nodes at random.
-Faults are placed by parts of the run's length, so a short run meets the same ones.
+Regions, zones and distributors are laid out in turn; each tenant is on a few nodes at random, also
+one that is created within the run. Faults are placed by parts of the run's length, so a short run
+meets the same ones.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
 from random import Random
 
-REGIONS = 4
-ZONES = 11
+from standins.scale.changes import TENANTS_LEAST, ChangeKind, PlannedChange, draw_changes
+from standins.scale.places import (
+    PUBLISHER_REGION,
+    REGION_DELAY_MS,
+    REGIONS,
+    ZONE_DELAY_MS,
+    ZONES,
+    Delays,
+    region_of_distributor,
+    region_of_zone,
+)
+
 COPIES = 3  # nodes that hold a tenant
-PUBLISHER_REGION = 0
 CHANGES_PER_S = 2_700 * 100 / 86_400  # a hundred times the expected 2,700 a day
-HOT_TENANTS = 10  # that change again and again ...
-HOT_SHARE = 0.2  # ... with this part of all changes
-DELETIONS = 2
-BURST = 5  # changes of one hot tenant at once, now and then
-BURST_SHARE = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +36,12 @@
     seconds: float
     processes: int  # of hollow nodes
     changes_per_s: float = CHANGES_PER_S
+    region_delay_ms: float = REGION_DELAY_MS  # one way between two regions
+    zone_delay_ms: float = ZONE_DELAY_MS  # one way between two zones of a region
+
+    @property
+    def delays(self) -> Delays:
+        return Delays(self.region_delay_ms / 1e3, self.zone_delay_ms / 1e3)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,20 +58,6 @@
         return f"node-{self.number:05d}"
 
 
-class ChangeKind(StrEnum):
-    """What is done to a tenant."""
-
-    CHANGE = "change"
-    DELETE = "delete"
-
-
-@dataclass(frozen=True, slots=True)
-class PlannedChange:
-    at: float  # seconds of the run
-    tenant: int
-    kind: ChangeKind
-
-
 @dataclass(frozen=True, slots=True)
 class KillDistributor:
     """SIGKILL, and another process at the same address later."""
@@ -128,15 +124,13 @@
     return f"distributor-{number:02d}"
 
 
-def region_of_distributor(number: int) -> int:
-    return number % REGIONS
-
-
 def uid_of(tenant: int) -> str:
+    """The name of a tenant, and the uid of one that is there from the start."""
     return f"t{tenant:07d}"
 
 
 def tenant_of(uid: str) -> int:
+    """Which tenant has this name."""
     return int(uid[1:])
 
 
@@ -145,50 +139,28 @@
 
 
 def draw(size: Size, seed: int) -> Plan:
-    """The run of a seed. ValueError where it is too small for its faults."""
-    if size.distributors < 3 or size.nodes < ZONES or size.tenants < HOT_TENANTS + DELETIONS:
-        raise ValueError(
-            f"at least 3 distributors, {ZONES} nodes and {HOT_TENANTS + DELETIONS} tenants"
-        )
+    """The run of a seed. ValueError where it is too small for its faults and changes."""
+    if size.distributors < 3 or size.nodes < ZONES or size.tenants < TENANTS_LEAST:
+        raise ValueError(f"at least 3 distributors, {ZONES} nodes and {TENANTS_LEAST} tenants")
     random = Random(f"scale {seed}")
-    nodes = _nodes(size, random)
-    changes = _changes(size, random)
+    count = round(size.seconds * size.changes_per_s)
+    changes = draw_changes(size.tenants, size.seconds, count, random)
+    created = sum(change.kind is ChangeKind.CREATE for change in changes)
+    nodes = _nodes(size, size.tenants + created, random)
     return Plan(size, seed, nodes, changes, _faults(size, nodes, random))
 
 
-def _nodes(size: Size, random: Random) -> tuple[NodePlan, ...]:
+def _nodes(size: Size, tenants: int, random: Random) -> tuple[NodePlan, ...]:
     held: list[list[int]] = [[] for _ in range(size.nodes)]
-    for tenant in range(size.tenants):
+    for tenant in range(tenants):
         for node in random.sample(range(size.nodes), COPIES):
             held[node].append(tenant)
     return tuple(
-        NodePlan(number, number % ZONES, number % ZONES % REGIONS, tuple(tenants))
+        NodePlan(number, number % ZONES, region_of_zone(number % ZONES), tuple(tenants))
         for number, tenants in enumerate(held)
     )
 
 
-def _changes(size: Size, random: Random) -> tuple[PlannedChange, ...]:
-    """At even spaces with some jitter. What is deleted does not change otherwise."""
-    drawn = random.sample(range(size.tenants), HOT_TENANTS + DELETIONS)
-    hot, deleted = drawn[:HOT_TENANTS], drawn[HOT_TENANTS:]
-    count = max(round(size.seconds * size.changes_per_s), DELETIONS + 1)
-    deletions = dict(zip(random.sample(range(count), DELETIONS), deleted, strict=True))
-    made: list[PlannedChange] = []
-    for number in range(count):
-        at = (number + random.random()) * size.seconds / count
-        if number in deletions:
-            made.append(PlannedChange(at, deletions[number], ChangeKind.DELETE))
-            continue
-        tenant = random.choice(hot)
-        again = BURST if random.random() < BURST_SHARE else 1
-        if again == 1 and random.random() >= HOT_SHARE:
-            tenant = random.randrange(size.tenants)
-            while tenant in deleted:
-                tenant = random.randrange(size.tenants)
-        made += [PlannedChange(at, tenant, ChangeKind.CHANGE)] * again
-    return tuple(made)
-
-
 def _faults(size: Size, nodes: tuple[NodePlan, ...], random: Random) -> tuple[Fault, ...]:
     """All kinds, one after another but for those that strike while a region is cut."""
     unit = size.seconds / 60
--- a/standins/scale/records.py
+++ b/standins/scale/records.py
@@ -1,4 +1,4 @@
-"""Rows that the rig's processes write while they run, in files of fixed binary rows."""
+"""Rows of what happened in a run; those of many nodes are in files of fixed binary rows."""
 
 from __future__ import annotations
 
@@ -6,15 +6,30 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
+from zlib import crc32
+
+import msgspec
+
+from standins.scale.changes import ChangeKind
+from tansywood.distribution.messages import digest_of
 
 NO_TENANT = 0xFFFFFFFF  # a row of the node itself: `revision` is one of the two below
 DOWN, UP = 0, 1
 ABSENT = (1 << 64) - 1  # the source says that there is no such tenant
 
-_APPLIED = struct.Struct("<QIIQ")
-_COMMITTED = struct.Struct("<QIQ?")
+_APPLIED = struct.Struct("<QIIIQ")
 _HELD = struct.Struct("<IIQ8s")
-_PUBLISHED = struct.Struct("<IQ8s")
+
+
+def generation_of(uid: str) -> int:
+    """A number that tells tenants of one name apart, as of one that was created again."""
+    return crc32(uid.encode())
+
+
+def digest_of_view(body: bytes) -> bytes:
+    """What tells two views of a tenant apart, in whatever order their members are written: a store
+    keeps them in another order than a call of the API gave them."""
+    return digest_of(msgspec.json.encode(msgspec.json.decode(body), order="sorted"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,23 +39,22 @@
     at: int  # time.monotonic_ns(), which all processes of a machine share
     node: int
     tenant: int
+    generation: int  # see generation_of; 0 where there is none
     revision: int
 
     def pack(self) -> bytes:
-        return _APPLIED.pack(self.at, self.node, self.tenant, self.revision)
+        return _APPLIED.pack(self.at, self.node, self.tenant, self.generation, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class Committed:
-    """The publisher committed a change."""
+    """A change that a call of the API made durable."""
 
-    at: int
+    at: int  # when the call began
     tenant: int
+    generation: int
     revision: int
-    deleted: bool
-
-    def pack(self) -> bytes:
-        return _COMMITTED.pack(self.at, self.tenant, self.revision, self.deleted)
+    kind: ChangeKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +64,7 @@
     node: int
     tenant: int
     revision: int
-    digest: bytes
+    digest: bytes  # digest_of_view
 
     def pack(self) -> bytes:
         return _HELD.pack(self.node, self.tenant, self.revision, self.digest)
@@ -58,27 +72,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Published:
-    """What the publisher has of a tenant in the end."""
+    """What the publisher's store has of a tenant in the end."""
 
     tenant: int
     revision: int
-    digest: bytes
-
-    def pack(self) -> bytes:
-        return _PUBLISHED.pack(self.tenant, self.revision, self.digest)
+    digest: bytes  # digest_of_view
 
 
 def read_applied(path: Path) -> Iterator[Applied]:
     return (Applied(*row) for row in _APPLIED.iter_unpack(path.read_bytes()))
 
 
-def read_committed(path: Path) -> Iterator[Committed]:
-    return (Committed(*row) for row in _COMMITTED.iter_unpack(path.read_bytes()))
-
-
 def read_held(path: Path) -> Iterator[Held]:
     return (Held(*row) for row in _HELD.iter_unpack(path.read_bytes()))
-
-
-def read_published(path: Path) -> Iterator[Published]:
-    return (Published(*row) for row in _PUBLISHED.iter_unpack(path.read_bytes()))
--- a/standins/scale/report.py
+++ b/standins/scale/report.py
@@ -1,32 +1,27 @@
 """Figures of a run and the verdict over them. Pure.
 
-A change is in force once all nodes that hold its tenant have it, or a later state of that tenant.
-It counts from the publisher's commit; for a node that was down then, from its return; for a node of
-the region that was cut off then, from the cut's end, which makes a figure of its own. What reaches
-such a node within the cut all the same counts up to the cut's beginning.
+A change is in force once all nodes that serve its tenant have it, or a later state of that tenant.
+It counts from the beginning of the call of the API; for a node that was down then, from its return;
+for a node of the region that was cut off then, from the cut's end, which makes a figure of its own.
+What reaches such a node within the cut all the same counts up to the cut's beginning.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from standins.scale.changes import ChangeKind
+from standins.scale.history import History, Interval
 from standins.scale.plan import Plan
-from standins.scale.records import ABSENT, DOWN, NO_TENANT, UP, Applied, Committed, Held, Published
+from standins.scale.records import Applied, Committed, Held, Published
 
 LONGEST_S = 4.0  # that a change may take
 SLOWEST_SHOWN = 5
 NS = 1e9
 
 
-@dataclass(frozen=True, slots=True)
-class Interval:
-    """Of time.monotonic_ns()."""
-
-    begin: int
-    end: int
-
-
 @dataclass(frozen=True, slots=True)
 class Cut:
     """When nothing passed the border of a region."""
@@ -56,6 +51,20 @@
     load_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class Calls:
+    """How long each call of the API took to be answered, in seconds: it waits for half a second
+    for the change to be in force."""
+
+    seconds: Sequence[float] = ()
+
+    def text(self) -> str:
+        return (
+            f"median {quantile(self.seconds, 0.5):.3f} s, "
+            f"longest {max(self.seconds, default=0.0):.3f} s"
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Gathered:
     """All that a run left behind."""
@@ -68,9 +77,17 @@
     published: Iterable[Published]
     cuts: Sequence[Cut]
     cost: Cost
+    calls: Calls = field(default_factory=Calls)
     problems: Sequence[str] = ()  # such as a process that ended by itself
 
 
+def quantile(values: Sequence[float], part: float) -> float:
+    """The value below which this part of all lies; 0 where there is none."""
+    if not values:
+        return 0.0
+    return sorted(values)[min(int(part * len(values)), len(values) - 1)]
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """The last node to have a change: which one, and after how many seconds."""
@@ -87,10 +104,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
 
     def quantile(self, part: float) -> float:
-        if not self.arrivals:
-            return 0.0
-        ordered = sorted(arrival.seconds for arrival in self.arrivals)
-        return ordered[min(int(part * len(ordered)), len(ordered) - 1)]
+        return quantile([arrival.seconds for arrival in self.arrivals], part)
 
     @property
     def longest(self) -> float:
@@ -119,6 +133,8 @@
     unasked: int  # resources that are held and were not asked for
     cost: Cost
     problems: Sequence[str]
+    kinds: Mapping[ChangeKind, int]  # changes of each
+    calls: Calls
 
     @property
     def kept(self) -> bool:
@@ -133,52 +149,10 @@
         return max(self.outside.longest, self.from_cut.longest) <= LONGEST_S
 
 
-class History:
-    """What each node put into force and when, of the tenants that were changed."""
-
-    def __init__(self, rows: Iterable[Applied], changed: set[int]) -> None:
-        self.out_of_order = 0
-        self._states: dict[tuple[int, int], list[tuple[int, int]]] = {}
-        self._down: dict[int, list[Interval]] = {}
-        down_since: dict[int, int] = {}
-        latest: dict[int, dict[int, int]] = {}  # revisions by node and tenant, of this life
-        for row in rows:
-            if row.tenant == NO_TENANT:
-                if row.revision == DOWN:
-                    down_since[row.node] = row.at
-                elif row.revision == UP:
-                    latest[row.node] = {}
-                    since = down_since.pop(row.node, 0)
-                    self._down.setdefault(row.node, []).append(Interval(since, row.at))
-                continue
-            if row.revision != ABSENT:
-                known = latest[row.node]
-                self.out_of_order += row.revision < known.get(row.tenant, 0)
-                known[row.tenant] = max(row.revision, known.get(row.tenant, 0))
-            if row.tenant in changed:
-                state = (row.at, row.revision)
-                self._states.setdefault((row.node, row.tenant), []).append(state)
-
-    def reached(self, node: int, tenant: int, revision: int) -> int | None:
-        """When a node had a revision or a later one."""
-        for at, state in self._states.get((node, tenant), ()):
-            if state >= revision:
-                return at
-        return None
-
-    def returned(self, node: int, begin: int, end: int) -> int:
-        """The last return of a node in between; `begin` where it was up all the time."""
-        ends = [i.end for i in self._down.get(node, ()) if begin < i.end <= end]
-        return max(ends, default=begin)
-
-
 def figures(run: Gathered) -> Figures:
     """All figures of a run."""
+    history = History(run.applied, run.committed)
     changed = {change.tenant for change in run.committed}
-    deleted = {change.tenant for change in run.committed if change.deleted}
-    # That a tenant is absent is news of it only where it was deleted.
-    rows = [r for r in run.applied if r.revision != ABSENT or r.tenant in deleted]
-    history = History(rows, changed)
     holders = holders_of(run.plan, changed)
     outside, from_cut = Times(), Times()
     lost = 0
@@ -186,7 +160,7 @@
         late_outside: list[Arrival] = []
         late_from_cut: list[Arrival] = []
         for node in holders[change.tenant]:
-            at = history.reached(node, change.tenant, change.revision)
+            at = history.reached(node, change)
             if at is None:
                 lost += 1
                 continue
@@ -212,6 +186,8 @@
         compared.unasked,
         run.cost,
         run.problems,
+        Counter(change.kind for change in run.committed),
+        run.calls,
     )
 
 
@@ -265,10 +241,11 @@
     for name, times in (("outside the cut", found.outside), ("from its end", found.from_cut)):
         for arrival in times.slowest():
             node = run.plan.nodes[arrival.node]
-            committed = (arrival.change.at - run.began) / NS
+            called = (arrival.change.at - run.began) / NS
             lines.append(
-                f"{name}: {arrival.seconds:.3f} s, tenant {arrival.change.tenant} committed at "
-                f"{committed:.2f} s, last at {node.name} of region {node.region}"
+                f"{name}: {arrival.seconds:.3f} s, {arrival.change.kind} of tenant "
+                f"{arrival.change.tenant} called for at {called:.2f} s, "
+                f"last at {node.name} of region {node.region}"
             )
     lines += [f"PROBLEM: {text}" for text in found.problems]
     return "\n".join(lines)
@@ -280,11 +257,13 @@
     nodes = max(cost.nodes, 1)
     seconds = max(cost.seconds, 0.001)
     refused = ", ".join(f"{why} {count}" for why, count in sorted(cost.refused.items())) or "none"
+    kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(found.kinds.items()))
     standstill = ", ".join(f"{kind} {ms} ms" for kind, ms in cost.standstill_ms.items())
     parts = [
-        f"changes {found.changes}",
+        f"changes {found.changes} ({kinds})",
         f"in force outside the cut: {found.outside.text()}",
         f"from its end: {found.from_cut.text()}",
+        f"the API's answers: {found.calls.text()}",
         f"a node: {cost.node_bytes / nodes / seconds:.0f} bytes/s both ways, "
         f"{cost.node_held_bytes / nodes / 1024:.1f} KiB held, "
         f"{cost.node_processor_s / nodes / seconds * 1e3:.2f} ms of processor a second",
--- a/standins/scale/sizes.py
+++ b/standins/scale/sizes.py
@@ -4,6 +4,7 @@
 
 import argparse
 
+from standins.scale.places import REGION_DELAY_MS, ZONE_DELAY_MS
 from standins.scale.plan import CHANGES_PER_S, Size
 
 FLEET = "scale"
@@ -18,6 +19,10 @@
     parser.add_argument(
         "--changes-per-s", type=float, default=CHANGES_PER_S, help="a hundred times the expected"
     )
+    parser.add_argument(
+        "--region-delay-ms", type=float, default=REGION_DELAY_MS, help="one way; 40"
+    )
+    parser.add_argument("--zone-delay-ms", type=float, default=ZONE_DELAY_MS, help="one way; 2")
     parser.add_argument("--seed", type=int, default=1)
 
 
@@ -29,6 +34,8 @@
         options.seconds,
         options.processes,
         options.changes_per_s,
+        options.region_delay_ms,
+        options.zone_delay_ms,
     )
 
 
@@ -41,5 +48,7 @@
         *("--seconds", str(size.seconds)),
         *("--processes", str(size.processes)),
         *("--changes-per-s", str(size.changes_per_s)),
+        *("--region-delay-ms", str(size.region_delay_ms)),
+        *("--zone-delay-ms", str(size.zone_delay_ms)),
         *("--seed", str(seed)),
     ]
--- a/tests/scale_rig/test_plan.py
+++ b/tests/scale_rig/test_plan.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from itertools import pairwise
 
 import pytest
 
+from standins.scale.changes import APART_S, TENANTS_LEAST, ChangeKind
+from standins.scale.places import (
+    REGIONS,
+    ZONES,
+    Delays,
+    region_of_distributor,
+    region_of_zone,
+    zone_of_distributor,
+    zone_of_relay,
+)
 from standins.scale.plan import (
     COPIES,
-    HOT_TENANTS,
-    ZONES,
-    ChangeKind,
     CutRegion,
     KillDistributor,
     NodesDown,
@@ -19,7 +27,6 @@
     SlowReaders,
     StopDistributor,
     draw,
-    region_of_distributor,
     tenant_of,
     uid_of,
 )
@@ -38,7 +45,8 @@
 
 
 def test_each_tenant_is_on_as_many_nodes_as_said(plan: Plan) -> None:
-    copies = [0] * FULL.tenants
+    created = sum(change.kind is ChangeKind.CREATE for change in plan.changes)
+    copies = [0] * (FULL.tenants + created)
     for node in plan.nodes:
         assert len(set(node.tenants)) == len(node.tenants)
         for tenant in node.tenants:
@@ -56,13 +64,57 @@
     assert all(0 <= change.at <= FULL.seconds for change in plan.changes)
 
 
-def test_what_is_deleted_does_not_change_otherwise() -> None:
-    # Few tenants, so that many changes would hit a deleted one.
-    plan = draw(Size(40, 3, 30, 60, 1), 3)
-    deleted = [c.tenant for c in plan.changes if c.kind is ChangeKind.DELETE]
-    assert deleted and len(set(deleted)) == len(deleted)
-    changed = {c.tenant for c in plan.changes if c.kind is ChangeKind.CHANGE}
-    assert not changed & set(deleted)
+def test_each_kind_of_change_comes_many_times() -> None:
+    for seed in range(20):
+        kinds = Counter(change.kind for change in draw(FULL, seed).changes)
+        assert set(kinds) == set(ChangeKind)
+        assert min(kinds.values()) >= 8
+
+
+def test_each_change_has_what_it_needs() -> None:
+    # Few tenants and many changes, so that they would often hit the same one.
+    for seed in range(20):
+        size = Size(40, 3, 60, 60, 1, changes_per_s=20)
+        there = dict.fromkeys(range(size.tenants), -APART_S)
+        deleted: dict[int, float] = {}
+        keys: list[tuple[int, float]] = []
+        for change in draw(size, seed).changes:
+            at, tenant = change.at, change.tenant
+            if change.kind is ChangeKind.CREATE:
+                assert tenant not in there and tenant not in deleted
+                there[tenant] = at
+            elif change.kind is ChangeKind.RECREATE:
+                assert deleted.pop(tenant) + APART_S <= at
+                there[tenant] = at
+            else:
+                assert there[tenant] + APART_S <= at
+            if change.kind is ChangeKind.DELETE:
+                deleted[tenant] = at
+                del there[tenant]
+            elif change.kind is ChangeKind.ISSUE:
+                keys.append((tenant, at))
+            elif change.kind is ChangeKind.REVOKE:
+                key = next(key for key in keys if key[0] == tenant and key[1] + APART_S <= at)
+                keys.remove(key)
+
+
+def test_what_will_be_deleted_does_not_change_before() -> None:
+    plan = draw(Size(40, 3, 60, 60, 1, changes_per_s=20), 3)
+    met: set[int] = set()
+    for change in plan.changes:
+        assert change.kind is not ChangeKind.DELETE or change.tenant not in met
+        met.add(change.tenant)
+
+
+def test_messages_take_as_long_as_their_way() -> None:
+    delays = Delays(region_s=0.04, zone_s=0.002)
+    assert [delays.one_way_s(0, zone) for zone in (0, 4, 1)] == [0.0, 0.002, 0.04]
+    for region in range(REGIONS):
+        assert region_of_zone(zone_of_relay(region)) == region
+    for number in range(FULL.distributors):
+        assert region_of_zone(zone_of_distributor(number)) == region_of_distributor(number)
+        assert 0 <= zone_of_distributor(number) < ZONES
+    assert {zone_of_distributor(n) for n in range(ZONES)} == set(range(ZONES))
 
 
 def test_a_full_run_meets_every_kind_of_fault(plan: Plan) -> None:
@@ -90,7 +142,7 @@
 
 
 def test_a_size_that_is_too_small_is_refused() -> None:
-    for nodes, distributors, tenants in ((5, 3, 100), (60, 2, 100), (60, 3, HOT_TENANTS)):
+    for nodes, distributors, tenants in ((5, 3, 100), (60, 2, 100), (60, 3, TENANTS_LEAST - 1)):
         with pytest.raises(ValueError, match="at least"):
             draw(Size(nodes, distributors, tenants, 10, 1), 1)
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -50,11 +50,14 @@
     "standins/fleet": {"standins", "tansywood.fleet", "tansywood.lease"},
     # Many nodes on one clock: what it plays is the pure decision module itself.
     "standins/mass": {"standins.mass", "flinthatch"},
-    # Thousands of hollow nodes: what they run is the product's distribution.
+    # Thousands of hollow nodes: what they run is the product's distribution, and what they follow
+    # is the administration as its process runs it, over a store that is filled and read here.
     "standins/scale": {
         "standins",
+        "tansywood.admin.__main__",
         "tansywood.distribution",
         "tansywood.fleet.keyfile",
+        "tansywood.store",
         "tansywood.tenancy",
         "windrelay.config",
     },
