The scale rig: a link that is given up as it connects sends nothing any more

Cause: uvloop closes a connection whose dial is given up without telling its protocol.

Change: such a link is forgotten, and what waits on it is dropped.

Result: the new test of a dial given up as it connects fails without this.

--- a/standins/scale/links.py
+++ b/standins/scale/links.py
@@ -62,7 +62,8 @@
     # ---- what a stream does with its transport ---------------------------------------------
 
     def write(self, data: Any) -> None:
-        self._outgoing.put(bytes(data))
+        if not self._given_up:
+            self._outgoing.put(bytes(data))
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         self._transport.set_write_buffer_limits(high=high, low=low)
@@ -74,9 +75,7 @@
         """Close it. What is still on its way is lost; the stream is told at once."""
         if self._given_up:
             return
-        self._given_up = True
-        self._outgoing.clear()
-        self._incoming.clear()
+        self.forget()
         if not self._cut:
             self._transport.abort()
         asyncio.get_running_loop().call_soon(self._stream.connection_lost, None)
@@ -85,6 +84,12 @@
         if not self._transport.is_closing():  # else the other end is on its way to say so
             self._transport.write(data)
 
+    def forget(self) -> None:
+        """Nothing passes any more, and nobody is told."""
+        self._given_up = True
+        self._outgoing.clear()
+        self._incoming.clear()
+
     # ---- what the kernel's connection does -------------------------------------------------
 
     def received(self, data: bytes) -> None:
@@ -124,6 +129,7 @@
         """The connection is none any more, and nobody says so."""
         if self._link is not None:
             self._network.remove(self._address, self._link)
+            self._link.forget()
 
     def data_received(self, data: bytes) -> None:
         assert self._link is not None
--- a/tests/scale_rig/test_delay.py
+++ b/tests/scale_rig/test_delay.py
@@ -11,7 +11,7 @@
 
 from standins.relay import Address
 from standins.scale.delay import DelayLine
-from standins.scale.links import Link
+from standins.scale.links import Link, NodeLinks
 from standins.scale.relay import DelayedRelay
 from tansywood.distribution.stream import SealedStream
 
@@ -161,6 +161,46 @@
     uvloop.run(story())
 
 
+def test_a_link_that_is_forgotten_sends_nothing_and_says_nothing() -> None:
+    async def story() -> None:
+        ends = Ends()
+        link = link_of(ends)
+        link.write(b"on its way")
+        link.received(b"too late")
+        link.forget()
+        link.write(b"unknowing")
+        link.lost(None)
+        await asyncio.sleep(2 * DELAY_S)
+        assert not ends.sent and not ends.heard
+
+    uvloop.run(story())
+
+
+def test_a_dial_given_up_as_it_connects_leaves_nothing_on_its_way() -> None:
+    async def story() -> None:
+        server = await asyncio.start_server(lambda _reader, writer: writer.close(), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        links = NodeLinks({f"{host}:{port}": DELAY_S})
+        begun = asyncio.Event()
+        failed: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, told: failed.append(told))
+
+        class Greeting(Ends):
+            def connection_made(self, transport: asyncio.WriteTransport) -> None:
+                transport.write(b"hello")
+                begun.set()
+
+        dial = links.dial(f"{host}:{port}", lambda: cast(SealedStream, Greeting()))
+        dialing = asyncio.create_task(dial)
+        await begun.wait()
+        dialing.cancel()
+        await asyncio.sleep(3 * DELAY_S)
+        assert not failed
+        server.close()
+
+    uvloop.run(story())
+
+
 def test_what_is_on_its_way_as_a_link_is_cut_arrives_after_the_cut() -> None:
     async def story() -> None:
         ends = Ends()
