--- a/tansywood/admin/report_calls.py
+++ b/tansywood/admin/report_calls.py
@@ -9,18 +9,21 @@
 
 from tansywood.admin.calls import PAGE, PAGE_MOST, WAIT_MOST_S, Call, nothing, whole_number
 from tansywood.distribution.rollout import Summary
-from tansywood.service.report import percentile
+from tansywood.service.report import with_percentiles
 from tansywood.tenancy.registry import Refused
 
+ELSEWHERE = (
+    "Nodes count their own requests, and none of them is counted here: on each node ask "
+    "python -m tansywood distribution report FILE TENANT"
+)
+
 
 async def report(call: Call) -> Response:
     """Requests of a tenant by class, as its workers counted them."""
     tenant = call.tenant()
-    record = call.admin.feed.report(tenant.uid)
-    for row in record["classes"].values():
-        times = row.pop("times", {})
-        row["p50_ms"] = percentile(times, 0.5)
-        row["p99_ms"] = percentile(times, 0.99)
+    record = with_percentiles(call.admin.feed.report(tenant.uid))
+    if call.admin.publisher is not None:
+        record["note"] = ELSEWHERE
     return call.answer(record)
 
 
--- a/tansywood/tenancy/model.py
+++ b/tansywood/tenancy/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tansywood.tenancy.checks import Fault
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.identity import Key
 
 
--- a/tansywood/tenancy/tenant_commands.py
+++ b/tansywood/tenancy/tenant_commands.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from tansywood.tenancy import changes, records
-from tansywood.tenancy.checks import Fault, faults
+from tansywood.tenancy.checks import faults
 from tansywood.tenancy.drafts import Drafts
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.identity import digest
 from tansywood.tenancy.model import Actor, Change, Refused, Tenant, nothing, unfit
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, SUSPENDED, server_uid
