Leases: messages, holder, fence and terms are modules of their own

Need: service.py held the voters' part, the holders' part, the fence, the terms and half of the messages; the other half stood with the fragments.

Change, of unchanged behaviour: messages (all that lease clients send, with pack and unpack), fragments (cutting and reassembly alone), holder, fence, terms; service.py is the voters' part.

--- a/benchmarks/lease.py
+++ b/benchmarks/lease.py
@@ -39,9 +39,9 @@
 from standins.fleet.rig import Rig
 from standins.ledger import End
 from standins.wire import frame, read_frame
-from tansywood.lease.context import SECOND as SECOND_NS
 from tansywood.lease.fragments import Fragment
-from tansywood.lease.service import LeaseTerms
+from tansywood.lease.terms import SECOND as SECOND_NS
+from tansywood.lease.terms import LeaseTerms
 from tansywood.verify.__main__ import SIZES
 from tansywood.verify.explore import search
 from tansywood.verify.leases import LeaseModel
--- a/tansywood/lease/client.py
+++ b/tansywood/lease/client.py
@@ -18,22 +18,25 @@
 from tansywood.lease.disk import Kept
 from tansywood.lease.electorate import Electorate
 from tansywood.lease.exchange import Admission, Exchange
-from tansywood.lease.fragments import (
+from tansywood.lease.fragments import Fragment
+from tansywood.lease.holder import Holder
+from tansywood.lease.holding import Holding
+from tansywood.lease.messages import (
     LOG_MESSAGES,
     AnyMessage,
     DiskBehind,
-    Fragment,
     GrantNotice,
+    LeaseReply,
+    LeaseRequest,
     TableQuery,
     TableReply,
     VoterAnnouncement,
 )
-from tansywood.lease.holding import Holding
 from tansywood.lease.placement import Placement
 from tansywood.lease.raft import LEADER, MS, Timing
-from tansywood.lease.service import Holder, LeaseReply, LeaseRequest, LeaseTerms
 from tansywood.lease.spread import Waiting
 from tansywood.lease.table import Change
+from tansywood.lease.terms import LeaseTerms
 from tansywood.lease.voter import Voter
 
 TEND_EVERY = 250 * MS  # between two looks at who should vote and where leases belong
--- a/tansywood/lease/context.py
+++ b/tansywood/lease/context.py
@@ -6,10 +6,9 @@
 from random import Random
 
 from tansywood.fleet.events import EventLog
-from tansywood.lease.raft import MS
-from tansywood.lease.service import LeaseTerms
+from tansywood.lease.terms import SECOND as SECOND  # rigs name it here
+from tansywood.lease.terms import LeaseTerms
 
-SECOND = 1000 * MS
 COUNTED = ("asks", "told", "foreign", "length", "unread", "stale", "behind")
 
 
--- a/tansywood/lease/electorate.py
+++ b/tansywood/lease/electorate.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tansywood.lease.context import SECOND, Context, name_of
-from tansywood.lease.fragments import ClientMessage, VoterAnnouncement
+from tansywood.lease.context import Context, name_of
+from tansywood.lease.messages import ClientMessage, VoterAnnouncement
+from tansywood.lease.terms import SECOND
 from tansywood.lease.voter import Voter
 
 ANNOUNCE_EVERY = SECOND  # between two announcements of a voter's disk to the other voters' machines
--- a/tansywood/lease/exchange.py
+++ b/tansywood/lease/exchange.py
@@ -9,15 +9,9 @@
 import msgspec
 
 from tansywood.lease.context import Context, name_of
-from tansywood.lease.fragments import (
-    AnyMessage,
-    Fragment,
-    Reassembly,
-    pack,
-    split_message,
-    unpack,
-)
+from tansywood.lease.fragments import Fragment, Reassembly, split_message
 from tansywood.lease.log import Append, Install, Message
+from tansywood.lease.messages import AnyMessage, pack, unpack
 from tansywood.lease.raft import MS
 from tansywood.lease.voter import Voter
 
--- a/tansywood/lease/holding.py
+++ b/tansywood/lease/holding.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from tansywood.lease.context import Context, holder_id, name_of
+from tansywood.lease.holder import Holder
+from tansywood.lease.messages import LeaseReply, LeaseRequest
 from tansywood.lease.raft import MS
-from tansywood.lease.service import Holder, LeaseReply, LeaseRequest
 
 ASK_AGAIN = 20 * MS  # between two asks that were not due yet
 
--- a/tansywood/lease/placement.py
+++ b/tansywood/lease/placement.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterable
 
 from tansywood.fleet.turns import phase
-from tansywood.lease.context import SECOND, Context
+from tansywood.lease.context import Context
 from tansywood.lease.spread import Ranking, misplaced
+from tansywood.lease.terms import SECOND
 
 MOVE_EVERY = 2 * SECOND  # between two hand-overs for the sake of spread
 MOVE_DIVISOR = 8  # one in so many of what is misplaced goes in one of them
--- a/tansywood/lease/service.py
+++ b/tansywood/lease/service.py
@@ -1,4 +1,4 @@
-"""Leases over the log: the voters' part (`LeaseService`), the holders' (`Holder`), the `Fence`.
+"""Leases over the log: the voters' part. The holders' is in `holder` and `fence`.
 
 Pure; times are nanoseconds of one process's monotonic clock, never compared with another's.
 docs/design/lease.md says why two holders never act at once.
@@ -6,61 +6,17 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Annotated
-
-from msgspec import Meta, Struct
 
 from tansywood.lease.log import COMMAND
-from tansywood.lease.raft import MS, Out, Raft
+from tansywood.lease.messages import LeaseReply, LeaseRequest
+from tansywood.lease.raft import Out, Raft
 from tansywood.lease.table import Change, End, Give, Table, Take, pack
+from tansywood.lease.terms import LeaseTerms as LeaseTerms  # rigs and benchmarks name it here
 
-SECOND = 1000 * MS
 DEAF_MOST = 16  # that are told of
 ASKED_MOST = 4096  # holders whose latest request is remembered
-Count = Annotated[int, Meta(ge=0, le=1 << 62)]
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseTerms:
-    """The same at every voter and holder."""
-
-    length: int = 4 * SECOND
-    skew: float = 0.1  # by which the rates of two clocks may differ
-    renew: int = SECOND  # between two renewals: three may be lost
-
-    def __post_init__(self) -> None:
-        if not 0 <= self.skew < 0.5:
-            raise ValueError("clocks' rates may differ by less than a half")
-        if not 0 < 2 * self.renew <= self.length:
-            raise ValueError("a lease has to last for two renewals at least")
-
-    @property
-    def used(self) -> int:
-        """How long a holder goes by an answer, from when it asked."""
-        return int(self.length * (1.0 - self.skew))
-
-
-class LeaseRequest(Struct, array_like=True, frozen=True, tag="ask"):
-    """A holder's request: renew all that it has, grant or take back the leases named besides."""
-
-    holder: str
-    seq: Count
-    take: tuple[str, ...] = ()
-    give: tuple[tuple[str, int, str], ...] = ()  # name, token, to whom
-    heard: Count = 0  # the latest request of which it has the reply
-
-
-class LeaseReply(Struct, array_like=True, frozen=True, tag="told"):
-    """What the holder has, all of it, at a moment after it asked. `leader` where another leads."""
-
-    seq: Count
-    ok: bool
-    leases: tuple[tuple[str, int], ...] = ()
-    leader: str = ""
-    deaf: tuple[str, ...] = ()  # holders that ask and hear nothing: nothing is to go to them
 
 
 def _nobody(_index: int, _change: Change) -> None:
@@ -259,91 +215,3 @@
             if applied - self.raft.snapshot.index >= self.snapshot_every:
                 self.raft.compact(applied, self.table.save())
         return out
-
-
-class Holder:
-    """One life of one instance as a holder: what it may act on, and what it asks."""
-
-    def __init__(self, name: str, terms: LeaseTerms) -> None:
-        self.name = name
-        self.terms = terms
-        self.seq = 0
-        self.heard = 0  # the latest request that was answered
-        self.until = 0
-        self.leases: dict[str, int] = {}  # tokens
-        self.want: set[str] = set()
-        self.giving: dict[str, tuple[int, str]] = {}  # tokens, and to whom
-        self._sent: deque[tuple[int, int]] = deque()
-        self.lost: list[str] = []  # that it had and has not any more, to end their tasks
-
-    def ask(self, now: int) -> LeaseRequest:
-        """The next request to whoever leads. It has to leave now, or never."""
-        self.seq += 1
-        self._sent.append((self.seq, now))
-        while now - self._sent[0][1] > self.terms.used:
-            self._sent.popleft()
-        take = tuple(sorted(n for n in self.want if n not in self.leases))
-        give = tuple((n, t, to) for n, (t, to) in sorted(self.giving.items()))
-        return LeaseRequest(self.name, self.seq, take, give, self.heard)
-
-    def receive_reply(self, now: int, reply: LeaseReply) -> bool:
-        """Take a reply; False where it is nothing to go by: late, overtaken, or a refusal."""
-        sent = next((at for seq, at in self._sent if seq == reply.seq), None)
-        if not reply.ok or sent is None or reply.seq <= self.heard:
-            return False
-        end = sent + self.terms.used
-        if end <= now:
-            return False
-        self.heard = reply.seq
-        self.until = end
-        new = {name: token for name, token in reply.leases}
-        for name, (token, _) in list(self.giving.items()):
-            if new.get(name) != token:
-                del self.giving[name]  # it has gone where it was to go
-            else:
-                del new[name]  # given up here already, though the log does not have it yet
-        self.lost += [n for n, token in self.leases.items() if new.get(n) != token]
-        self.leases = new
-        for name in [n for n in new if n not in self.want]:
-            self.give(name)  # an old request of ours came late and took it once more
-        return True
-
-    def may(self, now: int, name: str) -> int:
-        """The token to act with on this lease now; 0 where it may not."""
-        return self.leases.get(name, 0) if now < self.until else 0
-
-    def give(self, name: str, to: str = "") -> None:
-        """Give a lease back, to somebody perhaps. It may not act on it from this moment on."""
-        token = self.leases.pop(name, 0)
-        self.want.discard(name)
-        if token:
-            self.giving[name] = (token, to)
-
-    def expire(self, now: int) -> list[str]:
-        """Names whose tasks have to end: another has them, or their time is over."""
-        if now >= self.until and self.leases:
-            self.lost += list(self.leases)
-            self.leases.clear()
-        lost, self.lost = self.lost, []
-        return lost
-
-
-class Refused(Exception):
-    """An act under a token that is older than one that has acted already."""
-
-
-class Fence:
-    """What a holder changes looks at its token here: the newest that has acted goes on, any older
-    is refused. It belongs beside the thing itself, and lasts as long as that."""
-
-    def __init__(self, newest: dict[str, int] | None = None) -> None:
-        self.newest = newest if newest is not None else {}
-
-    def check(self, name: str, token: int, kept: Callable[[], None] = lambda: None) -> None:
-        """Let an act under this token through, or raise Refused. `kept` makes a newer token last
-        before anything is done under it."""
-        if token <= 0 or token < self.newest.get(name, 0):
-            raise Refused(f"{name}: token {token} is older than {self.newest.get(name, 0)}")
-        if token > self.newest.get(name, 0):
-            self.newest[name] = token
-            kept()
--- a/tansywood/lease/status.py
+++ b/tansywood/lease/status.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from tansywood.lease.context import SECOND
 from tansywood.lease.raft import MS
+from tansywood.lease.terms import SECOND
 from tansywood.lease.voter import Voter
 
 if TYPE_CHECKING:
--- a/tansywood/lease/voter.py
+++ b/tansywood/lease/voter.py
@@ -15,9 +15,11 @@
 
 from tansywood.lease.disk import Kept, changes
 from tansywood.lease.log import Message, Saved, Snapshot
+from tansywood.lease.messages import LeaseReply, LeaseRequest
 from tansywood.lease.raft import LEADER, Raft, Timing
-from tansywood.lease.service import LeaseReply, LeaseRequest, LeaseService, LeaseTerms
+from tansywood.lease.service import LeaseService
 from tansywood.lease.table import Change, Table
+from tansywood.lease.terms import LeaseTerms
 from tansywood.store.engine import Batch
 
 MOST = 4096  # messages that wait for a disk: beyond it the oldest are lost, as on a network
--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -24,7 +24,7 @@
 from tansywood.lease.context import Peer
 from tansywood.lease.disk import DiskError, Kept, load
 from tansywood.lease.fragments import Fragment
-from tansywood.lease.service import LeaseTerms
+from tansywood.lease.terms import LeaseTerms
 from tansywood.service.endpoint import Clock
 from tansywood.service.wire import frame, read_frame
 from tansywood.store.aio import AsyncStore
--- a/tansywood/verify/identity.py
+++ b/tansywood/verify/identity.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable, Hashable
 
+from tansywood.lease.holder import Holder
 from tansywood.lease.log import Saved
 from tansywood.lease.raft import ASKING, CANDIDATE, LEADER
-from tansywood.lease.service import Holder, LeaseService
+from tansywood.lease.service import LeaseService
 from tansywood.verify.world import World
 
 
--- a/tansywood/verify/leases.py
+++ b/tansywood/verify/leases.py
@@ -14,9 +14,12 @@
 from dataclasses import replace
 from typing import Any
 
+from tansywood.lease.holder import Holder
 from tansywood.lease.log import Entry, Message, PreVote, Saved, Snapshot, Vote
+from tansywood.lease.messages import LeaseRequest
 from tansywood.lease.raft import LEADER, Raft
-from tansywood.lease.service import Holder, LeaseRequest, LeaseService, LeaseTerms
+from tansywood.lease.service import LeaseService
+from tansywood.lease.terms import LeaseTerms
 from tansywood.verify import identity, pruning
 from tansywood.verify.world import (
     LATE,
--- a/tansywood/verify/pruning.py
+++ b/tansywood/verify/pruning.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from tansywood.lease.log import Append, Appended, PreVote, PreVoted, Vote, Voted
+from tansywood.lease.messages import LeaseReply, LeaseRequest
 from tansywood.lease.raft import CANDIDATE, FOLLOWER, LEADER, Raft
-from tansywood.lease.service import LeaseReply, LeaseRequest
 from tansywood.verify.world import Packet, World
 
 
--- a/tansywood/verify/world.py
+++ b/tansywood/verify/world.py
@@ -8,9 +8,10 @@
 from random import Random
 from typing import Any
 
+from tansywood.lease.holder import Holder
 from tansywood.lease.log import Entry, Saved
 from tansywood.lease.raft import Out, Timing
-from tansywood.lease.service import Holder, LeaseService
+from tansywood.lease.service import LeaseService
 
 LEASE = "x"
 LATE = 1 << 50  # a time at which nobody has heard of a leader lately
--- a/tests/lease/test_checker.py
+++ b/tests/lease/test_checker.py
@@ -8,9 +8,11 @@
 
 import pytest
 
+from tansywood.lease.holder import Holder
 from tansywood.lease.log import Saved
 from tansywood.lease.raft import FOLLOWER, LEADER, Raft
-from tansywood.lease.service import Holder, LeaseService, LeaseTerms
+from tansywood.lease.service import LeaseService
+from tansywood.lease.terms import LeaseTerms
 from tansywood.verify.__main__ import LARGE, SIZES
 from tansywood.verify.explore import Found, random_walk, search
 from tansywood.verify.leases import LeaseModel
--- a/tests/lease/test_client.py
+++ b/tests/lease/test_client.py
@@ -9,12 +9,13 @@
 
 from standins.fleet.leaseworld import Broken, LeaseWorld
 from tansywood.lease.client import LeaseClient
-from tansywood.lease.context import SECOND
 from tansywood.lease.disk import Kept
 from tansywood.lease.fragments import FRAGMENT_BYTES, Fragment, Reassembly, split_message
+from tansywood.lease.messages import LeaseRequest
 from tansywood.lease.raft import MS
-from tansywood.lease.service import LeaseRequest, LeaseService, LeaseTerms
+from tansywood.lease.service import LeaseService
 from tansywood.lease.spread import NEAR, Ranking
+from tansywood.lease.terms import SECOND, LeaseTerms
 
 TERMS = LeaseTerms(length=SECOND, renew=SECOND // 4)
 LEASES = [f"l{n}" for n in range(6)]
--- a/tests/lease/test_layout.py
+++ b/tests/lease/test_layout.py
@@ -6,18 +6,19 @@
 import msgspec
 import pytest
 
-from tansywood.lease.fragments import (
+from tansywood.lease.fragments import Fragment
+from tansywood.lease.messages import (
     ClientMessage,
     DiskBehind,
-    Fragment,
     GrantNotice,
+    LeaseReply,
+    LeaseRequest,
     TableQuery,
     TableReply,
     VoterAnnouncement,
     pack,
     unpack,
 )
-from tansywood.lease.service import LeaseReply, LeaseRequest
 
 
 @pytest.mark.parametrize(
--- a/tests/lease/test_raft.py
+++ b/tests/lease/test_raft.py
@@ -9,18 +9,14 @@
 import msgspec
 import pytest
 
+from tansywood.lease.fence import Fence, Refused
+from tansywood.lease.holder import Holder
 from tansywood.lease.log import COMMAND, Message, Saved, Snapshot
+from tansywood.lease.messages import LeaseReply, LeaseRequest
 from tansywood.lease.raft import LEADER, MS, Raft, Timing
-from tansywood.lease.service import (
-    Fence,
-    Holder,
-    LeaseReply,
-    LeaseRequest,
-    LeaseService,
-    LeaseTerms,
-    Refused,
-)
+from tansywood.lease.service import LeaseService
 from tansywood.lease.table import End, Give, Table, TableError, Take, pack
+from tansywood.lease.terms import LeaseTerms
 
 SECOND = 1000 * MS
 TERMS = LeaseTerms(length=2 * SECOND, renew=SECOND // 2)
