A first state that one process refuses is served by the others, and the refusal stands

Cause: with no state to go back to the agent told all followers that the tenant was gone. A door that refuses a first state leaves the tenant unavailable, not nobody's.

--- a/tansywood/service/agent.py
+++ b/tansywood/service/agent.py
@@ -213,24 +213,25 @@
         self.interest.use(used, time.monotonic_ns())
 
     def _refused_by(self, name: str, message: dict[str, Any]) -> None:
-        """A follower can't take over a state that could be read: all go back to the one before."""
+        """A follower can't take over a state that could be read: all go back to the one before,
+        where there is one."""
         uid = message["refused"]
         try:
             place = place_of(message["place"])
         except (TypeError, ValueError):
             return  # of an earlier agent's feed, which told no places
         outcome = self.views.refuse(uid, place)
-        if outcome is Refused.SUPERSEDED:
-            return
+        known = self.refused.get(uid)
+        if outcome is Refused.SUPERSEDED or (known and known.revision > place.revision):
+            return  # what is known of a newer state counts
         self.interest.counts["refused by followers"] += 1
         self._refuse(uid, place.revision, f"tenant {uid}: {name}: {message['reason']}")
         if outcome is Refused.BACK:
             before = self.views.newest[uid]
             self._hold(uid, before)
             self._tell_state(uid, before)
-        elif outcome is Refused.NONE_LEFT:
-            self.interest.hold(uid, (), time.monotonic_ns())
-            self._publish(uid, None)
+        elif outcome is Refused.FIRST and name == DOOR:
+            self.interest.hold(uid, (), time.monotonic_ns())  # whose it is can't be said
 
     # ---- lookups -----------------------------------------------------------------------------
 
--- a/tansywood/service/inforce.py
+++ b/tansywood/service/inforce.py
@@ -2,7 +2,8 @@
 
 A new state is on trial until every follower (door, workers, fleet) has taken it over. A follower
 that can't names it by its place in the publisher's history; then the state before it, which all of
-them went by, is the newest again.
+them went by, is the newest again. Where there is none before, those that can go by it: taken from
+them it would look to a caller as if there were no such tenant.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 
     SUPERSEDED = "superseded"  # a newer state was told since: what becomes of that one counts
     BACK = "back"  # the state before is the newest again
-    NONE_LEFT = "none left"  # there was none before: the tenant can't be served here
+    FIRST = "first"  # there is none before: the others go by it
     KEPT = "kept"  # the others go by it since long: that follower alone lacks it
 
 
@@ -67,7 +68,6 @@
         if trial is None:
             return Refused.KEPT
         if trial.before is None:
-            del self.newest[uid]
-            return Refused.NONE_LEFT
+            return Refused.FIRST
         self.newest[uid] = trial.before
         return Refused.BACK
--- a/tests/service/agent_world.py
+++ b/tests/service/agent_world.py
@@ -23,7 +23,7 @@
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Session, Source
 from tansywood.distribution.terms import Terms
-from tansywood.service.part import LIFELINE, READY
+from tansywood.service.part import LIFELINE, READY, Place
 from tansywood.service.wire import frame, read_frame
 from tansywood.tenancy.registry import Actor, Change, Registry
 from windrelay.config import Address
@@ -156,6 +156,7 @@
         listeners = (*listeners, *iso)
         self.folder = folder
         self.log = folder / "node.log"
+        self.feed = Place(str(folder)).feed
         self.control = Control(listeners, iso)
         self.rng = Random(1)
         self.sides: list[Side] = []
--- a/tests/service/test_agent.py
+++ b/tests/service/test_agent.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import Counter
+from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -14,6 +17,7 @@
 from standins.service import document
 from tansywood.distribution.messages import alias_of_host
 from tansywood.iso8583.machine import APPROVED
+from tansywood.service.follow import Follower
 from tansywood.service.tenant import FULL, UNKNOWN
 
 from ..iso8583.world import CODEC, FRAMING, Terminal
@@ -303,6 +307,73 @@
     asyncio.run(main())
 
 
+@contextlib.asynccontextmanager
+async def picky_follower(n: Node) -> AsyncIterator[None]:
+    """One more process of the node that takes over no state with the title "bad"."""
+
+    def changed(_uid: str, view: dict[str, Any] | None) -> None:
+        if view is not None and view["document"].get("title") == "bad":
+            raise ValueError("not this title")
+
+    follower = Follower(n.feed, "picky", changed)
+    task = asyncio.create_task(follower.run())
+    try:
+        await follower.ready.wait()
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def refused_there(n: Node, uid: str, revision: int) -> bool:
+    """Whether control knows that the node refuses a change."""
+    return n.control.source.rollout(uid, revision).refused == 1
+
+
+def test_a_first_state_that_one_process_cant_take_over_is_refused_and_served_by_the_others(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n, picky_follower(n):
+            cork = await n.tenant("cork", title="bad")
+            await crowd(n, cork, 2, 2)
+            uid = n.control.uid("cork")
+            reason = f"tenant {uid}: picky: ValueError: not this title"
+            for attempts in (1, 2):
+                revision = n.control.change("cork", title="bad", max_attempts=attempts)
+                await comes(partial(refused_there, n, uid, revision))
+                assert n.control.source.rollout(uid, revision).refusing == [("node-1", reason)]
+                status = await n.ask("status")
+                assert status["refused_views"] == {uid: reason} and status["tenants"] == 1
+                await crowd(n, cork, 2, 2)
+            revision = n.control.change("cork", title="good")
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            assert not (await n.ask("status"))["refused_views"]
+            await crowd(n, cork, 2, 2)
+            assert served(cork) == 16 and not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
+
+
+def test_what_a_node_goes_by_stays_where_one_process_that_comes_later_cant_take_it_over(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with node(tmp_path) as n:
+            cork = await n.tenant("cork", title="bad")
+            await crowd(n, cork, 2, 2)
+            uid = n.control.uid("cork")
+            revision = n.control.change("cork", title="bad", max_attempts=2)
+            await comes(lambda: n.control.source.rollout(uid, revision).have == 1)
+            async with picky_follower(n):
+                status = await n.until(lambda s: uid in s["refused_views"])
+                assert "picky" in status["refused_views"][uid] and status["tenants"] == 1
+                await crowd(n, cork, 2, 2)
+                assert served(cork) == 8 and not cork.ledger.problems(breaks=False)
+
+    asyncio.run(main())
+
+
 def test_a_deleted_tenant_is_gone_from_the_node_and_its_name_may_be_anothers(
     tmp_path: Path,
 ) -> None:
