Sources that don't answer or hear no publisher cost no more than 4 s

Cause: after a loss one source was dialled at a time, 0.7 s each, and a source that had not heard the publisher was left once and then not for 5 s.

A source that has not answered within 250 ms is not waited for: the next one is dialled beside it, the first that answers is followed, the others are closed before they hear a hello. Each source is tried so once, then one at a time. An instance that leaves a source for its age asks up to three others right after it, with a hello to be taken up only by a source that hears the publisher (one field at the end of the hello; it takes no admission there).

The test that a stale source is left once said what was the fault; in its place: all are tried right after one another, then after 5, 10, 20, 40 s, and one is followed where all are stale.

--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -119,8 +119,8 @@
 
     def opened(self, stream: SealedStream) -> None:
         attempt = self._attempts[stream]
-        if attempt != self.subscriber.attempt or self.subscriber.link is not Link.DIALING:
-            stream.abort("too late: another is tried by now")
+        if not self.subscriber.is_dialing(attempt):
+            stream.abort("too late: another answered first, or this one in vain")
             return
         self._stream = stream
         self.subscriber.connected(attempt, time.monotonic_ns())
--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -99,13 +99,15 @@
 
 class Hello(Struct, array_like=True, frozen=True, tag="h"):
     """The first message. `position` is where to resume: all that is held holds up to there.
-    `newest` is the latest revision that anything held may have."""
+    `newest` is the latest revision that anything held may have. With `only_fresh` a source that
+    has not heard the publisher lately is to say so and to take nothing up."""
 
     name: NodeName
     everything: bool = False
     position: Position = Position()
     subscriptions: Annotated[list[Uid], Meta(max_length=MAX_SUBSCRIPTIONS)] = []
     newest: Count = 0
+    only_fresh: bool = False
 
 
 class Versions(Struct, array_like=True, frozen=True, tag="v"):
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -45,6 +45,7 @@
 NAMED = 5  # instances that are named of those that lag or refuse
 NOT_READY_MS = 500
 TOO_MANY = "too many at once"
+STALE = "this source has not heard the publisher lately"
 BEHIND_ITS_EPOCH = "this source has not come up to the beginning of its epoch"
 OUTDATED_MS = 1_000
 COME_BACK_MOST = 5 * SECOND  # that one who is turned away is told to wait
@@ -390,6 +391,9 @@
         if not self.serving:
             self._end(session, Busy(NOT_READY_MS, "this source is not ready"))
             return
+        if hello.only_fresh and self._age_ms(now) * MS >= self.terms.stale:
+            self._end(session, Busy(0, STALE))
+            return
         compare = not self.replica.covers(hello.position, hello.newest)
         holds = theirs != Epoch() or bool(hello.subscriptions)
         if compare and holds and self.replica.whole < self.replica.parent.revision:
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -6,7 +6,10 @@
 
 Rules that live here: a source of an older history is left at once; after a loss the other sources
 are tried in an order of one's own, with full jitter (Brooker, "Exponential Backoff And Jitter",
-2015), so that the subscribers of a lost source spread over all others.
+2015), so that the subscribers of a lost source spread over all others. A source that does not
+answer is not waited for: the next one is dialled beside it (as in Happy Eyeballs, RFC 8305), and
+the first that answers is followed. A source that does not hear the publisher is left for one that
+does.
 """
 
 from __future__ import annotations
@@ -106,6 +109,14 @@
     UP = "up"
 
 
+@dataclass(slots=True)
+class _Dial:
+    """An attempt that is not answered yet."""
+
+    address: str
+    until: int
+
+
 @dataclass(slots=True)
 class _Question:
     aliases: tuple[str, ...]
@@ -149,16 +160,20 @@
         self.losses = 0
         self.left_stale = 0
         self.last_loss = ""
-        self.attempt = 0
+        self.attempt = 0  # that is followed; while none is, the last one that was dialled
+        self.address = self.addresses[0]  # of the source that is followed, or was dialled last
         self._random = random
+        self._dials: dict[int, _Dial] = {}  # by attempt
+        self._last_attempt = 0
         self._next_address = 0
-        self._failures = 0
-        self._due = now  # of the next dial, or the end of patience with this one
+        self._failures = 0  # since the last welcome
+        self._due = now  # of the next dial; of a source that is greeted the end of patience
         self._heard = now
         self._said = now
         self._publisher_heard: int | None = None
         self._stale_again = now
         self._stale_wait = terms.stale_again_first
+        self._stale_tries = 0  # others that may still be asked for one that hears the publisher
         self._questions: OrderedDict[int, _Question] = OrderedDict()
         self._next_question = 1
         self._next_serial = 1
@@ -173,39 +188,52 @@
 
     # ---- the connection --------------------------------------------------------------------
 
-    @property
-    def address(self) -> str:
-        """Of the source that is followed, or tried."""
-        return self.addresses[self._next_address % len(self.addresses)]
-
     def publisher_age(self, now: int) -> int | None:
         """How long ago the publisher was heard, by way of whatever source; None: never."""
         if self._publisher_heard is None:
             return None
         return max(now - self._publisher_heard, 0)
 
+    def is_dialing(self, attempt: int) -> bool:
+        """Whether this attempt may still be the one that is followed."""
+        return attempt in self._dials
+
     def connected(self, attempt: int, now: int) -> None:
-        if attempt != self.attempt or self.link is not Link.DIALING:
+        """The first that answers is followed; the others are closed before they are told of us."""
+        dial = self._dials.pop(attempt, None)
+        if dial is None:
             return
+        for other in self._dials:
+            self.actions.append(HangUp(other, "another source answered first"))
+        self._dials.clear()
         self.link = Link.GREETING
+        self.attempt = attempt
+        self.address = dial.address
+        self._due = dial.until
         self._heard = now
         replica = self.replica
         self.subscriptions = set() if self.everything else set(replica.entries)
         self._serials.clear()
         self._unsubscribed.clear()
         held = list(self.subscriptions)
-        self._send(Hello(self.name, self.everything, replica.position, held, replica.newest), now)
+        only_fresh = self._stale_tries > 0
+        place = replica.position
+        hello = Hello(self.name, self.everything, place, held, replica.newest, only_fresh)
+        self._send(hello, now)
 
     def disconnected(self, attempt: int, now: int, why: str = "closed") -> None:
-        if attempt == self.attempt and self.link is not Link.DOWN:
+        if attempt in self._dials:
+            self._dial_failed(attempt, now, why)
+        elif attempt == self.attempt and self.link in (Link.GREETING, Link.UP):
             self._lost(now, why)
 
     def tick(self, now: int) -> None:
         """Do what is due; call it at `next_due` at the latest."""
-        if self.link is Link.DOWN:
-            if now >= self._due and self._choose_address(now):
-                self._dial(now)
-        elif self.link is not Link.UP:
+        if self.link in (Link.DOWN, Link.DIALING):
+            self._end_dials(now)
+            if now >= self._due:
+                self._dial_next(now)
+        elif self.link is Link.GREETING:
             if now >= self._due:
                 self._hang_up(now, f"no welcome in {self.terms.dial // MS} ms")
         elif now - self._heard >= self.terms.silence:
@@ -218,26 +246,54 @@
         if self.link is Link.UP:
             due = min(self._heard + self.terms.silence, self._said + self.terms.heartbeat)
         else:
-            due = self._due
+            due = min([self._due, *(dial.until for dial in self._dials.values())])
         for question in self._questions.values():
             again = question.again if self.link is Link.UP else NEVER
             due = min(due, question.until, again)
         return due
 
-    def _choose_address(self, now: int) -> bool:
-        """The next one that did not bar us; where all did, wait for the first that takes us."""
+    def _dial_next(self, now: int) -> None:
+        """Dial the next source that did not bar us and is not being dialled; where there is none,
+        wait for the first that takes us."""
+        dialling = {dial.address for dial in self._dials.values()}
         for _ in self.addresses:
-            if self._barred.get(self.address, now) <= now:
-                return True
+            address = self.addresses[self._next_address % len(self.addresses)]
+            if address not in dialling and self._barred.get(address, now) <= now:
+                self._dial(now, address)
+                return
             self._next_address += 1
-        self._due = min(self._barred.values())
-        return False
+        self._due = NEVER if self._dials else min(self._barred.values())
 
-    def _dial(self, now: int) -> None:
-        self.attempt += 1
+    def _dial(self, now: int, address: str) -> None:
+        """Where this one does not answer soon the next is dialled beside it, until each source
+        was tried once; then one at a time, so that a long loss costs few dials."""
+        self._next_address += 1
+        self._last_attempt += 1
+        self.attempt = self._last_attempt
+        self.address = address
         self.link = Link.DIALING
-        self._due = now + self.terms.dial
-        self.actions.append(Dial(self.attempt, self.address))
+        self._dials[self.attempt] = _Dial(address, now + self.terms.dial)
+        untried = self._failures + len(self._dials) < len(self.addresses)
+        self._due = now + self.terms.attempt_delay if untried else NEVER
+        self.actions.append(Dial(self.attempt, address))
+
+    def _end_dials(self, now: int) -> None:
+        """Of those that were not answered in time."""
+        for attempt, dial in list(self._dials.items()):
+            if now >= dial.until:
+                why = f"no welcome in {self.terms.dial // MS} ms"
+                self.actions.append(HangUp(attempt, why))
+                self._dial_failed(attempt, now, why)
+
+    def _dial_failed(self, attempt: int, now: int, why: str) -> None:
+        due = self._due
+        self._count_loss(self._dials.pop(attempt).address, why)
+        self._due = now + self._jitter()
+        self._failures += 1
+        if self._dials:
+            self._due = min(self._due, due)
+        else:
+            self.link = Link.DOWN
 
     def _hang_up(self, now: int, why: str) -> None:
         self.actions.append(HangUp(self.attempt, why))
@@ -247,18 +303,25 @@
         """Go elsewhere; back here not before the time that was told, and a random while."""
         wait = busy.retry_after_ms * MS + self._random.randrange(self.terms.reconnect_first + 1)
         self._barred[self.address] = now + wait
+        self._stale_tries = max(self._stale_tries - 1, 0)
         self._hang_up(now, f"busy: {busy.reason}")
 
     def _lost(self, now: int, why: str) -> None:
         """Go on to the next source after a random while."""
-        terms = self.terms
         self.link = Link.DOWN
+        self._count_loss(self.address, why)
+        self._due = now + self._jitter()
+        self._failures += 1
+
+    def _count_loss(self, address: str, why: str) -> None:
         self.losses += 1
-        self.last_loss = f"{self.address}: {why}"
+        self.last_loss = f"{address}: {why}"
+
+    def _jitter(self) -> int:
+        """Full jitter: anything up to a bound that doubles with each failure."""
+        terms = self.terms
         bound = min(terms.reconnect_first << min(self._failures, 16), terms.reconnect_most)
-        self._failures += 1
-        self._next_address += 1
-        self._due = now + self._random.randrange(bound + 1)
+        return self._random.randrange(bound + 1)
 
     # ---- messages --------------------------------------------------------------------------
 
@@ -371,14 +434,21 @@
         self._publisher_heard = max(heard, self._publisher_heard or heard)
 
     def _leave_if_stale(self, now: int, age: int) -> None:
-        """Another source may hear the publisher where ours does not; looked for ever less often,
-        since where the publisher itself is away they are all alike."""
+        """Another source may hear the publisher where ours does not: some others are asked, one
+        right after the other. Looked for ever less often, since where the publisher itself is
+        away they are all alike."""
         if age < self.terms.stale:
             self._stale_wait = self.terms.stale_again_first
             self._stale_again = now
-        elif now >= self._stale_again and len(self.addresses) > 1:
+            self._stale_tries = 0
+            return
+        if now >= self._stale_again and len(self.addresses) > 1:
             self._stale_again = now + self._stale_wait
             self._stale_wait = min(self._stale_wait * 2, self.terms.stale_again_most)
+            self._stale_tries = min(self.terms.stale_tries, len(self.addresses) - 1)
+        elif self._stale_tries:
+            self._stale_tries -= 1
+        if self._stale_tries:
             self.left_stale += 1
             self._hang_up(now, f"has not heard the publisher for {age // MS} ms")
 
--- a/tansywood/distribution/terms.py
+++ b/tansywood/distribution/terms.py
@@ -1,8 +1,8 @@
 """The times and bounds of distribution, in nanoseconds unless the name says otherwise.
 
-A change has 4 s to be in force everywhere, also where a distributor stops at that moment: SILENCE,
-then jittered reconnects and two DIALs that may be in vain (to distributors that are cut off, say),
-come to 3.6 s at most.
+A change has 4 s to be in force everywhere, also where a distributor stops at that moment, and the
+next ones that are dialled are cut off with it: `silence`, the first jitter and an `attempt_delay`
+for each dial in vain come to 3.6 s where eight of them are.
 """
 
 from __future__ import annotations
@@ -20,10 +20,12 @@
     heartbeat: int = 500 * MS  # each side says something at least so often
     silence: int = 1_500 * MS  # a side that has said nothing for so long is gone
     dial: int = 700 * MS  # to connect and be welcomed
+    attempt_delay: int = 250 * MS  # of a dial; then the next source is dialled beside it
     reconnect_first: int = 100 * MS  # full jitter is drawn up to this, doubled with each failure
     reconnect_most: int = 400 * MS
     stale: int = 2 * SECOND  # a source that has not heard the publisher for so long is left ...
-    stale_again_first: int = 5 * SECOND  # ... once, then after so long, doubled each time
+    stale_tries: int = 3  # ... for one of so many others that has; otherwise for whichever is next
+    stale_again_first: int = 5 * SECOND  # until it is tried again, doubled each time
     stale_again_most: int = 60 * SECOND
     admit_per_s: float = 100.0  # hellos of one source
     admit_burst: int = 50
--- a/tests/distribution/model/network.py
+++ b/tests/distribution/model/network.py
@@ -151,9 +151,14 @@
         """A message was taken."""
 
     def dial(self) -> None:
-        """Answer what is dialled: connected, refused, or not at all."""
+        """Answer what is dialled: connected, refused, or not at all; now, or later."""
         dials, self.dials = self.dials, []
         for action in dials:
+            if not self.subscriber.is_dialing(action.attempt):
+                continue
+            if self.world.answers_later():
+                self.dials.append(action)
+                continue
             server = self.world.server(action.address)
             if not self.world.reaches(self, server):
                 if self.world.random.random() < 0.5:
--- a/tests/distribution/model/parts.py
+++ b/tests/distribution/model/parts.py
@@ -14,6 +14,7 @@
     heartbeat=40 * MS,
     silence=160 * MS,
     dial=80 * MS,
+    attempt_delay=30 * MS,
     reconnect_first=20 * MS,
     reconnect_most=60 * MS,
     stale=120 * MS,
@@ -57,3 +58,4 @@
     slow_readers: bool = False  # changes to one resource again and again, for who reads slowly
     clock_jumps: bool = False  # forwards and backwards, of any process
     admission: bool = False  # few hellos a second
+    late_answers: bool = False  # of dials, so that others are made beside them
--- a/tests/distribution/model/world.py
+++ b/tests/distribution/model/world.py
@@ -49,6 +49,7 @@
             self.terms = replace(
                 self.terms, admit_per_s=few.choice([10, 20, 40]), admit_burst=few.choice([1, 2])
             )
+        self.late = Random(f"late answers {seed}")
         self.now = SECOND
         self.steps = 0
         self.epochs = 1
@@ -157,6 +158,12 @@
         isolated = isinstance(follower, Distributor) and follower.isolated_until > self.now
         return server.runs and not isolated
 
+    def answers_later(self) -> bool:
+        """Whether a dial is answered in another step."""
+        late = self.faulty and self.faults.late_answers and self.late.random() < 0.7
+        self.counts["late answers"] += late
+        return late
+
     def connect(self, follower: Follower, attempt: int, server: Server) -> Wire:
         wire = Wire(follower, attempt, server)
         wire.room = self.random.choice([1, 2, 4])
--- a/tests/distribution/simulation.py
+++ b/tests/distribution/simulation.py
@@ -238,6 +238,8 @@
             self.core.applied(action.batch, simulation.now)
 
     def _dialled(self, action: Dial) -> None:
+        if not self.core.is_dialing(action.attempt):
+            return
         source = self.simulation.sources[action.address]
         if source.condition is Condition.DEAD:
             self.core.disconnected(action.attempt, self.simulation.now, "refused")
--- a/tests/distribution/test_histories.py
+++ b/tests/distribution/test_histories.py
@@ -60,9 +60,13 @@
         (SLOW_READERS, {"slow readers": 50, "coalesced": 500}),
         (Faults(clock_jumps=True), {"clocks back": 200, "clocks ahead": 200}),
         (Faults(admission=True), {"turned away": 300}),
-        (Faults(True, True, True), {"slow readers": 20, "clocks back": 200, "turned away": 300}),
+        (Faults(late_answers=True), {"late answers": 1_000}),
+        (
+            Faults(slow_readers=True, clock_jumps=True, admission=True, late_answers=True),
+            {"slow readers": 20, "clocks back": 200, "turned away": 300, "late answers": 1_000},
+        ),
     ],
-    ids=["slow readers", "clock jumps", "admission", "all of them"],
+    ids=["slow readers", "clock jumps", "admission", "late answers", "all of them"],
 )
 def test_it_holds_with_further_faults(faults: Faults, often: dict[str, int]) -> None:
     counts: Counter[str] = Counter()
@@ -90,16 +94,16 @@
 
 
 @pytest.mark.parametrize(
-    "parts",
+    ("parts", "faults"),
     [
-        Parts(replica=AnyEpochReplica),
-        Parts(replica=NoWindowReplica),
-        Parts(source=OldPlaceSource),
+        (Parts(replica=AnyEpochReplica), Faults()),
+        (Parts(replica=NoWindowReplica), Faults()),
+        (Parts(source=OldPlaceSource), SLOW_READERS),
     ],
     ids=["epoch", "window", "order of coalescing"],
 )
-def test_a_defence_that_is_taken_out_is_found(parts: Parts) -> None:
-    assert any(found_by(seed, parts) for seed in LOOKED_AT)
+def test_a_defence_that_is_taken_out_is_found(parts: Parts, faults: Faults) -> None:
+    assert any(found_by(seed, parts, faults) for seed in LOOKED_AT)
 
 
 def test_a_missing_order_of_coalescing_is_found_by_many_histories_with_slow_readers() -> None:
--- a/tests/distribution/test_sockets.py
+++ b/tests/distribution/test_sockets.py
@@ -6,22 +6,23 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
-from tansywood.distribution.client import SubscriberClient
+from tansywood.distribution.client import SubscriberClient, dial
 from tansywood.distribution.distributor import Distributor
 from tansywood.distribution.messages import Epoch, Kind, Position, Resource, alias_of_host
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Source
+from tansywood.distribution.stream import SealedStream
 from tansywood.distribution.subscriber import (
     Action,
     Answer,
     Apply,
     Subscriber,
 )
-from tansywood.distribution.terms import MS, Terms
+from tansywood.distribution.terms import MS, SECOND, Terms
 from windrelay.config import Address
 
 KEY = bytes(range(32))
@@ -123,3 +124,47 @@
             await until(lambda: distributor.source.rollout("t1", 4).have == 1)
 
     asyncio.run(story())
+
+
+def test_a_source_that_answers_too_late_is_closed_and_never_told_who_dialled() -> None:
+    async def story() -> None:
+        publishers = [Publisher(Epoch(1, b"a")) for _ in range(2)]
+        addresses = []
+        for publisher in publishers:
+            publisher.change("t1", 1, b"one")
+            at = await publisher.server.start(LOCAL)
+            addresses.append(f"{at.host}:{at.port}")
+        answers = asyncio.Event()
+        dialled: list[str] = []
+
+        async def first_dial_hangs(address: str, made: Callable[[], SealedStream]) -> object:
+            dialled.append(address)
+            if len(dialled) == 1:
+                await answers.wait()
+            return await dial(address, made)
+
+        terms = replace(TERMS, attempt_delay=20 * MS, dial=60 * SECOND)
+        subscriber = Subscriber(
+            "i1",
+            addresses,
+            Replica(TERMS.window),
+            terms,
+            Random(1),
+            time.monotonic_ns(),
+        )
+        client = SubscriberClient(
+            subscriber, keys, "fleet", lambda _action: None, dialer=first_dial_hangs
+        )
+        client.start()
+        await until(lambda: client.connected)
+        assert len(dialled) == 2 and subscriber.address == dialled[1]
+        late = publishers[addresses.index(dialled[0])].source
+        answers.set()
+        await until(lambda: late._next_number > 1 and not late.sessions)
+        assert late.messages_in == 0 and subscriber.losses == 0
+        client.stop()
+        for publisher in publishers:
+            publisher.server.stop()
+        await asyncio.sleep(0.02)
+
+    asyncio.run(story())
--- a/tests/distribution/test_source.py
+++ b/tests/distribution/test_source.py
@@ -24,7 +24,7 @@
     alias_of_host,
 )
 from tansywood.distribution.replica import Replica
-from tansywood.distribution.source import COME_BACK_MOST, CONTROL_MOST, ProtocolError, Source
+from tansywood.distribution.source import COME_BACK_MOST, CONTROL_MOST, STALE, ProtocolError, Source
 from tansywood.distribution.terms import MS, SECOND, Terms
 
 EPOCH = Epoch(1, b"a")
@@ -242,3 +242,23 @@
         answers.append(bench.told(number)[0])
     assert isinstance(answers[0], Welcome) and not answers[0].compare
     assert isinstance(answers[1], Busy)
+
+
+def test_one_that_wants_a_source_that_hears_the_publisher_is_told_where_it_does_not() -> None:
+    replica = Replica(TERMS.window, EPOCH, 1)
+    terms = Terms(admit_per_s=1, admit_burst=1)
+    source = Source(replica, terms, NOW, is_publisher=False)
+    source.serving = True
+
+    def answer(name: str, only_fresh: bool, now: int) -> Message | None:
+        number = source.opened(now)
+        hello = Hello(name, position=Position(EPOCH, 1), only_fresh=only_fresh)
+        source.received(number, now, hello)
+        return source.next_message(number, now)
+
+    stale = NOW + terms.stale
+    for _ in range(5):  # none of these is an admission
+        assert answer("n1", True, stale) == Busy(0, STALE)
+    assert isinstance(answer("n1", False, stale), Welcome)
+    source.publisher_heard(stale + SECOND)
+    assert isinstance(answer("n2", True, stale + SECOND), Welcome)
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -24,6 +24,7 @@
     Welcome,
 )
 from tansywood.distribution.replica import Replica
+from tansywood.distribution.source import STALE
 from tansywood.distribution.subscriber import Answer, Apply, Dial, HangUp, Link, Send, Subscriber
 from tansywood.distribution.terms import MS, SECOND, Terms
 
@@ -59,11 +60,11 @@
         for message in messages:
             self.subscriber.received(self.subscriber.attempt, self.now, message)
 
-    def connect(self, welcome: Welcome = WELCOME) -> None:
+    def connect(self, answer: Message = WELCOME) -> None:
         while self.subscriber.link is not Link.DIALING:
             self.wait(MS)
         self.subscriber.connected(self.subscriber.attempt, self.now)
-        self.hears(welcome)
+        self.hears(answer)
 
     def said(self) -> list[Message]:
         actions, self.subscriber.actions = self.subscriber.actions, []
@@ -134,21 +135,42 @@
     assert follower.subscriber.losses == 1 and "silent" in follower.subscriber.last_loss
 
 
-def test_a_stale_source_is_left_once_and_then_ever_less_often() -> None:
+def test_stale_sources_are_left_one_right_after_the_other_and_then_ever_less_often() -> None:
     follower = Follower()
     left = []
+    only_fresh = []
     begin = follower.now
     while follower.now - begin < 100 * SECOND:
         if follower.subscriber.link is not Link.UP:
             follower.connect()
+            hellos = [message for message in follower.said() if isinstance(message, Hello)]
+            only_fresh += [hello.only_fresh for hello in hellos]
         before = follower.subscriber.left_stale
         follower.hears(Progress(10, age_ms=60_000))
         if follower.subscriber.left_stale > before:
             left.append(follower.now)
-        follower.wait(100 * MS)
-    gaps = [(b - a) // SECOND for a, b in pairwise(left)]
-    assert left[0] == begin or left[0] - begin < SECOND
+        else:
+            follower.wait(100 * MS)
+    # All three sources are tried, then the last one stays for a while; and again.
+    assert len(left) % 2 == 0
+    rounds = list(zip(left[::2], left[1::2], strict=True))
+    assert rounds[0][0] - begin < SECOND
+    assert all(second - first < TERMS.reconnect_most for first, second in rounds)
+    gaps = [round((b - a) / SECOND) for a, b in pairwise(first for first, _ in rounds)]
     assert gaps == [5, 10, 20, 40]
+    assert only_fresh == [False, *[True, True] * len(rounds)]
+
+
+def test_where_all_sources_are_stale_one_is_followed_all_the_same() -> None:
+    follower = Follower(addresses=SOURCES)
+    follower.connect()
+    follower.hears(Progress(10, age_ms=60_000))
+    follower.said()
+    asked: list[bool] = []
+    while asked[-1:] != [False]:
+        follower.connect(Busy(0, STALE))
+        asked += [m.only_fresh for m in follower.said() if isinstance(m, Hello)]
+    assert asked == [True] * TERMS.stale_tries + [False]
 
 
 def test_a_fresh_source_is_never_left() -> None:
@@ -171,6 +193,84 @@
     assert follower.subscriber.replica.epoch == EPOCH
 
 
+# ---- dials beside one another ----------------------------------------------------------------
+
+
+def dials_of(follower: Follower) -> list[Dial]:
+    return [action for action in follower.subscriber.actions if isinstance(action, Dial)]
+
+
+def link_of(follower: Follower) -> Link:
+    return follower.subscriber.link
+
+
+def test_where_a_source_does_not_answer_the_next_is_dialled_and_the_first_to_answer_followed() -> (
+    None
+):
+    follower = Follower(addresses=SOURCES)
+    follower.wait(TERMS.attempt_delay - MS)
+    assert len(dials_of(follower)) == 1
+    follower.wait(MS)
+    first, second = dials_of(follower)
+    assert first.address != second.address
+    follower.subscriber.connected(second.attempt, follower.now)
+    assert [a.attempt for a in follower.subscriber.actions if isinstance(a, HangUp)] == [
+        first.attempt
+    ]
+    assert follower.subscriber.address == second.address
+    follower.subscriber.connected(first.attempt, follower.now)  # too late
+    follower.subscriber.disconnected(first.attempt, follower.now)
+    follower.subscriber.received(first.attempt, follower.now, WELCOME)
+    assert link_of(follower) is Link.GREETING
+    follower.subscriber.received(second.attempt, follower.now, WELCOME)
+    assert link_of(follower) is Link.UP
+    assert len([m for m in follower.said() if isinstance(m, Hello)]) == 1
+
+
+def test_a_dial_that_fails_beside_another_leaves_that_one_alone() -> None:
+    follower = Follower(addresses=SOURCES)
+    follower.wait(TERMS.attempt_delay)
+    first, second = dials_of(follower)
+    follower.subscriber.disconnected(first.attempt, follower.now, "refused")
+    assert link_of(follower) is Link.DIALING
+    follower.subscriber.connected(second.attempt, follower.now)
+    assert link_of(follower) is Link.GREETING
+
+
+def test_dials_beside_one_another_are_few_and_after_one_round_there_are_none() -> None:
+    follower = Follower(addresses=SOURCES)
+    open_until: list[int] = []
+    most = Counter[bool]()
+    end = follower.now + 20 * SECOND
+    while follower.now < end:
+        follower.wait(MS)
+        for dial in dials_of(follower):
+            open_until.append(follower.now + TERMS.dial)
+            open_until = [until for until in open_until if until > follower.now]
+            all_tried = len(set(follower.dialled)) == len(SOURCES)
+            most[all_tried] = max(most[all_tried], len(open_until))
+            assert dial.address in SOURCES
+        follower.subscriber.actions.clear()
+    assert most[False] == -(-TERMS.dial // TERMS.attempt_delay)
+    assert most[True] <= most[False]
+    late = [a for a in follower.dialled[2 * len(SOURCES) :]]
+    assert len(late) <= 20 * SECOND // TERMS.dial
+
+
+def test_one_source_alone_is_dialled_once_at_a_time() -> None:
+    follower = Follower(addresses=SOURCES[:1])
+    follower.wait(TERMS.dial - MS)
+    assert len(dials_of(follower)) == 1
+
+
+def test_a_source_that_answers_and_does_not_welcome_is_left() -> None:
+    follower = Follower(addresses=SOURCES)
+    follower.wait(0)
+    follower.subscriber.connected(follower.subscriber.attempt, follower.now)
+    follower.wait(TERMS.dial)
+    assert follower.subscriber.losses == 1 and "no welcome" in follower.subscriber.last_loss
+
+
 def holding(follower: Follower, uid: str, revision: int) -> None:
     """Ask for a tenant, get it, and put it into force."""
     follower.subscriber.lookup([f"n:{uid}"], follower.now)
