The scale rig: an idle process to compare with, what was lost by name

Need: a run on a busy machine did not tell whether a part was late or the machine was; a run that lost something did not say what.

Change: one process does nothing, and its longest standstill is told beside the others'. Losses are listed with change, revision and node. A relay stops writing to an end that has gone while bytes for it were on their way; uvloop raises RuntimeError there, which ended the task with a trace.

Result: the new test of the relay fails without its mend.

--- a/standins/scale/__init__.py
+++ b/standins/scale/__init__.py
@@ -12,6 +12,7 @@
     links       connections that take time and can be cut or left unread within a process
     life        one start of a hollow node
     hollow      a process: many nodes' control sides on real sockets, without their data path
+    idle        a process that does nothing, for comparison
     standstill  how long a process does nothing else
     processes   starts and ends processes, distributors among them
     rig         all processes of a run
--- a/standins/scale/costs.py
+++ b/standins/scale/costs.py
@@ -17,6 +17,7 @@
 class Snapshot:
     """All counters at one moment."""
 
+    idle: Command
     publisher: Command
     publisher_messages: int
     distributor_messages: int
@@ -34,6 +35,7 @@
     standstills = [row["longest_standstill_ms"] for row in told if row["name"] not in stopped]
     messages = (await rig.caller.status())["distribution"]["messages"]
     return Snapshot(
+        await rig.idle.ask("counters"),
         await rig.publisher.ask("counters"),
         messages["received"] + messages["sent"],
         sum(row["messages_in"] + row["messages_out"] for row in told),
@@ -68,6 +70,7 @@
         standstill_ms={
             "publisher": after.publisher["standstill_ms"],
             "a distributor": after.distributor_standstill_ms,
+            "an idle process": after.idle["standstill_ms"],
             "hollow nodes": max(row["standstill_ms"] for row in after.hollows),
         },
         load_before=load_before,
--- a/standins/scale/relay.py
+++ b/standins/scale/relay.py
@@ -46,7 +46,7 @@
                     due, data = await on_their_way.get()
                     await asyncio.sleep(due - loop.time())
                     await self._open.wait()
-                    if not data:
+                    if not data or writer.is_closing():
                         return
                     writer.write(data)
                     await writer.drain()
--- a/standins/scale/report.py
+++ b/standins/scale/report.py
@@ -97,6 +97,14 @@
     change: Committed
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A node that never had a change."""
+
+    node: int
+    change: Committed
+
+
 @dataclass(slots=True)
 class Times:
     """Arrivals of all changes, one for each change."""
@@ -135,6 +143,7 @@
     problems: Sequence[str]
     kinds: Mapping[ChangeKind, int]  # changes of each
     calls: Calls
+    losses: Sequence[Loss]  # some of what was lost
 
     @property
     def kept(self) -> bool:
@@ -155,14 +164,14 @@
     changed = {change.tenant for change in run.committed}
     holders = holders_of(run.plan, changed)
     outside, from_cut = Times(), Times()
-    lost = 0
+    lost: list[Loss] = []
     for change in run.committed:
         late_outside: list[Arrival] = []
         late_from_cut: list[Arrival] = []
         for node in holders[change.tenant]:
             at = history.reached(node, change)
             if at is None:
-                lost += 1
+                lost.append(Loss(node, change))
                 continue
             since = history.returned(node, change.at, at)
             cut = _cut_between(run, node, since, at)
@@ -180,7 +189,7 @@
         len(run.committed),
         outside,
         from_cut,
-        lost + compared.missing,
+        len(lost) + compared.missing,
         history.out_of_order,
         compared.differing,
         compared.unasked,
@@ -188,6 +197,7 @@
         run.problems,
         Counter(change.kind for change in run.committed),
         run.calls,
+        lost[:SLOWEST_SHOWN],
     )
 
 
@@ -247,6 +257,13 @@
                 f"{arrival.change.tenant} called for at {called:.2f} s, "
                 f"last at {node.name} of region {node.region}"
             )
+    for loss in found.losses:
+        change = loss.change
+        called = (change.at - run.began) / NS
+        lines.append(
+            f"LOST: {change.kind} of tenant {change.tenant} at revision {change.revision}, "
+            f"called for at {called:.2f} s, at {run.plan.nodes[loss.node].name}"
+        )
     lines += [f"PROBLEM: {text}" for text in found.problems]
     return "\n".join(lines)
 
--- a/standins/scale/rig.py
+++ b/standins/scale/rig.py
@@ -34,6 +34,7 @@
         self.folder = folder
         self.plan = plan
         self.processes = Processes(folder)
+        self.idle: Child
         self.publisher: Child
         self.caller: Caller
         self.relays: list[Child] = []
@@ -45,6 +46,8 @@
         key = self.folder / "fleet.key"
         key.touch(0o600)
         key.write_text(secrets.token_hex(32) + "\n")
+        self.idle = await self.processes.child("idle")
+        await self.idle.first()
         size = arguments(self.plan.size, self.plan.seed)
         upstream = await self._start_publisher(size)
         self._log("the publisher has its tenants")
--- a/tests/scale_rig/test_delay.py
+++ b/tests/scale_rig/test_delay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -238,6 +240,36 @@
     uvloop.run(story())
 
 
+def test_a_relay_drops_what_is_on_its_way_to_one_that_has_gone() -> None:
+    async def story() -> None:
+        said = asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(4)
+            writer.write(b"more")
+            await writer.drain()
+            said.set()
+
+        failed: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, told: failed.append(told))
+        server = await asyncio.start_server(talk, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        relay = DelayedRelay(Address(host, port), 4 * DELAY_S)
+        _reader, writer = await asyncio.open_connection(*await relay.start())
+        writer.write(b"ping")
+        async with asyncio.timeout(LIMIT_S):
+            await said.wait()
+        reset = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        writer.transport.abort()
+        await asyncio.sleep(10 * DELAY_S)
+        assert not failed
+        relay.stop()
+        server.close()
+
+    uvloop.run(story())
+
+
 def test_nothing_passes_a_relay_that_is_cut() -> None:
     async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while data := await reader.read(100):
