The scale rig: a state found unchanged at a later revision is in force there

Cause: a key that is issued and revoked leaves a tenant as it was. A node that missed both and compares is told that what it has is unchanged, so nothing is put into force, and the rig counted both changes as lost.

Change: the hollow node notes the later revision.

Result: the new test, of a deletion and a return to the same state while the node was away, fails without this.

--- a/standins/scale/life.py
+++ b/standins/scale/life.py
@@ -22,7 +22,7 @@
 from standins.scale.records import ABSENT, Applied, generation_of
 from standins.scale.sizes import FLEET
 from tansywood.distribution.client import SubscriberClient
-from tansywood.distribution.messages import Message, Welcome, alias_of_host
+from tansywood.distribution.messages import Changes, Kind, Message, Welcome, alias_of_host
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.stream import Keys
 from tansywood.distribution.subscriber import Action, Answer, Apply, Subscriber
@@ -98,6 +98,8 @@
     def _overheard(self, message: Message) -> None:
         if isinstance(message, Welcome):
             self._ask_unasked()
+        elif isinstance(message, Changes):
+            self._confirm([r.uid for r in message.resources if r.kind is Kind.UNCHANGED])
 
     def _ask_unasked(self) -> None:
         unasked, self._unasked = self._unasked, []
@@ -157,6 +159,14 @@
             self._unasked += removed
             asyncio.get_running_loop().call_soon(self._ask_unasked)
 
+    def _confirm(self, uids: list[str]) -> None:
+        """What is in force was found to be the state of a later revision, as where a key was issued
+        and revoked: nothing is put into force for it."""
+        for uid in uids:
+            entry = self.replica.entries.get(uid)
+            if entry is not None:
+                self._write(self.tenant_of_uid(uid), generation_of(uid), entry.revision)
+
     def _write(self, tenant: int, generation: int, revision: int) -> None:
         now = time.monotonic_ns()
         row = Applied(now, self._node.number, tenant, generation, revision)
--- a/tests/scale_rig/test_life.py
+++ b/tests/scale_rig/test_life.py
@@ -48,21 +48,28 @@
     """A publisher and one node that serves two tenants."""
 
     def __init__(self, folder: Path) -> None:
-        self.published = Replica(100, Epoch(1, b"a"))
-        self.source = Source(self.published, TERMS, time.monotonic_ns(), is_publisher=True)
-        self.server = SourceServer(self.source, keys, FLEET)
+        self.published = Replica(1, Epoch(1, b"a"))  # whoever misses two changes has to compare
+        self.source: Source
+        self.server: SourceServer
+        self.address = Address("127.0.0.1", 0)
         self.folder = folder
         self.applied = io.BytesIO()
         self.life: Life
 
     async def start(self) -> None:
+        await self.serve()
         self.publish(1, uid_of(THERE), THERE)
-        at = await self.server.start(Address("127.0.0.1", 0))
-        addresses = (f"{at.host}:{at.port}",)
+        addresses = (f"{self.address.host}:{self.address.port}",)
         world = World(addresses, keys, TERMS, Delays(), Random(1), self.applied)
         self.life = Life(NodePlan(0, 0, 0, (THERE, COMES)), NodeLinks(), world)
         self.life.client.start()
 
+    async def serve(self) -> None:
+        """Begin to serve, or again after `server.stop()`."""
+        self.source = Source(self.published, TERMS, time.monotonic_ns(), is_publisher=True)
+        self.server = SourceServer(self.source, keys, FLEET)
+        self.address = await self.server.start(self.address)
+
     def stop(self) -> None:
         self.life.stop()
         self.server.stop()
@@ -125,6 +132,23 @@
     uvloop.run(story())
 
 
+def test_a_state_that_is_found_unchanged_is_in_force_at_its_later_revision(tmp_path: Path) -> None:
+    async def story() -> None:
+        machines = Story(tmp_path)
+        await machines.start()
+        await machines.holds(uid_of(THERE))
+        machines.server.stop()
+        machines.publish(2, uid_of(THERE), None)
+        machines.publish(3, uid_of(THERE), THERE)
+        machines.publish(4, "another", 3)
+        await machines.serve()
+        await until(lambda: machines.rows(THERE)[-1].revision == 3)
+        assert [row.revision for row in machines.rows(THERE)] == [1, 3]
+        machines.stop()
+
+    uvloop.run(story())
+
+
 def test_it_is_complete_once_what_is_nobodys_was_asked_for_since(tmp_path: Path) -> None:
     async def story() -> None:
         machines = Story(tmp_path)
