A refusal is told of the state that was refused, not of a later one on its way into force

After a comparison 'unchanged' was taken for the state that had been refused, while a later one was being put into force. The other way round, a refusal that came after 'unchanged' was told at the old revision, and the newest counted as in force.

A refusal now moves to the revision that is unchanged only where nothing later is on its way, and one that comes later is told at the revision that is held by then. Two tests, each fails without.

--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -408,10 +408,7 @@
         if self.everything:
             for resource in taken:
                 self.replica.record(resource.revision, resource.uid)
-        for resource in resources:
-            if resource.kind is Kind.UNCHANGED and resource.uid in self._refusing:
-                reason = self._refusing[resource.uid].reason
-                self._refuse(Refusal(resource.uid, resource.revision, reason))
+        self._refuse_unchanged(resources)
         uids = tuple(resource.uid for resource in taken)
         batch = _Batch(self._next_batch, progress, uids, done=not uids)
         self._next_batch += 1
@@ -419,6 +416,16 @@
         if uids:
             self.actions.append(Apply(batch.number, uids))
 
+    def _refuse_unchanged(self, resources: Sequence[Resource]) -> None:
+        """What is refused and has not changed is refused at its new revision too; not where a
+        later state is being put into force, which is what has not changed then."""
+        deciding = {uid for batch in self._batches if not batch.done for uid in batch.uids}
+        for resource in resources:
+            refusal = self._refusing.get(resource.uid)
+            unchanged = resource.kind is Kind.UNCHANGED and resource.uid not in deciding
+            if unchanged and refusal is not None:
+                self._refuse(Refusal(resource.uid, resource.revision, refusal.reason))
+
     def _progressed(self, now: int, progress: Progress) -> None:
         self.replica.advance(progress.progress, progress.whole)
         self._batches.append(_Batch(0, progress.progress, done=True))
@@ -468,15 +475,14 @@
         for uid in batch.uids:
             self._refusing.pop(uid, None)
             self._refusals.pop(uid, None)
-        if not batch.forgotten:
-            for refusal in refusals:
-                self._refuse(refusal)
-            return
         decided_later = {uid for b in self._batches if b.number > batch.number for uid in b.uids}
         for refusal in refusals:
             entry = self.replica.entries.get(refusal.uid)
             if entry is not None and refusal.uid not in decided_later:
+                # Its revision may be a later one by now, or one of another history.
                 self._refuse(Refusal(refusal.uid, max(entry.revision, 0), refusal.reason))
+            elif not batch.forgotten:
+                self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> None:
         self._refusing[refusal.uid] = refusal
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -326,6 +326,41 @@
     assert Acknowledge(11, [refusal]) in follower.said()
 
 
+def changing(follower: Follower, revision: int, body: bytes) -> int:
+    """A change of `t` comes; returns the batch in which it is put into force."""
+    follower.subscriber.actions.clear()
+    follower.hears(Changes([Resource("t", revision, Kind.CONTENT, body)], revision))
+    (apply,) = (a for a in follower.subscriber.actions if isinstance(a, Apply))
+    return apply.batch
+
+
+def refusals_said(follower: Follower) -> list[Refusal]:
+    return [r for m in follower.said() if isinstance(m, Acknowledge) for r in m.refusals]
+
+
+def test_what_is_refused_is_not_confused_with_a_later_state_that_is_being_put_into_force() -> None:
+    follower = Follower()
+    follower.connect()
+    holding(follower, "t", 5)
+    bad = Refusal("t", 11, "no document")
+    follower.subscriber.applied(changing(follower, 11, b"bad"), follower.now, [bad])
+    assert refusals_said(follower) == [bad]
+    batch = changing(follower, 12, b"good")
+    follower.hears(Changes([Resource("t", 13, Kind.UNCHANGED)], 13))  # after a comparison
+    follower.subscriber.applied(batch, follower.now)
+    assert not refusals_said(follower)
+
+
+def test_a_refusal_is_told_at_the_revision_that_was_found_unchanged_meanwhile() -> None:
+    follower = Follower()
+    follower.connect()
+    holding(follower, "t", 5)
+    batch = changing(follower, 11, b"bad")
+    follower.hears(Changes([Resource("t", 13, Kind.UNCHANGED)], 13))
+    follower.subscriber.applied(batch, follower.now, [Refusal("t", 11, "no document")])
+    assert refusals_said(follower) == [Refusal("t", 13, "no document")]
+
+
 def test_a_hello_names_the_newest_state_that_is_held() -> None:
     follower = Follower()
     follower.connect()
