Scale: a role for all of a node's control, measured together

Need: the budget is for supervisor, agent and fleet process together, and they were never measured in one run.

Change: benchmarks.scale.control runs two whole nodes with distribution and fleet on before a distributor, one of them the home of all limits, and looks at each process at four numbers of tenants served: private memory, proportional memory, processor time with nobody asking.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -24,6 +24,7 @@
 from benchmarks.scale import (
     administration,
     configuration,
+    control,
     data_path,
     discovery,
     distribution,
@@ -38,6 +39,7 @@
 
 ROLES: dict[str, Callable[[bool], Role]] = {
     "data path": data_path.measure,
+    "a node's control": control.measure,
     "knowledge": knowledge.measure,
     "membership": membership.measure,
     "shared limits": limits.measure,
