A source sends one session a few messages at a time, and goes on behind the others

The rest of the fleet took the publisher for stale or silent. Cause: _send_ready sent until the transport asked for a pause. An end that reads as fast as the publisher writes never lets it come to that. Four messages of a session go at a time; what is left is sent behind what the loop has to do meanwhile.

--- a/tansywood/distribution/server.py
+++ b/tansywood/distribution/server.py
@@ -16,6 +16,7 @@
 TICK = 100 * MS
 STALLED = 200 * MS  # a tick that comes so late tells that this process stood still
 BACKLOG = 1024
+TURN_MESSAGES = 4  # that are sent to one session before all others have their turn
 
 Overheard = Callable[[Session, Message], None]
 
@@ -43,6 +44,7 @@
         self._numbers: dict[SealedStream, int] = {}
         self._server: asyncio.Server | None = None
         self._ticking: asyncio.TimerHandle | None = None
+        self._next_turn: asyncio.Handle | None = None
         self._tick_due = 0
         self.bytes_out = 0  # of connections that have ended
         self.bytes_in = 0
@@ -65,6 +67,8 @@
     def stop(self) -> None:
         if self._ticking is not None:
             self._ticking.cancel()
+        if self._next_turn is not None:
+            self._next_turn.cancel()
         if self._server is not None:
             self._server.close()
         for stream in list(self._streams.values()):
@@ -127,18 +131,32 @@
         return SealedStream(self, self._keys, self._fleet, False, self.refused)
 
     def _send_ready(self, number: int) -> None:
+        """One turn of a session. One that is sent everything would hold up all others for as long
+        as its end reads as fast as this one writes."""
         stream = self._streams.get(number)
         if stream is None:
             self.source.ready.discard(number)
             return
         now = time.monotonic_ns()
-        while not stream.paused:
+        for _ in range(TURN_MESSAGES):
+            if stream.paused:
+                return
             message = self.source.next_message(number, now)
             if message is None:
-                break
+                if self.source.sessions[number].ends:
+                    stream.close("ended by this source")
+                return
             stream.send(message)
-        if self.source.sessions[number].ends and not stream.paused:
-            stream.close("ended by this source")
+        self._take_another_turn()
+
+    def _take_another_turn(self) -> None:
+        """Go on behind what the loop has to do meanwhile."""
+        if self._next_turn is None:
+            self._next_turn = asyncio.get_running_loop().call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._next_turn = None
+        self.pump()
 
     def _tick(self) -> None:
         """Time in which this process stood still, and so read nothing, is nobody's silence."""
