The disk of an instance that votes is a module of its own

Need: service/leases.py did sockets, tasks and the opening, failing and putting aside of the voter's disk in one class.

Change, of unchanged behaviour: service/voterdisk.py has the disk; leases.py asks it. Events and log lines are as before.

--- a/tansywood/service/leases.py
+++ b/tansywood/service/leases.py
@@ -1,7 +1,7 @@
 """Leases on sockets, a disk and tasks: what `tansywood.lease` decides, done.
 
-It lives in the fleet's process, whose sealed datagrams carry its messages. The disk is written in a
-thread of its own, so one that is slow holds up nothing but this instance's own promises.
+It lives in the fleet's process, whose sealed datagrams carry its messages. The disk is in
+`voterdisk`.
 """
 
 from __future__ import annotations
@@ -22,17 +22,13 @@
 from tansywood.fleet.terms import MS, SECOND
 from tansywood.lease.client import LeaseClient
 from tansywood.lease.context import Peer
-from tansywood.lease.disk import DiskError, Kept, load
 from tansywood.lease.fragments import Fragment
 from tansywood.lease.terms import LeaseTerms
 from tansywood.service.endpoint import Clock
+from tansywood.service.voterdisk import VoterDisk
 from tansywood.service.wire import frame, read_frame
-from tansywood.store.aio import AsyncStore
-from tansywood.store.engine import Batch, Store
-from tansywood.store.errors import StoreError
 
 KNOW = 100 * MS
-DISK_AGAIN_S = 1.0  # between two tries of a disk that failed
 REFOUND_LEASES = 1.25  # a lease by the slowest clock there may be, and a little
 ASKS = ("list", "show", "why", "hand-over", "found", "refound")
 _fragments = msgspec.msgpack.Decoder(Fragment)
@@ -89,16 +85,13 @@
             LeaseTerms(length=length, renew=length // 4),
             Random(int.from_bytes(os.urandom(8), "big")),
         )
-        self.promises = promises
-        self.store: AsyncStore | None = None
+        self.disk = VoterDisk(loop, clock, self.client, promises, self.flush, log)
         self.ending = False
         self._knew = clock.now() - KNOW
         self._waiting: dict[str, list[asyncio.Event]] = {}
         self._bodies: dict[str, set[asyncio.Task[Any]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    # ---- the disk ----------------------------------------------------------------------------
-
     def spawn(self, work: Any) -> None:
         """A task that is kept until its end."""
         task = self.loop.create_task(work)
@@ -108,77 +101,7 @@
     def start(self) -> None:
         """Open the disk, where this instance votes."""
         if self.client.votes:
-            self.spawn(self.open())
-
-    async def open(self) -> None:
-        """The disk, now or once it can be used."""
-        while not self.ending:
-            try:
-                kept, self.store = await self._open()
-            except (OSError, StoreError, DiskError, ValueError) as err:
-                if self.client.down != str(err):
-                    self.client.stop_voter(self.clock.now(), str(err))
-                    self.flush()
-                await asyncio.sleep(DISK_AGAIN_S)
-                continue
-            self.client.start_voter(self.clock.now(), kept)
-            self.flush()
-            return
-
-    async def _open(self) -> tuple[Kept, AsyncStore]:
-        def read() -> tuple[Kept, Store]:
-            store = Store.open(self.promises)
-            try:
-                kept = load(store)
-                if kept is None:
-                    kept = Kept(f"{self.client.name}/{os.urandom(4).hex()}")
-                return kept, store
-            except BaseException:
-                store.close()
-                raise
-
-        kept, store = await self.loop.run_in_executor(None, read)
-        return kept, AsyncStore(store)
-
-    async def write(self, batch: Batch) -> None:
-        """One batch of the voter, synced."""
-        voter, store = self.client.voter, self.store
-        assert voter is not None and store is not None
-        try:
-            await store.durable(batch)
-        except (OSError, StoreError) as err:
-            # Nothing that stood behind it was said. It is as if we had crashed before.
-            if self.client.voter is voter:
-                self.client.stop_voter(self.clock.now(), f"{self.promises}: {err}")
-                self.store = None
-                self.flush()
-                with contextlib.suppress(OSError, StoreError):
-                    await store.close()
-                await asyncio.sleep(DISK_AGAIN_S)
-                await self.open()
-            return
-        voter.written()
-        self.client.flush(self.clock.now())
-        self.flush()
-
-    async def begin_anew(self, why: str) -> None:
-        """Our disk is put aside, and we are another voter."""
-        store, voter = self.store, self.client.voter
-        assert store is not None and voter is not None
-        self.client.stop_voter(self.clock.now(), f"{why}: put aside")
-        self.store = None
-        with contextlib.suppress(OSError, StoreError):
-            await store.close()
-        number = 0
-        while (aside := self.promises.with_name(f"{self.promises.name}-aside-{number}")).exists():
-            number += 1
-        try:
-            self.promises.rename(aside)
-        except OSError as err:
-            self.client.stop_voter(self.clock.now(), f"{self.promises}: can't be put aside: {err}")
-            return
-        self.log(f"lease: {self.promises} is now {aside}: look why, then remove it")
-        await self.open()
+            self.spawn(self.disk.open())
 
     # ---- the network and time ----------------------------------------------------------------
 
@@ -217,12 +140,12 @@
             for task in list(self._bodies.get(name, ())):
                 task.cancel()
         voter = client.voter
-        if voter is not None and self.store is not None:
+        if voter is not None and self.disk.store is not None:
             if client.aside:
                 why, client.aside = client.aside, ""
-                self.spawn(self.begin_anew(why))
+                self.spawn(self.disk.begin_anew(why))
             elif (batch := voter.next_write()) is not None:
-                self.spawn(self.write(batch))
+                self.spawn(self.disk.write(batch))
         for address, fragment in client.take_sends():
             self.carry(address, msgspec.msgpack.encode(fragment))
         for text in client.events.take_fresh():
@@ -240,15 +163,14 @@
     async def stop(self) -> None:
         """Everything is given back, the disk is closed."""
         self.ending = True
+        self.disk.stop_opening()
         for tasks in self._bodies.values():
             for task in tasks:
                 task.cancel()
         self.client.leave(self.clock.now())
         self.flush()
         await asyncio.sleep(0.05)  # a last write, and what stands behind it
-        if self.store is not None:
-            with contextlib.suppress(OSError, StoreError):
-                await self.store.close()
+        await self.disk.close()
 
     # ---- tasks -------------------------------------------------------------------------------
 
