Benchmarks print figures of several rounds by one module

Need: a median with its range was put together in seven benchmarks, each in its own words, and a quantile in two.

Change: benchmarks/figures.py has median_and_range, median_and_interval (the bootstrap of benchmarks.tenants, by the same seed) and quantile; fleet, mass, operating, store, request_cost, iso8583, lease and tenants use them. What is printed is the same but for the padding of columns in store, request_cost and iso8583, where a cell is now padded as a whole.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -27,6 +27,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.figures import median_and_range
 from standins.fleet.day import Day, load
 from standins.fleet.rig import TENANT, Outcome, Rig, play
 from standins.fleet.simulated import World
@@ -46,11 +47,6 @@
 CALLERS = 24
 
 
-def spread(values: list[float], digits: int = 3) -> str:
-    middle = statistics.median(values)
-    return f"{middle:.{digits}f} ({min(values):.{digits}f} to {max(values):.{digits}f})"
-
-
 def served(made: Outcome) -> float:
     begin = made.began + WARM_S
     rows = [r for r in made.meter.rows if begin <= r.ended <= begin + MEASURED_S]
@@ -148,9 +144,9 @@
         if sys.stderr.isatty():
             print("\r", end="", file=sys.stderr)
         print(
-            f"{shared.name:>14}{spread([r.sees_all for r in rows], 1):>26}"
-            f"{spread([r.shared / r.sees_all for r in rows]):>26}"
-            f"{spread([r.parted / r.sees_all for r in rows]):>26}"
+            f"{shared.name:>14}{median_and_range([r.sees_all for r in rows], '.1f'):>26}"
+            f"{median_and_range([r.shared / r.sees_all for r in rows]):>26}"
+            f"{median_and_range([r.parted / r.sees_all for r in rows]):>26}"
             f"{max(r.excess for r in rows):>+18.1f}{sum(r.over for r in rows):>13}"
             f"{statistics.median(r.accepted / max(r.accepted_alone, 1) for r in rows):>13.2f}",
             flush=True,
@@ -227,8 +223,8 @@
                 f"{statistics.median(r['members'] for r in rows):>12.1f}"
                 f"{100 * statistics.median(r['cpu'] for r in rows):>13.2f}"
                 f"{sum(r['false'] for r in rows):>16}"
-                f"{spread([r['first'] for r in rows], 1):>20}"
-                f"{spread([r['all'] for r in rows], 1):>20}"
+                f"{median_and_range([r['first'] for r in rows], '.1f'):>20}"
+                f"{median_and_range([r['all'] for r in rows], '.1f'):>20}"
                 f"{min(r['dealt'] for r in rows):>8.2f}"
             )
 
@@ -309,10 +305,11 @@
         without.append(other)
         share.append(part)
     print("CPU of a worker for each request, microseconds, one instance before five servers")
-    print(f"  without a fleet {spread(without, 0)}, with one {spread(with_fleet, 0)}")
+    before, after = (median_and_range(values, ".0f") for values in (without, with_fleet))
+    print(f"  without a fleet {before}, with one {after}")
     ratios = [a / b for a, b in zip(with_fleet, without, strict=True)]
-    print(f"  ratio within a round {spread(ratios)}; the fleet's process {spread(share, 2)} % of a "
-          "core")  # fmt: skip
+    print(f"  ratio within a round {median_and_range(ratios)}; ", end="")
+    print(f"the fleet's process {median_and_range(share, '.2f')} % of a core")
 
 
 def main() -> int:
--- a/benchmarks/iso8583.py
+++ b/benchmarks/iso8583.py
@@ -13,7 +13,6 @@
 import copy
 import gc
 import json
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -27,6 +26,7 @@
 import uvloop
 from iso8583.specs import default
 
+from benchmarks.figures import median_and_range
 from benchmarks.request_cost import SETTINGS, Server, asks, cpu_s, play
 from standins.platform import config, roster, target
 from standins.service import ServiceProcess, document, memory_mb
@@ -331,8 +331,7 @@
     iso, http = figures["iso"], figures["http"]
     ratios = [a / b for a, b in zip(iso, http, strict=True)]
     for name, values in (("ISO 8583", iso), ("HTTP", http), ("ratio", ratios)):
-        print(f"{name:>10} {statistics.median(values):>8.2f} "
-              f"({min(values):.2f} to {max(values):.2f})")  # fmt: skip
+        print(f"{name:>10} {median_and_range(values, '.2f')}")
 
 
 async def outstanding(count: int, connections: int, late: float) -> None:
@@ -413,9 +412,7 @@
         pairs = [(timed(mine), timed(rival)) for _ in range(rounds)]
         cells = []
         for values in ([a for a, _ in pairs], [b for _, b in pairs], [b / a for a, b in pairs]):
-            cells.append(
-                f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
-            )
+            cells.append(median_and_range(values, ".2f"))
         print(f"{name:>8} {cells[0]:>24} {cells[1]:>24} {cells[2]:>28}")
     asyncio.run(through(rounds, options.requests))
     asyncio.run(through_service(rounds, options.requests))
--- a/benchmarks/lease.py
+++ b/benchmarks/lease.py
@@ -24,7 +24,6 @@
 import os
 import signal
 import socket
-import statistics
 import sys
 import tempfile
 import time
@@ -33,6 +32,7 @@
 from pathlib import Path
 from random import Random
 
+from benchmarks.figures import median_and_range, quantile
 from standins.fleet.day import Day, Fault, load
 from standins.fleet.leases import LeaseRig, Station
 from standins.fleet.leaseworld import LeaseWorld, Place
@@ -52,12 +52,9 @@
 
 
 def spread(values: list[float], digits: int = 1) -> str:
-    row = sorted(values)
-    p99 = row[min(len(row) - 1, int(0.99 * len(row)))]
-    return (
-        f"{statistics.median(row):.{digits}f} ({row[0]:.{digits}f} to {row[-1]:.{digits}f}, "
-        f"p99 {p99:.{digits}f})"
-    )
+    """Median, range and 99th percentile."""
+    text = median_and_range(values, f".{digits}f").removesuffix(")")
+    return f"{text}, p99 {quantile(values, 0.99):.{digits}f})"
 
 
 def floor_ms(folder: Path, ports: tuple[int, int]) -> float:
--- a/benchmarks/mass.py
+++ b/benchmarks/mass.py
@@ -27,6 +27,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.figures import median_and_range
 from standins.mass.day import KINDS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -77,11 +78,6 @@
     return figures
 
 
-def spread(values: list[float]) -> str:
-    middle = statistics.median(values)
-    return f"{middle:.3f} ({min(values):.3f} to {max(values):.3f})"
-
-
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.mass", description=__doc__)
     parser.add_argument("--against", default="599563e", help="commit before; %(default)s")
@@ -128,9 +124,9 @@
         memory = statistics.median(r["kb_a_node"] for r in rows)
         broken = sum(sum(r["broken"].values()) for r in rows)
         print(
-            f"{nodes:6} {kind:6} {name:10}{spread(served):>26}"
-            f"{spread([a / b for a, b in zip(served, old, strict=True)]):>26}"
-            f"{spread([a / b for a, b in zip(served, top, strict=True)]):>26}"
+            f"{nodes:6} {kind:6} {name:10}{median_and_range(served):>26}"
+            f"{median_and_range([a / b for a, b in zip(served, old, strict=True)]):>26}"
+            f"{median_and_range([a / b for a, b in zip(served, top, strict=True)]):>26}"
             f"{cpu:11.0f}{memory:11.0f}  {broken or 'none'}"
         )
     print(f"\n{len(jobs)} days of {args.seconds:.0f} s in {time.monotonic() - began:.0f} s")
--- a/benchmarks/operating.py
+++ b/benchmarks/operating.py
@@ -17,7 +17,6 @@
 import contextlib
 import os
 import signal
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -27,6 +26,7 @@
 
 import uvloop
 
+from benchmarks.figures import median_and_range
 from benchmarks.request_cost import ROOT, Server, cpu_s, listening
 from standins.platform import answer, config, request, roster, target
 
@@ -214,11 +214,6 @@
     return figures[0], figures[1]
 
 
-def spread(values: list[float], form: str) -> str:
-    low, middle, high = min(values), statistics.median(values), max(values)
-    return f"{middle:{form}} ({low:{form}} to {high:{form}})"
-
-
 async def main(rounds: int, count: int) -> None:
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(Server, "127.0.0.1", 0) for _ in range(4)]
@@ -245,16 +240,17 @@
     for shared, what in ((True, "listener taken over"), (False, "a listener each")):
         got = rows[shared]
         print(
-            f"| {what} | {spread([float(c.served) for c, _ in got], '.0f')} "
-            f"| {spread([float(c.turned_back) for c, _ in got], '.0f')} "
-            f"| {spread([c.slowest * 1e3 for c, _ in got], '.0f')} "
-            f"| {spread([t for _, ts in got for t in ts], '.2f')} |"
+            f"| {what} | {median_and_range([float(c.served) for c, _ in got], '.0f')} "
+            f"| {median_and_range([float(c.turned_back) for c, _ in got], '.0f')} "
+            f"| {median_and_range([c.slowest * 1e3 for c, _ in got], '.0f')} "
+            f"| {median_and_range([t for _, ts in got for t in ts], '.2f')} |"
         )
     print("\nCPU for each megabyte of answers of 2 MB, ms")
     print("| node | bare relay | ratio |\n| --- | --- | --- |")
     print(
-        f"| {spread([a for a, _ in costs], '.2f')} | {spread([b for _, b in costs], '.2f')} "
-        f"| {spread([a / b for a, b in costs], '.2f')} |"
+        f"| {median_and_range([a for a, _ in costs], '.2f')} "
+        f"| {median_and_range([b for _, b in costs], '.2f')} "
+        f"| {median_and_range([a / b for a, b in costs], '.2f')} |"
     )
 
 
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -15,7 +15,6 @@
 import asyncio
 import os
 import signal
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from benchmarks.figures import median_and_range
 from standins.platform import answer, config, parts, request, roster, target
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -147,9 +147,8 @@
     for name, values in costs.items():
         ratios = [a / b for a, b in zip(values, costs[against], strict=True)]
         print(
-            f"{name[:12]:>12} {statistics.median(values):>8.1f} "
-            f"({min(values):.1f} to {max(values):.1f}) {statistics.median(ratios):>14.3f} "
-            f"({min(ratios):.3f} to {max(ratios):.3f})"
+            f"{name[:12]:>12} {median_and_range(values, '.1f'):>24} "
+            f"{median_and_range(ratios):>28}"
         )
 
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -16,7 +16,6 @@
 import gc
 import shutil
 import sqlite3
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -26,6 +25,7 @@
 from pathlib import Path
 from random import Random
 
+from benchmarks.figures import median_and_range
 from tansywood.store import Batch, Store
 from tansywood.store.aio import AsyncStore
 
@@ -235,14 +235,14 @@
         ours = f"{group}: store"
         for name in (n for n in names if n.split(": ")[0] == group):
             values = [r[name] for r in rounds]
-            line = f"{statistics.median(values):>12,.2f} ({min(values):,.2f} to {max(values):,.2f})"
+            line = median_and_range(values, ",.2f")
             ratio = ""
             if name != ours:
                 pairs = [
                     r[name] / r[ours] if group in LOWER_IS_BETTER else r[ours] / r[name]
                     for r in rounds
                 ]
-                ratio = f"{statistics.median(pairs):.2f} ({min(pairs):.2f} to {max(pairs):.2f})"
+                ratio = median_and_range(pairs, ".2f")
             print(f"{group:24} {name.split(': ')[1]:8} {line:>34}   {ratio}")
 
 
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -28,9 +28,10 @@
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from random import Random
 from typing import Any
 
+from benchmarks.figures import median_and_interval
+from benchmarks.figures import quantile as quantile  # benchmarks.scale names it here
 from benchmarks.request_cost import SETTINGS, Server, asks, listening
 from standins.platform import config, parts, request, roster, target
 from standins.service import Operator, ServiceProcess, cpu_s, document, memory_mb
@@ -280,19 +281,7 @@
     return f"{name}.example.org", str(key)
 
 
-def interval(values: Sequence[float]) -> str:
-    """Median and 95 % of the bootstrap's medians."""
-    rng = Random(1)
-    medians = sorted(statistics.median(rng.choices(values, k=len(values))) for _ in range(2000))
-    return f"{statistics.median(values):.3f} ({medians[50]:.3f} to {medians[1949]:.3f})"
-
-
-def quantile(values: Sequence[float], part: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(int(part * len(ordered)), len(ordered) - 1)]
-
-
-def told(text: str) -> None:
+def note(text: str) -> None:
     print(text, file=sys.stderr, flush=True)
 
 
@@ -338,7 +327,7 @@
         if flood is not None:
             counts = flood.line()
             flood.end()
-            told(f"  the flood got {counts}")
+            note(f"  the flood got {counts}")
         lost.append(got["other"])
         return list(got["times"])
 
@@ -353,13 +342,14 @@
         alone.append(got[False])
         for part, kept in ratios.items():
             kept.append(quantile(got[True], part) / quantile(got[False], part))
-        told(
+        note(
             f"{text}, pair {n + 1} of {pairs}: p50 {ratios[0.5][-1]:.3f} p99 {ratios[0.99][-1]:.3f}"
         )
     p50 = statistics.median(quantile(times, 0.5) for times in alone)
     p99 = statistics.median(quantile(times, 0.99) for times in alone)
-    print(f"{text:>22} {p50 * 1000:>7.2f} ms {p99 * 1000:>7.2f} ms {interval(ratios[0.5]):>24} "
-          f"{interval(ratios[0.99]):>24} {sum(lost):>11}", flush=True)  # fmt: skip
+    intervals = " ".join(f"{median_and_interval(ratios[part]):>24}" for part in (0.5, 0.99))
+    print(f"{text:>22} {p50 * 1000:>7.2f} ms {p99 * 1000:>7.2f} ms {intervals} {sum(lost):>11}",
+          flush=True)  # fmt: skip
 
 
 def cost(rounds: int, requests: int) -> None:
@@ -376,7 +366,7 @@
             for first in (True, False) if n % 2 else (False, True):
                 play, kept = (play_hosted, hosted) if first else (play_node, node)
                 kept.append(await play(ports, each))
-            told(
+            note(
                 f"cost, round {n + 1} of {rounds}: hosted {hosted[-1]:.1f} us, node {node[-1]:.1f}"
             )
         ratios = [a / b for a, b in zip(hosted, node, strict=True)]
@@ -385,7 +375,7 @@
               f"({min(node):.1f} to {max(node):.1f})")  # fmt: skip
         print(f"{'hosted':>22} {statistics.median(hosted):>8.1f} "
               f"({min(hosted):.1f} to {max(hosted):.1f})")  # fmt: skip
-        print(f"{'ratio':>22} {interval(ratios)}")
+        print(f"{'ratio':>22} {median_and_interval(ratios)}")
         for server in servers:
             server.close()
 
@@ -484,7 +474,7 @@
         await asyncio.gather(*(until_served(h, k, f"b{n}-{h}") for h, k in tenants))
         took.append(time.monotonic() - begin)
         await asyncio.to_thread(service.until_ready_again, f"worker-{n % 2}", victim)
-        told(f"failover {n + 1} of {times}: {took[-1] * 1000:.1f} ms")
+        note(f"failover {n + 1} of {times}: {took[-1] * 1000:.1f} ms")
     return took
 
 
@@ -555,7 +545,7 @@
                 else:
                     operator.must("POST", "/v1/tenants", document(f"t-{n}", [("s", 9)]))
                 if n % 100 == 99:
-                    told(f"idle: {n + 1} of {count} tenants, {time.monotonic() - begin:.1f} s")
+                    note(f"idle: {n + 1} of {count} tenants, {time.monotonic() - begin:.1f} s")
             made = time.monotonic() - begin
             sleeping = {name: memory_mb(pid) for name, pid in parts_.items()}
 
