The tenants' benchmark: its servers, callers and floods are a module

Need: benchmarks/tenants.py had 600 lines, a function of 90 with five functions inside among them, and started itself with a hidden option.

Not run: cost, idle.

--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -33,13 +33,13 @@
 from benchmarks.figures import median_and_interval
 from benchmarks.figures import quantile as quantile  # benchmarks.scale names it here
 from benchmarks.request_cost import SETTINGS, Server, asks, listening
-from standins.platform import config, parts, request, roster, target
+from benchmarks.tenants_load import FLOODED_LIMIT, WORK_S
+from benchmarks.tenants_load import ask as ask  # benchmarks.scale names it here
+from standins.platform import config, request, roster, target
 from standins.service import Operator, ServiceProcess, cpu_s, document, memory_mb
 
 ROOT = Path(__file__).resolve().parent.parent
-WORK_S = 0.02  # of a server, for each request
 THIRD_RATE = 100.0  # credits a second
-FLOODED_LIMIT = 200.0  # the flooded tenant's rate; it is sent ten times that
 SEGMENT_S = 4.0
 SETTLE_S = 0.7
 SERVICE_CORES = 0  # at most; 0: all that callers and servers leave
@@ -55,190 +55,17 @@
     return {"service": rest, "servers": [servers], "third": [third], "flood": [flood]}
 
 
-# ---- processes of its own: `python -m benchmarks.tenants --part NAME JSON` ----
-
-
-class Slow(Server):
-    """Answers after the server's work."""
-
-    def done(self) -> None:
-        asyncio.get_running_loop().call_later(WORK_S, super().done)
-
-
-async def part_servers(count: int) -> None:
-    loop = asyncio.get_running_loop()
-    servers = [await loop.create_server(Slow, "127.0.0.1", 0) for _ in range(count)]
-    print(json.dumps([int(s.sockets[0].getsockname()[1]) for s in servers]), flush=True)
-    await asyncio.sleep(1800)
-
-
-async def ask(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, data: bytes
-) -> tuple[int, bool]:
-    """Status, and whether the connection stays."""
-    writer.write(data)
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, headers = parts(head[:-4])
-    await reader.readexactly(int(headers.get("content-length", "0")))
-    return int(first.split(" ")[1]), headers.get("connection") != "close"
-
-
-async def part_third(port: int, host: str, key: str, seconds: float, rate: float) -> None:
-    """Credits by a clock of their own, each on a connection that is free."""
-    loop = asyncio.get_running_loop()
-    free: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = [
-        await asyncio.open_connection("127.0.0.1", port) for _ in range(24)
-    ]
-    times: list[float] = []
-    other = 0
-    begin = loop.time()
-    mark = f"{os.getpid()}"
-
-    async def one(number: int, due: float) -> None:
-        nonlocal other
-        pair = free.pop() if free else await asyncio.open_connection("127.0.0.1", port)
-        data = request(
-            f"/credit/{number}",
-            b"x" * 100,
-            timeout=2500,
-            rid=f"{mark}-{number}",
-            Host=host,
-            X_Tenant_Id="",
-            X_Tenant_Key=key,
-        )
-        try:
-            status, stays = await ask(*pair, data)
-        except (OSError, asyncio.IncompleteReadError):
-            other += 1
-            return
-        if status == 200:
-            times.append(loop.time() - due)
-        else:
-            other += 1
-        if stays:
-            free.append(pair)
-        else:
-            pair[1].close()
-
-    tasks = set()
-    for number in range(int(seconds * rate)):
-        due = begin + number / rate
-        await asyncio.sleep(max(due - loop.time(), 0))
-        # Late by its own loop is not the service's: counted from here.
-        task = asyncio.create_task(one(number, loop.time()))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-    await asyncio.gather(*tasks)
-    print(json.dumps({"times": times, "other": other}), flush=True)
-
-
-async def part_flood(
-    port: int, admin: int, host: str, key: str, dead_host: str, dead_key: str, seconds: float
-) -> None:
-    """Ten times a tenant's rate, connections, slow bodies, huge heads, nobody's names, API calls;
-    and a few requests for a tenant whose servers are dead."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    counts: dict[str, int] = {}
-    mark = f"f{os.getpid()}"
-
-    def count(what: object) -> None:
-        counts[str(what)] = counts.get(str(what), 0) + 1
-
-    async def asks_on(name: str, of: tuple[str, str], pause: float, new: bool) -> None:
-        number = 0
-        pair: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        while loop.time() < end:
-            number += 1
-            try:
-                if pair is None:
-                    pair = await asyncio.open_connection("127.0.0.1", port)
-                data = request(
-                    f"/balance/{number}",
-                    rid=f"{mark}-{name}-{number}",
-                    Host=of[0],
-                    X_Tenant_Id="",
-                    X_Tenant_Key=of[1],
-                )
-                status, stays = await asyncio.wait_for(ask(*pair, data), 3)
-                count(status)
-            except (OSError, asyncio.IncompleteReadError, TimeoutError):
-                count("broke")
-                stays = False
-            if (new or not stays) and pair is not None:
-                pair[1].close()
-                pair = None
-            await asyncio.sleep(pause)
-
-    async def slow_body(name: str) -> None:
-        while loop.time() < end:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                data = request(
-                    "/credit/1",
-                    b"x" * 60_000,
-                    rid=f"{mark}-{name}-{loop.time()}",
-                    Host=host,
-                    X_Tenant_Id="",
-                    X_Tenant_Key=key,
-                )
-                writer.write(data[:1000])
-                await asyncio.sleep(0.5)
-                writer.close()
-                count("slow")
-            except OSError:
-                count("broke")
-
-    async def huge_head() -> None:
-        while loop.time() < end:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET /x HTTP/1.1\r\nX-Long: " + b"a" * 30_000)
-                await asyncio.wait_for(reader.read(200), 3)
-                writer.close()
-                count("huge")
-            except (OSError, TimeoutError):
-                count("broke")
-            await asyncio.sleep(0.05)
-
-    async def api() -> None:
-        while loop.time() < end:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", admin)
-                writer.write(b"GET /v1/tenants HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-                await asyncio.wait_for(reader.read(2000), 3)
-                writer.close()
-                count("api")
-            except (OSError, TimeoutError):
-                count("broke")
-            await asyncio.sleep(0.01)
-
-    flooded = (host, key)
-    nobody = ("nobody.example.org", "")
-    # 64 connections that ask some 30 times a second each: ten times the limit.
-    await asyncio.gather(
-        *(asks_on(f"k{i}", flooded, 64 / (10 * FLOODED_LIMIT), False) for i in range(64)),
-        *(asks_on(f"n{i}", flooded, 0.05, True) for i in range(8)),
-        *(asks_on(f"x{i}", nobody, 0.05, True) for i in range(8)),
-        *(asks_on(f"d{i}", (dead_host, dead_key), 0.2, False) for i in range(4)),
-        *(slow_body(f"s{i}") for i in range(8)),
-        *(huge_head() for _ in range(4)),
-        *(api() for _ in range(4)),
-    )
-    print(json.dumps(counts), flush=True)
-
-
 class Helper:
-    """One of the processes above, on the callers' cores."""
+    """One of `tenants_load.LOADS`, on its own cores."""
 
-    def __init__(self, part: str, *arguments: object) -> None:
+    def __init__(self, load: str, *arguments: object) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.tenants", "--part", part, json.dumps(arguments)],
+            [sys.executable, "-m", "benchmarks.tenants_load", load, json.dumps(arguments)],
             cwd=ROOT,
             stdout=subprocess.PIPE,
             text=True,
         )
-        os.sched_setaffinity(self.process.pid, cores()[part])
+        os.sched_setaffinity(self.process.pid, cores()[load])
 
     def line(self) -> Any:
         assert self.process.stdout is not None
@@ -577,25 +404,13 @@
               f"{asked * 1024 / busy:>8.0f} {100 * used[name]:>11.2f}%")  # fmt: skip
 
 
-PARTS: dict[str, Callable[..., Any]] = {
-    "servers": part_servers,
-    "third": part_third,
-    "flood": part_flood,
-}
-
-
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--pairs", type=int, default=12)
     parser.add_argument("--only", choices=["neighbours", "cost", "change", "failover", "idle"])
     parser.add_argument("--service-cores", type=int, default=0, help="at most so many")
     parser.add_argument("--quick", action="store_true", help="a look at whether it runs")
-    parser.add_argument("--part", choices=list(PARTS), help=argparse.SUPPRESS)
-    parser.add_argument("arguments", nargs="?", default="[]", help=argparse.SUPPRESS)
     options = parser.parse_args()
-    if options.part:
-        asyncio.run(PARTS[options.part](*json.loads(options.arguments)))
-        return 0
     global SERVICE_CORES
     SERVICE_CORES = options.service_cores
     quick = options.quick
