A change that fails halfway in a worker is taken back: tested in one loop

Need: the mend of refusals was tested with a protocol that is another, which a worker finds before it touches anything. Now a change that raises in the middle of a tenant at work leaves its settings, limits and version as they were, and the next one is taken. Fails where the worker keeps the error to itself, as it did.

--- a/tests/service/test_hosted.py
+++ b/tests/service/test_hosted.py
@@ -416,6 +416,38 @@
         runner.run(main())
 
 
+def test_a_change_that_fails_halfway_is_taken_back_where_an_agent_feeds_the_worker(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def view(version: int, connections: int) -> dict[str, Any]:
+        made = document("cork", limits={"connections": connections})
+        shown = {"uid": "u", "status": ACTIVE, "since": {}, "keys": []}
+        return shown | {"version": version, "document": made}
+
+    async def main() -> None:
+        worker = Worker(asyncio.get_running_loop(), part.Place(str(tmp_path)), "worker-0")
+        worker.follower.partial = True
+        worker.follower._take_all({"u": view(1, 10)})
+        hosted = worker.host(view(1, 10))
+        assert isinstance(hosted, Hosted)
+        before = (hosted.settings, hosted.server.most, hosted.node.config.sockets)
+
+        def fail(_settings: object) -> None:
+            monkeypatch.undo()
+            raise ValueError("halfway")
+
+        monkeypatch.setattr(hosted.node, "retune", fail)
+        worker.follower._take("u", view(2, 20))
+        assert (hosted.settings, hosted.server.most, hosted.node.config.sockets) == before
+        assert hosted.version == 1 and worker.follower.views["u"] == view(1, 10)
+        worker.follower._take("u", view(3, 30))
+        assert (hosted.version, hosted.server.most) == (3, 30)
+        hosted.end()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
 def test_a_tenant_that_took_a_busy_window_is_held_and_let_go_again(tmp_path: Path) -> None:
     async def main() -> None:
         worker = Worker(asyncio.get_running_loop(), part.Place(str(tmp_path)), "worker-0")
