What a lookup found counts as in force once it is, also at the next source

Cause: an instance that asks for a tenant is subscribed to it as the answer is made, and counted as having it at once, since it had acknowledged later revisions: some ms before door and workers go by it, and as long as they take.

An acknowledgement now tells up to which lookup all that was found is in force (a field at its end; a program without it counts as before). A source counts what it found as waiting until then, or refused. An answer of several messages counts with the last of them. To the next source an instance acknowledges no more than what is in force of what it names in its hello.

Histories judge it at each step: the latest state that a source counts as in force at an instance is. What is counted of a superseded state may be more: nothing is said of those.

--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -129,10 +129,13 @@
 
 
 class Acknowledge(Struct, array_like=True, frozen=True, tag="a"):
-    """All up to `revision` is in force here, but for what is refused; a heartbeat as well."""
+    """All up to `revision` is in force here, but for what is refused; a heartbeat as well.
+    What was found by lookups up to `answered` is in force too; None from a program that does not
+    tell: what it was sent counts as in force."""
 
     revision: Count
     refusals: Annotated[list[Refusal], Meta(max_length=1024)] = []
+    answered: Count | None = None
 
 
 class Rollouts(Struct, array_like=True, frozen=True, tag="r"):
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -98,6 +98,7 @@
     backlog: list[str] = field(default_factory=list)  # sent before `pending`, from its end
     pending: OrderedDict[str, _Pending] = field(default_factory=OrderedDict)
     refusals: OrderedDict[str, Refusal] = field(default_factory=OrderedDict)
+    found: dict[str, int] = field(default_factory=dict)  # by which lookup; not in force there yet
     control: deque[Message] = field(default_factory=deque)
     lookups: Bucket | None = None
     moved: bool = False  # its instance has come to another distributor since
@@ -114,7 +115,11 @@
 
     def has(self, uid: str, revision: int) -> bool:
         """Whether a change is in force there."""
-        return self.applied >= revision and not self.refuses(uid, revision)
+        return not self.lacks(uid, revision) and not self.refuses(uid, revision)
+
+    def lacks(self, uid: str, revision: int) -> bool:
+        """Whether it has neither put a change into force nor refused it, as far as is known."""
+        return (self.applied < revision or uid in self.found) and not self.refuses(uid, revision)
 
     def refuses(self, uid: str, revision: int) -> bool:
         refusal = self.refusals.get(uid)
@@ -548,6 +553,8 @@
         rest: list[Resource] = []
         size = 0
         for uid in dict.fromkeys(uid for uid in uids if uid):
+            if uid not in session.subscriptions:
+                session.found[uid] = lookup.question
             self._subscribe(session, uid)
             resource = self.replica.resource(uid)
             session.ahead = max(session.ahead, resource.revision)
@@ -570,6 +577,10 @@
         if session.comparing:
             return  # said of the epoch before
         session.applied = acknowledge.revision
+        for uid, question in list(session.found.items()):
+            if acknowledge.answered is None or question <= acknowledge.answered:
+                del session.found[uid]
+                self._sums_change(uid)
         for refusal in acknowledge.refusals:
             session.refusals[refusal.uid] = refusal
             session.refusals.move_to_end(refusal.uid)
@@ -586,6 +597,7 @@
         session.subscriptions.discard(uid)
         session.pending.pop(uid, None)
         session.refusals.pop(uid, None)
+        session.found.pop(uid, None)
         self._unsubscribe(session, uid)
 
     def _unsubscribe(self, session: Session, uid: str) -> None:
@@ -608,7 +620,7 @@
         subscribed = (self.sessions[n] for n in sorted(self._subscribers.get(uid, ())))
         sessions = [session for session in subscribed if not session.moved]
         refusing = [s for s in sessions if s.refuses(uid, revision)]
-        lagging = [s.name for s in sessions if s.applied < revision and s not in refusing]
+        lagging = [s.name for s in sessions if s.lacks(uid, revision)]
         lagging += [name for name, away in self._away.items() if away.lacks(uid, revision)]
         reasons = [(s.name, s.refusals[uid].reason) for s in refusing[:NAMED]]
         have = sum(s.has(uid, revision) for s in sessions)
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -130,6 +130,7 @@
     number: int
     progress: int
     uids: tuple[str, ...] = ()
+    answered: int = 0  # the lookup whose answer this is
     done: bool = False
     forgotten: bool = False  # its revisions are those of a history that is not ours any more
 
@@ -182,6 +183,11 @@
         self._batches: deque[_Batch] = deque()
         self._next_batch = 1
         self._acknowledged = 0
+        self._answered = 0  # what lookups up to this one found is in force
+        self._following: tuple[int, set[str]] = (
+            0,
+            set(),
+        )  # a lookup, and what comes after its answer
         self._refusing: dict[str, Refusal] = {}  # what is refused of what is held
         self._refusals: dict[str, Refusal] = {}  # of these, what the source was not told yet
         self._barred: dict[str, int] = {}  # sources that said when to come back
@@ -215,6 +221,8 @@
         self.subscriptions = set() if self.everything else set(replica.entries)
         self._serials.clear()
         self._unsubscribed.clear()
+        self._following = (0, set())
+        self._disown_unfinished()
         held = list(self.subscriptions)
         only_fresh = self._stale_tries > 0
         place = replica.position
@@ -397,25 +405,36 @@
     def _changed(self, now: int, changes: Changes) -> None:
         # What was given up may have been on its way.
         wanted = [r for r in changes.resources if self.everything or r.uid in self.subscriptions]
-        self._take(wanted, changes.progress)
+        self._take(wanted, changes.progress, self._answered_by(wanted))
         self._unsubscribe_absent(wanted, now)
         self.replica.advance(changes.progress, changes.whole)
         self._acknowledge_what_is_done(now)
 
-    def _take(self, resources: Sequence[Resource], progress: int) -> None:
-        """Take what is newer than ours, and have it put into force."""
+    def _take(self, resources: Sequence[Resource], progress: int, answered: int = 0) -> None:
+        """Take what is newer than ours, and have it put into force. `answered` is the lookup that
+        found it."""
         taken = [r for r in resources if self.replica.take(r)]
         if self.everything:
             for resource in taken:
                 self.replica.record(resource.revision, resource.uid)
         self._refuse_unchanged(resources)
         uids = tuple(resource.uid for resource in taken)
-        batch = _Batch(self._next_batch, progress, uids, done=not uids)
+        batch = _Batch(self._next_batch, progress, uids, answered, done=not uids)
         self._next_batch += 1
         self._batches.append(batch)
         if uids:
             self.actions.append(Apply(batch.number, uids))
 
+    def _answered_by(self, resources: Sequence[Resource]) -> int:
+        """The lookup whose answer is complete with these; 0 for none. What has no room in an
+        answer follows it, before the next answer."""
+        question, missing = self._following
+        missing.difference_update(resource.uid for resource in resources)
+        if not missing:
+            self._following = (0, set())
+            return question
+        return 0
+
     def _refuse_unchanged(self, resources: Sequence[Resource]) -> None:
         """What is refused and has not changed is refused at its new revision too; not where a
         later state is being put into force, which is what has not changed then."""
@@ -501,10 +520,13 @@
         self._unsubscribe_removed(removed, now)
 
     def _acknowledge_what_is_done(self, now: int) -> None:
-        before = self._acknowledged
+        before = self._acknowledged, self._answered
         while self._batches and self._batches[0].done:
-            self._acknowledged = max(self._acknowledged, self._batches.popleft().progress)
-        if self.link is Link.UP and (self._acknowledged > before or self._refusals):
+            batch = self._batches.popleft()
+            self._acknowledged = max(self._acknowledged, batch.progress)
+            self._answered = max(self._answered, batch.answered)
+        news = (self._acknowledged, self._answered) != before or self._refusals
+        if self.link is Link.UP and news:
             self._acknowledge(now)
 
     def _acknowledge(self, now: int) -> None:
@@ -512,7 +534,21 @@
         self._refusals.clear()
         for start in range(0, max(len(refusals), 1), REFUSALS_MOST):
             chunk = refusals[start : start + REFUSALS_MOST]
-            self._send(Acknowledge(self._acknowledged, chunk), now)
+            self._send(Acknowledge(self._acknowledged, chunk, self._answered), now)
+
+    def _disown_unfinished(self) -> None:
+        """To the next source what is subscribed to counts as in force up to where we say so. What
+        was found, and is not in force yet, may be older than that: say less until it is."""
+        if self._batches:
+            last = self._batches[-1]
+            last.progress = max(last.progress, self._acknowledged)
+        bound = NEVER
+        for batch in reversed(self._batches):
+            batch.progress = min(batch.progress, bound)
+            held = [] if batch.done else [self.replica.entries.get(uid) for uid in batch.uids]
+            revisions = [entry.revision for entry in held if entry is not None]
+            bound = min([bound, *(max(revision - 1, 0) for revision in revisions)])
+        self._acknowledged = min(self._acknowledged, bound)
 
     def _hold_back(self, revision: int) -> None:
         """Something was taken that holds only up to there: neither resume nor say we have more."""
@@ -579,7 +615,10 @@
         self.subscriptions |= wanted
         if not wanted <= held.keys():
             self._hold_back(found.revision)
-        self._take([r for r in found.resources if r.uid in wanted], self._acknowledged)
+        resources = [r for r in found.resources if r.uid in wanted]
+        if wanted:
+            self._following = (found.question, wanted - held.keys())
+        self._take(resources, self._acknowledged, self._answered_by(resources) if wanted else 0)
         self._acknowledge_what_is_done(now)
         self._forget_unsubscribed(found.question + 1)
         number = self._serials.pop(found.question, None)
--- a/tests/distribution/model/defences.py
+++ b/tests/distribution/model/defences.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from tansywood.distribution.messages import Position
+from tansywood.distribution.messages import Lookup, Position
 from tansywood.distribution.replica import Replica
-from tansywood.distribution.source import Source
+from tansywood.distribution.source import Session, Source
+from tansywood.distribution.subscriber import Subscriber
 from tansywood.distribution.terms import MS
 
 
@@ -37,6 +38,21 @@
                 pending.move_to_end(waiting)
 
 
+class EarlyCountingSource(Source):
+    """Counts what a lookup found as in force at once."""
+
+    def _looked_up(self, session: Session, now: int, lookup: Lookup) -> None:
+        super()._looked_up(session, now, lookup)
+        session.found.clear()
+
+
+class BoastfulSubscriber(Subscriber):
+    """Tells the next source what it told the last one, whatever is not in force yet."""
+
+    def _disown_unfinished(self) -> None:
+        """Nothing is disowned."""
+
+
 class TrustedClockSource(Source):
     """Believes that its clock never goes back."""
 
--- a/tests/distribution/model/judgement.py
+++ b/tests/distribution/model/judgement.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 from tansywood.distribution.messages import Position
+from tansywood.distribution.source import Source
 from tansywood.distribution.subscriber import Link
 from tests.distribution.model.distributor import Distributor
 from tests.distribution.model.instance import Node
+from tests.distribution.model.network import Wire
 from tests.distribution.model.parts import PropertyError
 from tests.distribution.model.publisher import Content
 
@@ -26,6 +28,49 @@
         _judge_rollout(world, uid, content)
 
 
+def judge_counts(world: World) -> None:
+    """At any time: the latest state that a source counts as in force at an instance is. An
+    acknowledged revision says nothing of states that were superseded. PropertyError otherwise."""
+    for node in world.nodes:
+        wire = node.wire
+        if wire is not None and not wire.cut and node.subscriber.link is Link.UP:
+            _judge_counts(world, node, wire)
+
+
+def _judge_counts(world: World, node: Node, wire: Wire) -> None:
+    source = wire.server.source
+    session = source.sessions[wire.number]
+    if session.comparing or not session.welcomed or session.ends:
+        return
+    for uid in session.subscriptions & node.subscriber.subscriptions:
+        entry = source.replica.entries.get(uid)
+        if entry is None or _knows_newer(node, uid, entry.revision):
+            continue
+        if not _is_latest(world, source, uid, entry.revision):
+            continue
+        if session.has(uid, entry.revision):
+            in_force = node.in_force.get(uid)
+            what = f"{wire.server.name} counts {uid} at {entry.revision} as in force"
+            holds = in_force == entry.body or uid in node.refused
+            _require(world, holds, f"{what} at {node.name}: {in_force!r}")
+
+
+def _is_latest(world: World, source: Source, uid: str, revision: int) -> bool:
+    disk = world.publisher.disk
+    latest = disk.contents.get(uid)
+    same_history = source.replica.epoch == disk.epoch
+    return same_history and latest is not None and latest.revision == revision
+
+
+def _knows_newer(node: Node, uid: str, revision: int) -> bool:
+    """Whether the source is behind what the instance has, or had and gave up: it takes nothing
+    of what the source has of it."""
+    held = node.replica.entries.get(uid)
+    if held is not None:
+        return held.revision > revision
+    return node.replica._gone.get(uid, -1) >= revision
+
+
 def _require(world: World, holds: bool, what: str) -> None:
     if not holds:
         raise PropertyError(f"{world}: {what}")
--- a/tests/distribution/model/world.py
+++ b/tests/distribution/model/world.py
@@ -13,7 +13,7 @@
 from tests.distribution.model.distributor import Distributor
 from tests.distribution.model.events import Events
 from tests.distribution.model.instance import Node
-from tests.distribution.model.judgement import judge
+from tests.distribution.model.judgement import judge, judge_counts
 from tests.distribution.model.network import Follower, Process, Server, Wire
 from tests.distribution.model.oracle import Oracle
 from tests.distribution.model.parts import (
@@ -77,6 +77,7 @@
         for _ in range(FAULTY_STEPS):
             self.events.draw()
             self.step()
+            judge_counts(self)
         self.settle()
         judge(self)
 
--- a/tests/distribution/test_histories.py
+++ b/tests/distribution/test_histories.py
@@ -8,6 +8,8 @@
 
 from tests.distribution.model.defences import (
     AnyEpochReplica,
+    BoastfulSubscriber,
+    EarlyCountingSource,
     NoWindowReplica,
     OldPlaceSource,
     TrustedClockSource,
@@ -99,8 +101,10 @@
         (Parts(replica=AnyEpochReplica), Faults()),
         (Parts(replica=NoWindowReplica), Faults()),
         (Parts(source=OldPlaceSource), SLOW_READERS),
+        (Parts(source=EarlyCountingSource), Faults()),
+        (Parts(subscriber=BoastfulSubscriber), Faults()),
     ],
-    ids=["epoch", "window", "order of coalescing"],
+    ids=["epoch", "window", "order of coalescing", "found is not in force", "nor elsewhere"],
 )
 def test_a_defence_that_is_taken_out_is_found(parts: Parts, faults: Faults) -> None:
     assert any(found_by(seed, parts, faults) for seed in LOOKED_AT)
--- a/tests/distribution/test_source.py
+++ b/tests/distribution/test_source.py
@@ -262,3 +262,31 @@
     assert isinstance(answer("n1", False, stale), Welcome)
     source.publisher_heard(stale + SECOND)
     assert isinstance(answer("n2", True, stale + SECOND), Welcome)
+
+
+@pytest.mark.parametrize("answered", [1, None], ids=["told by lookup", "another program"])
+def test_one_that_has_just_asked_for_a_tenant_waits_until_it_says_that_it_is_in_force(
+    answered: int | None,
+) -> None:
+    bench = Bench()
+    number = bench.hello("n1")
+    bench.source.received(number, NOW, Acknowledge(3, [], None if answered is None else 0))
+    bench.source.received(number, NOW, Lookup(1, [alias_of_host("t2")]))
+    rollout = bench.source.rollout("t2", 2)
+    assert (rollout.have, rollout.waiting, rollout.lagging) == (0, 1, ["n1"])
+    bench.source.received(number, NOW, Acknowledge(3, [], answered))
+    rollout = bench.source.rollout("t2", 2)
+    assert (rollout.have, rollout.waiting) == (1, 0)
+
+
+def test_one_that_says_nothing_of_its_last_lookup_still_waits() -> None:
+    bench = Bench()
+    number = bench.hello("n1")
+    bench.source.received(number, NOW, Lookup(1, [alias_of_host("t1")]))
+    bench.source.received(number, NOW, Lookup(2, [alias_of_host("t2")]))
+    bench.source.received(number, NOW, Acknowledge(3, [], 1))
+    assert bench.source.rollout("t1", 1).have == 1
+    assert bench.source.rollout("t2", 2).have == 0
+    bench.source.received(number, NOW, Acknowledge(3, [Refusal("t2", 2, "bad")], 1))
+    rollout = bench.source.rollout("t2", 2)
+    assert (rollout.have, rollout.waiting, rollout.refused) == (0, 0, 1)
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -320,10 +320,63 @@
     (apply,) = (a for a in follower.subscriber.actions if isinstance(a, Apply))
     refusal = Refusal("t", 11, "no document")
     follower.subscriber.applied(apply.batch, follower.now, [refusal])
-    assert Acknowledge(11, [refusal]) in follower.said()
+    assert Acknowledge(11, [refusal], 1) in follower.said()
     follower.subscriber.disconnected(follower.subscriber.attempt, follower.now)
     follower.connect(Welcome(Position(EPOCH, 11)))
-    assert Acknowledge(11, [refusal]) in follower.said()
+    assert Acknowledge(11, [refusal], 1) in follower.said()
+
+
+def finding(follower: Follower, uid: str) -> int:
+    """Ask for a tenant and get it; returns the batch in which it is put into force."""
+    follower.subscriber.lookup([f"n:{uid}"], follower.now)
+    serial = [m for m in follower.said() if isinstance(m, Lookup)][-1].question
+    follower.hears(Found(serial, [uid], [Resource(uid, 5, Kind.CONTENT, b"body")], 10))
+    (apply,) = (a for a in follower.subscriber.actions if isinstance(a, Apply))
+    return apply.batch
+
+
+def acknowledged(follower: Follower) -> list[tuple[int, int | None]]:
+    return [(m.revision, m.answered) for m in follower.said() if isinstance(m, Acknowledge)]
+
+
+def test_what_a_lookup_found_is_said_to_be_in_force_once_it_is() -> None:
+    follower = Follower()
+    follower.connect()
+    follower.hears(Progress(10))
+    batch = finding(follower, "t")
+    follower.wait(TERMS.heartbeat)
+    assert acknowledged(follower) == [(10, 0)]
+    follower.subscriber.applied(batch, follower.now)
+    assert acknowledged(follower) == [(10, 1)]
+
+
+def test_an_answer_of_several_messages_is_in_force_once_the_last_of_them_is() -> None:
+    follower = Follower()
+    follower.connect()
+    follower.hears(Progress(10))
+    follower.subscriber.lookup(["n:t", "n:u"], follower.now)
+    follower.said()
+    follower.hears(Found(1, ["t", "u"], [Resource("t", 5, Kind.CONTENT, b"body")], 10))
+    (first,) = (a for a in follower.subscriber.actions if isinstance(a, Apply))
+    follower.subscriber.applied(first.batch, follower.now)
+    assert not acknowledged(follower)
+    follower.hears(Changes([Resource("u", 6, Kind.CONTENT, b"body")], 0))
+    (second,) = (a for a in follower.subscriber.actions if isinstance(a, Apply))
+    follower.subscriber.applied(second.batch, follower.now)
+    assert acknowledged(follower) == [(10, 1)]
+
+
+def test_another_source_is_not_told_either_that_what_was_found_is_in_force() -> None:
+    follower = Follower()
+    follower.connect()
+    follower.hears(Progress(10))
+    batch = finding(follower, "t")
+    follower.subscriber.disconnected(follower.subscriber.attempt, follower.now)
+    follower.said()
+    follower.connect(Welcome(Position(EPOCH, 10)))
+    assert acknowledged(follower) == [(4, 0)]
+    follower.subscriber.applied(batch, follower.now)
+    assert acknowledged(follower) == [(10, 1)]
 
 
 def changing(follower: Follower, revision: int, body: bytes) -> int:
