Data path bench: as many requests at every rate, and the interval they leave open

Rates came in the same order in each round.

Change: 2,000 requests at least for each rate and round, all rounds of a rate one sample (sixty requests beyond the percentile), every other round in reverse order, and the percentile bootstrap's interval beside the figure and among the figures.

The full run wants an idle machine.

--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -1,7 +1,9 @@
 """The data path of one node: what it adds to a request, beside a direct call in the same run.
 
 One process asks a server directly and through the node in turn, by a clock of its own, so that what
-this machine does to the caller it does to both.
+this machine does to the caller it does to both. Each rate has as many requests as the 99th
+percentile wants, in several rounds, every other one with the rates in reverse order. All rounds of
+a rate are one sample, and the interval that so many leave open stands beside it.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.request_cost import Server
-from benchmarks.scale import model, processes
+from benchmarks.scale import latency, model, processes
 from benchmarks.scale.fit import Point
 from benchmarks.scale.judge import judge
 from benchmarks.scale.model import Effect, Event, Figure, Resource, Role, Series, Source
@@ -26,7 +28,11 @@
 CONNECTIONS = 16
 WARM_S = 1.0
 WORK_S = 0.005  # of a server, for each request
-ROUNDS = 3  # of each rate; the middle one counts
+ROUNDS = 3  # of each rate
+SAMPLES = 2_000  # through the node, of each rate and round: sixty beyond the 99th percentile in all
+LEAST_S = 12.0  # of each rate and round
+QUICK_SAMPLES, QUICK_LEAST_S = 0, 2.0
+TAIL = 0.99
 LIMITS = {"rate_per_s": 100_000, "burst": 100_000, "connections_per_s": 1000, "open": 2000}
 
 
@@ -87,21 +93,45 @@
 
 @dataclass(frozen=True, slots=True)
 class Span:
-    """One span at one rate: milliseconds at the median and the 99th percentile."""
+    """One span at one rate; latencies are milliseconds."""
 
     rate: float
-    direct: tuple[float, float]
-    through: tuple[float, float]
+    direct: list[float]
+    through: list[float]
     cpu_us: float  # of door and workers, for a request
     control_percent: float  # supervisor, administration and fleet meanwhile, of a core
-    requests: int
     failed: Counter[str]  # through the node
     direct_failed: Counter[str]
 
-    @property
-    def added(self) -> tuple[float, float]:
-        """By the node, at the median and the 99th percentile."""
-        return (self.through[0] - self.direct[0], self.through[1] - self.direct[1])
+
+@dataclass(frozen=True, slots=True)
+class AtRate:
+    """All spans of one rate together."""
+
+    rate: float
+    direct: list[float]
+    through: list[float]
+    cpu_us: float  # the middle one
+    control_percent: float  # the middle one
+
+    def added(self, part: float) -> float:
+        """By the node, at a quantile, in ms."""
+        return latency.added(self.direct, self.through, part)
+
+    def interval(self, part: float) -> tuple[float, float]:
+        """Where `added` lies, as far as so many samples tell."""
+        return latency.interval(self.direct, self.through, part)
+
+
+def together(rows: list[Span]) -> AtRate:
+    """The rounds of one rate."""
+    return AtRate(
+        rows[0].rate,
+        [t for row in rows for t in row.direct],
+        [t for row in rows for t in row.through],
+        statistics.median(row.cpu_us for row in rows),
+        statistics.median(row.control_percent for row in rows),
+    )
 
 
 async def ask_both(direct: Target, through: Target, rate: float, seconds: float) -> None:
@@ -117,9 +147,9 @@
     await asyncio.gather(*tasks)
 
 
-def middle(times: list[float]) -> tuple[float, float]:
-    """Median and 99th percentile, in ms."""
-    return 1000 * quantile(times, 0.5), 1000 * quantile(times, 0.99)
+def milliseconds(times: list[float]) -> list[float]:
+    """Of seconds."""
+    return [1000 * t for t in times]
 
 
 async def span(
@@ -144,17 +174,22 @@
     direct.close()
     through.close()
     return Span(
-        rate, middle(direct.times), middle(through.times), path * 1e6 / len(through.times),
-        100 * rest / took, len(through.times), through.failed, direct.failed,
+        rate, milliseconds(direct.times), milliseconds(through.times),
+        path * 1e6 / len(through.times), 100 * rest / took, through.failed, direct.failed,
     )  # fmt: skip
 
 
-async def spans(rates: list[float], seconds: float, rounds: int) -> list[list[Span]]:
+def order(rates: list[float], number: int) -> list[float]:
+    """The rates of a round: of every other one in reverse, so that none is always the first."""
+    return rates if number % 2 == 0 else rates[::-1]
+
+
+async def spans(rates: list[float], samples: int, least_s: float, rounds: int) -> list[Span]:
     """Rounds of all rates, one tenant at work."""
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(Working, "127.0.0.1", 0) for _ in range(SERVERS)]
     ports = [int(s.sockets[0].getsockname()[1]) for s in servers]
-    found: list[list[Span]] = []
+    found: list[Span] = []
     with processes.hosted(workers=1) as service:
         made = await asyncio.to_thread(
             tenant, service.operator(), "one", ports, limits=LIMITS
@@ -163,26 +198,15 @@
         head = {"Host": host, "X_Tenant_Id": "", "X_Tenant_Key": key}
         await asyncio.sleep(5.0)  # a home grants nothing before what it once granted is over
         for number in range(rounds):
-            row = []
-            for rate in rates:
+            for rate in order(rates, number):
                 mark = f"{number}-{rate:.0f}-{os.getpid()}"
-                row.append(await span(service, ports[0], head, rate, seconds, mark))
-            found.append(row)
+                seconds = max(least_s, samples / rate)
+                found.append(await span(service, ports[0], head, rate, seconds, mark))
     for server in servers:
         server.close()
     return found
 
 
-def finding_points(found: list[list[Span]], value: str, index: int | None = None) -> list[Point]:
-    """For each rate the middle one of its rounds."""
-    points = []
-    for of_rate in zip(*found, strict=True):
-        rows = [getattr(s, value) for s in of_rate]
-        numbers = [r if index is None else r[index] for r in rows]
-        points.append(Point(of_rate[0].rate, statistics.median(numbers)))
-    return points
-
-
 def unserved(how: str, counts: list[Counter[str]]) -> list[Figure]:
     """Requests that were not served, by what came in place of an answer."""
     together: Counter[str] = Counter()
@@ -196,38 +220,41 @@
     """One whole node at a quarter of the mean up to the busiest node's rate."""
     rates = [model.MEAN_REQUESTS / 2, model.MEAN_REQUESTS, 2 * model.MEAN_REQUESTS,
              model.PEAK_REQUESTS]  # fmt: skip
-    seconds, rounds = (2.0, 1) if quick else (12.0, ROUNDS)
+    samples, least_s = (QUICK_SAMPLES, QUICK_LEAST_S) if quick else (SAMPLES, LEAST_S)
     loads = [os.getloadavg()[0]]
-    found = asyncio.run(spans(rates, seconds, rounds))
+    found = asyncio.run(spans(rates, samples, least_s, 1 if quick else ROUNDS))
     loads.append(os.getloadavg()[0])
+    at = [together([span for span in found if span.rate == rate]) for rate in rates]
+    load = f"load average meanwhile {loads[0]:.1f} to {loads[1]:.1f}"
 
-    def series(name: str, what: str, resource: Resource, points: list[Point],
-               limit: float | None = None) -> Series:  # fmt: skip
-        note = f"load average meanwhile {loads[0]:.1f} to {loads[1]:.1f}"
-        return Series(name, what, "requests a second", resource, Source.WHOLE, tuple(points),
-                      model.PEAK_REQUESTS, limit, False, note=note)  # fmt: skip
+    def series(name: str, what: str, resource: Resource, values: list[float],
+               limit: float | None = None, more: str = "") -> Series:  # fmt: skip
+        points = tuple(Point(a.rate, value) for a, value in zip(at, values, strict=True))
+        return Series(name, what, "requests a second", resource, Source.WHOLE, points,
+                      model.PEAK_REQUESTS, limit, False, note=load + more)  # fmt: skip
 
+    sure = [a.interval(TAIL) for a in at]
+    words = ", ".join(f"{low:.2f} to {high:.2f}" for low, high in sure)
     added = series("added_p99", "added at the 99th percentile", Resource.LATENCY,
-                   finding_points(found, "added", 1), model.ADDED_MILLISECONDS)  # fmt: skip
+                   [a.added(TAIL) for a in at], model.ADDED_MILLISECONDS,
+                   f"; 95 in 100 resamples: {words} ms")  # fmt: skip
     half = series("added_p50", "added at the median", Resource.LATENCY,
-                  finding_points(found, "added", 0))  # fmt: skip
+                  [a.added(0.5) for a in at])  # fmt: skip
     direct = series("direct_p99", "a direct call at the 99th percentile", Resource.LATENCY,
-                    finding_points(found, "direct", 1))  # fmt: skip
+                    [quantile(a.direct, TAIL) for a in at])  # fmt: skip
     cpu = series(
         "cpu",
         "door and worker",
         Resource.CPU_TIME,
-        [Point(p.size, p.value / 1000) for p in finding_points(found, "cpu_us")],
+        [a.cpu_us / 1000 for a in at],
     )
     control = series(
         "control",
         "supervisor, administration, fleet meanwhile, one tenant",
         Resource.CPU,
-        finding_points(found, "control_percent"),
+        [a.control_percent for a in at],
         model.CPU_PERCENT,
     )
-    at_mean = [s for row in found for s in row if s.rate == model.MEAN_REQUESTS]
-    worst = max(s.added[1] for s in at_mean)
     return Role(
         "data path",
         "what a node adds to a request, at the mean and at the busiest node",
@@ -250,10 +277,11 @@
         ),
         (
             Figure("requests through the node, all spans",
-                   sum(s.requests for row in found for s in row), "", Source.WHOLE),
-            *unserved("through the node", [s.failed for row in found for s in row]),
-            *unserved("direct", [s.direct_failed for row in found for s in row]),
-            Figure("added at the 99th percentile and the mean rate, worst of the rounds", worst,
-                   "ms", Source.WHOLE),
+                   sum(len(s.through) for s in found), "", Source.WHOLE),
+            *unserved("through the node", [s.failed for s in found]),
+            *unserved("direct", [s.direct_failed for s in found]),
+            *(Figure(f"added at the 99th percentile and {a.rate:.0f} requests a second, at most in "
+                     f"95 of 100 resamples of {len(a.through)} requests", high, "ms", Source.WHOLE)
+              for a, (_, high) in zip(at, sure, strict=True)),
         ),
     )  # fmt: skip
