What a worker is told of a tenant is worked out in one pass

Need: of what the fleet process does for kept tenants at rest, telling the worker was the largest part: every amount was summed three times.

Change: Entitlement.amounts gives all of a tenant and their first end in one pass.

--- a/tansywood/fleet/allocation.py
+++ b/tansywood/fleet/allocation.py
@@ -307,7 +307,10 @@
 
     def amount(self, now: int, key: str) -> int:
         """Units that may be used now; a change since the last look is another version."""
-        amount = sum(h.amount for h in self._held.get(key, ()) if h.end - now > self.terms.spare)
+        least, amount = now + self.terms.spare, 0
+        for held in self._held.get(key, ()):
+            if held.end > least:
+                amount += held.amount
         if self._last.get(key, 0) != amount:
             self.version += 1
             self._changed[key] = self.version
--- a/tansywood/fleet/entitlement.py
+++ b/tansywood/fleet/entitlement.py
@@ -55,6 +55,18 @@
         whole, _ = self.keys.get(tenant_of(key), {}).get(key, (0, 0))
         return min(self.holder.amount(now, key) + self.floor(key), whole)
 
+    def amounts(self, now: int, tenant: str) -> tuple[dict[str, int], int]:
+        """Of each limit of a tenant, what `amount` says; and when the first grant of these is over,
+        `now` where nothing is granted."""
+        found: dict[str, int] = {}
+        ends = []
+        for key, (whole, _) in self.keys[tenant].items():
+            granted = self.holder.amount(now, key)
+            found[key] = min(granted + self.floor(key), whole)
+            if granted:
+                ends.append(self.holder.until(now, key))
+        return found, min(ends, default=now)
+
     def sweep(self, now: int) -> None:
         """Forget limits of tenants that are gone, once what was held of them is over."""
         for key in self.holder.known_keys():
--- a/tansywood/fleet/status.py
+++ b/tansywood/fleet/status.py
@@ -18,7 +18,9 @@
 if TYPE_CHECKING:
     from tansywood.fleet.instance import Instance
 
-TOLD_RESTING = SECOND // 2  # between two words to a worker on a tenant that rests
+# Between two words to a worker on a tenant that rests. Renewed twice a second for 1.8 s, what it
+# has holds beyond the next word though one renewal is lost; with 0.75 s here it did not.
+TOLD_RESTING = SECOND // 2
 
 
 class Told:
@@ -72,10 +74,8 @@
     instance: Instance, now: int, tenant: str, working: list[str]
 ) -> dict[str, Any]:
     limits = instance.entitlement.tenants[tenant]
-    keys = instance.entitlement.keys[tenant]
-    holder, evidence = instance.holder, instance.evidence
-    amounts = {key: instance.amount(now, key) for key in keys}
-    ends = [holder.until(now, key) for key in keys if holder.amount(now, key)]
+    evidence = instance.evidence
+    amounts, end = instance.entitlement.amounts(now, tenant)
     servers = {s: f"{tenant}/{s}" for s in limits.servers}
     return {
         "rate": amounts[rate_key(tenant)],
@@ -83,7 +83,7 @@
         "places": {s: amounts[places_key(tenant, s)] for s in limits.servers}
         if limits.places
         else None,
-        "left": max(min(ends, default=now) - now, 0),
+        "left": max(end - now, 0),
         "doubted": [s for s, full in servers.items() if evidence.doubted(now, full)],
         "back": [s for s, full in servers.items() if evidence.back(now, full)],
         "tries": {
--- a/tests/fleet/test_idle.py
+++ b/tests/fleet/test_idle.py
@@ -136,7 +136,22 @@
     assert max(counts) <= 2 * SPAN_S * SECOND / RESTING + 1
 
 
-def test_a_worker_is_told_twice_a_second_of_what_rests_and_at_once_of_what_does_not(
+def test_one_renewal_that_is_lost_takes_nothing_from_a_worker() -> None:
+    made = kept(10)
+    host = made.hosts["i4"]
+    for _ in range(12):
+        made.run(0.137)  # another moment of the round each time
+        made.split(["i4"])
+        made.run(0.45)  # one of two claims a second, at most
+        made.heal()
+        for _ in range(30):
+            made.run(0.05)
+            assert host.until > made.clock(host) and host.instance is not None
+            for tenant in made.tenants:
+                assert host.instance.amount(made.clock(host), rate_key(tenant)) > 0
+
+
+def test_a_worker_is_told_now_and_then_of_what_rests_and_at_once_of_what_does_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made = kept(10)
@@ -149,13 +164,14 @@
 
     monkeypatch.setattr(status, "_tenant_for_worker", counted)
     made.run(SPAN_S)
-    assert 2 * SPAN_S - 2 <= min(told.values()) <= max(told.values()) <= 2 * SPAN_S + 2
+    words = SPAN_S * SECOND / status.TOLD_RESTING
+    assert 0.8 * words <= min(told.values()) <= max(told.values()) <= words + 1
     told.clear()
     made.hosts["i4"].needs[rate_key("tenant-003")] = 100_000
     made.run(SPAN_S)
     assert told["i4", "tenant-003"] >= 9 * SPAN_S
     assert made.hosts["i4"].told[rate_key("tenant-003")] > 0.6 * 100_000
-    assert told["i4", "tenant-004"] <= 2 * SPAN_S + 2
+    assert told["i4", "tenant-004"] <= words + 1
 
 
 def test_a_change_of_one_tenant_works_out_that_one_alone() -> None:
