Stand-ins ask a process of the service by a module of their own

tests/test_rooms.py failed: standins/distributed.py imported tansywood.service.fleettool for one question. What watches a program loads none of it: standins/questions.py speaks the frame anew.

--- a/standins/distributed.py
+++ b/standins/distributed.py
@@ -18,9 +18,9 @@
 from typing import Any
 
 from standins.process import LIMIT_S, ROOT
+from standins.questions import ask
 from standins.relay import Address, Relay, address_of
 from standins.service import ServiceProcess
-from tansywood.service.fleettool import ask
 
 FLEET = "rig"
 NOWHERE = Address("127.0.0.1", 1)
