A dead connection told last after a publisher's start places no instance for good

Cause: of an instance that two distributors tell of, the publisher believes the last; the other one marks its session as moved away. It took the mark back when the instance was heard and told nobody, so the publisher kept the wrong place until the dead connection closed, up to two minutes. The instance is reported as joined again. The test fails without it.

--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -196,7 +196,11 @@
         """ProtocolError where the subscriber may not say this."""
         session = self.sessions[number]
         session.heard = now
-        self._set_moved(session, False)
+        if session.moved:
+            # It is here after all. The publisher was told otherwise, perhaps of a connection
+            # elsewhere that was dead and not noticed: it hears so again, and tells the other one.
+            self._set_moved(session, False)
+            self.joined.append(session.name)
         self.messages_in += 1
         if session.ends:
             return
--- a/tests/distribution/test_moved.py
+++ b/tests/distribution/test_moved.py
@@ -93,3 +93,30 @@
     assert board.joined("d1", ["n1"]) == {"d2": ["n1"], "d3": ["n1"]}
     assert board.joined("d1", ["n1"]) == {}
     assert board.joined("d2", ["n1"]) == {"d1": ["n1"]}
+
+
+def test_a_dead_connection_that_is_told_last_after_a_publishers_start_places_nobody_for_good() -> (
+    None
+):
+    """Both distributors tell all that they have: the one that the instance left says so last, as
+    it has not noticed yet. The instance is heard at the other, which says it again."""
+    left, here, board = source(), source(), RolloutBoard()
+    dead, alive = subscribed(left, "n1"), subscribed(here, "n1")
+    for name, made in (("here", here), ("left", left)):
+        board.connected(name)
+        made.report_again()
+        report = made.report(MS)
+        assert report is not None
+        for other, names in board.joined(name, report.joined).items():
+            (left if other == "left" else here).moved(names)
+    here.received(alive, 2 * MS, Acknowledge(1))  # a heartbeat
+    report = here.report(2 * MS)
+    assert report is not None and report.joined == ["n1"]
+    for other, names in board.joined("here", report.joined).items():
+        (left if other == "left" else here).moved(names)
+    left.closed(dead, 3 * MS)
+    for made in (left, here):
+        change(made)
+    here.received(alive, 4 * MS, Acknowledge(2))
+    assert here.rollout("t1", 2).have == 1
+    assert left.rollout("t1", 2).lagging == []
