--- a/tansywood/admin/api.py
+++ b/tansywood/admin/api.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import json
+import sys
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -136,6 +138,9 @@
         return problems.problem("method" if code == 405 else "malformed")
 
     async def _broken(self, request: Request, err: Exception) -> Response:
+        """A fault of this program: its log has all of it, the caller hears that there is one."""
+        trace = "".join(traceback.format_exception(err))
+        print(f"admin: {request.method} {request.url.path}: {trace}", file=sys.stderr, flush=True)
         return Response(status_code=500)
 
 
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -19,7 +19,7 @@
 from starlette.routing import Route
 
 from standins.disk import Crash
-from tansywood.admin.api import MAX_BODY
+from tansywood.admin.api import MAX_BODY, Api
 from tansywood.admin.openapi import description
 from tansywood.admin.operations import OPERATIONS
 from tansywood.service.follow import Follower
@@ -593,3 +593,20 @@
         d.admin.feed.close()
 
     run(tmp_path, test)
+
+
+def test_a_fault_of_the_program_is_in_its_log_and_not_in_the_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def broken(*_words: object) -> None:
+        raise RuntimeError("nobody foresaw this")
+
+    async def test(d: Desk) -> None:
+        monkeypatch.setattr(Api, "_check", broken)
+        answer = await d.call("GET", "/v1/tenants")
+        assert answer.status_code == 500 and answer.content == b""
+        assert (await d.call("GET", "/v1/nothing")).status_code == 404
+
+    run(tmp_path, test)
+    told = capsys.readouterr().err
+    assert told.startswith("admin: GET /v1/tenants: Traceback") and "nobody foresaw this" in told
