Which source is dialled when is a module of its own

subscriber.py had grown to 651 lines with dials beside one another. distribution/dialing.py now has the order of sources, jitter, open dials and who barred us; Subscriber follows what answers.

--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -119,7 +119,7 @@
 
     def opened(self, stream: SealedStream) -> None:
         attempt = self._attempts[stream]
-        if not self.subscriber.is_dialing(attempt):
+        if attempt not in self.subscriber.dialing:
             stream.abort("too late: another answered first, or this one in vain")
             return
         self._stream = stream
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -4,12 +4,9 @@
 time go in; actions are left in `actions` for whoever does I/O, in the order in which they are to
 be done. One connection at a time: while there is none, all that is held stays in force.
 
-Rules that live here: a source of an older history is left at once; after a loss the other sources
-are tried in an order of one's own, with full jitter (Brooker, "Exponential Backoff And Jitter",
-2015), so that the subscribers of a lost source spread over all others. A source that does not
-answer is not waited for: the next one is dialled beside it (as in Happy Eyeballs, RFC 8305), and
-the first that answers is followed. A source that does not hear the publisher is left for one that
-does.
+Rules that live here: a source of an older history is left at once; a source that does not hear the
+publisher is left for one that does. `dialing` decides which source is dialled when, `Subscriber`
+follows the first that answers.
 """
 
 from __future__ import annotations
@@ -18,9 +15,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from hashlib import blake2b
 from random import Random
 
+from tansywood.distribution.dialing import NEVER, Dialing
 from tansywood.distribution.messages import (
     Acknowledge,
     Busy,
@@ -44,7 +41,6 @@
 
 VERSIONS_MOST = 4_000  # in one message
 REFUSALS_MOST = 1_000  # in one message
-NEVER = 1 << 62
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,14 +105,6 @@
     UP = "up"
 
 
-@dataclass(slots=True)
-class _Dial:
-    """An attempt that is not answered yet."""
-
-    address: str
-    until: int
-
-
 @dataclass(slots=True)
 class _Question:
     aliases: tuple[str, ...]
@@ -156,19 +144,14 @@
         self.everything = everything
         self.actions: list[Action] = []
         self.link = Link.DOWN
-        self.addresses = sorted(addresses, key=lambda address: _preference(name, address))
+        self.dialing = Dialing(name, addresses, terms, random, now)
         self.connections = 0  # welcomes, over time
         self.losses = 0
         self.left_stale = 0
         self.last_loss = ""
         self.attempt = 0  # that is followed; while none is, the last one that was dialled
-        self.address = self.addresses[0]  # of the source that is followed, or was dialled last
-        self._random = random
-        self._dials: dict[int, _Dial] = {}  # by attempt
-        self._last_attempt = 0
-        self._next_address = 0
-        self._failures = 0  # since the last welcome
-        self._due = now  # of the next dial; of a source that is greeted the end of patience
+        self.address = self.dialing.addresses[0]  # that is followed, or was dialled last
+        self._welcome_due = NEVER  # from the source that is greeted
         self._heard = now
         self._said = now
         self._publisher_heard: int | None = None
@@ -184,13 +167,9 @@
         self._next_batch = 1
         self._acknowledged = 0
         self._answered = 0  # what lookups up to this one found is in force
-        self._following: tuple[int, set[str]] = (
-            0,
-            set(),
-        )  # a lookup, and what comes after its answer
+        self._following: tuple[int, set[str]] = (0, set())  # a lookup, what follows its answer
         self._refusing: dict[str, Refusal] = {}  # what is refused of what is held
         self._refusals: dict[str, Refusal] = {}  # of these, what the source was not told yet
-        self._barred: dict[str, int] = {}  # sources that said when to come back
 
     # ---- the connection --------------------------------------------------------------------
 
@@ -200,23 +179,21 @@
             return None
         return max(now - self._publisher_heard, 0)
 
-    def is_dialing(self, attempt: int) -> bool:
-        """Whether this attempt may still be the one that is followed."""
-        return attempt in self._dials
-
     def connected(self, attempt: int, now: int) -> None:
         """The first that answers is followed; the others are closed before they are told of us."""
-        dial = self._dials.pop(attempt, None)
-        if dial is None:
+        if attempt not in self.dialing:
             return
-        for other in self._dials:
+        answered, others = self.dialing.answered(attempt)
+        for other in others:
             self.actions.append(HangUp(other, "another source answered first"))
-        self._dials.clear()
         self.link = Link.GREETING
         self.attempt = attempt
-        self.address = dial.address
-        self._due = dial.until
+        self.address = answered.address
+        self._welcome_due = answered.until
         self._heard = now
+        self._greet(now)
+
+    def _greet(self, now: int) -> None:
         replica = self.replica
         self.subscriptions = set() if self.everything else set(replica.entries)
         self._serials.clear()
@@ -230,7 +207,7 @@
         self._send(hello, now)
 
     def disconnected(self, attempt: int, now: int, why: str = "closed") -> None:
-        if attempt in self._dials:
+        if attempt in self.dialing:
             self._dial_failed(attempt, now, why)
         elif attempt == self.attempt and self.link in (Link.GREETING, Link.UP):
             self._lost(now, why)
@@ -238,11 +215,9 @@
     def tick(self, now: int) -> None:
         """Do what is due; call it at `next_due` at the latest."""
         if self.link in (Link.DOWN, Link.DIALING):
-            self._end_dials(now)
-            if now >= self._due:
-                self._dial_next(now)
+            self._dial(now)
         elif self.link is Link.GREETING:
-            if now >= self._due:
+            if now >= self._welcome_due:
                 self._hang_up(now, f"no welcome in {self.terms.dial // MS} ms")
         elif now - self._heard >= self.terms.silence:
             self._hang_up(now, f"silent for {self.terms.silence // MS} ms")
@@ -253,54 +228,31 @@
     def next_due(self) -> int:
         if self.link is Link.UP:
             due = min(self._heard + self.terms.silence, self._said + self.terms.heartbeat)
+        elif self.link is Link.GREETING:
+            due = self._welcome_due
         else:
-            due = min([self._due, *(dial.until for dial in self._dials.values())])
+            due = self.dialing.next_due()
         for question in self._questions.values():
             again = question.again if self.link is Link.UP else NEVER
             due = min(due, question.until, again)
         return due
 
-    def _dial_next(self, now: int) -> None:
-        """Dial the next source that did not bar us and is not being dialled; where there is none,
-        wait for the first that takes us."""
-        dialling = {dial.address for dial in self._dials.values()}
-        for _ in self.addresses:
-            address = self.addresses[self._next_address % len(self.addresses)]
-            if address not in dialling and self._barred.get(address, now) <= now:
-                self._dial(now, address)
-                return
-            self._next_address += 1
-        self._due = NEVER if self._dials else min(self._barred.values())
-
-    def _dial(self, now: int, address: str) -> None:
-        """Where this one does not answer soon the next is dialled beside it, until each source
-        was tried once; then one at a time, so that a long loss costs few dials."""
-        self._next_address += 1
-        self._last_attempt += 1
-        self.attempt = self._last_attempt
-        self.address = address
-        self.link = Link.DIALING
-        self._dials[self.attempt] = _Dial(address, now + self.terms.dial)
-        untried = self._failures + len(self._dials) < len(self.addresses)
-        self._due = now + self.terms.attempt_delay if untried else NEVER
-        self.actions.append(Dial(self.attempt, address))
-
-    def _end_dials(self, now: int) -> None:
-        """Of those that were not answered in time."""
-        for attempt, dial in list(self._dials.items()):
-            if now >= dial.until:
-                why = f"no welcome in {self.terms.dial // MS} ms"
-                self.actions.append(HangUp(attempt, why))
-                self._dial_failed(attempt, now, why)
+    def _dial(self, now: int) -> None:
+        """End dials that were not answered in time, and make the one that is due."""
+        for attempt in self.dialing.expired(now):
+            why = f"no welcome in {self.terms.dial // MS} ms"
+            self.actions.append(HangUp(attempt, why))
+            self._dial_failed(attempt, now, why)
+        due = self.dialing.next(now)
+        if due is not None:
+            self.link = Link.DIALING
+            self.attempt = due.number
+            self.address = due.address
+            self.actions.append(Dial(due.number, due.address))
 
     def _dial_failed(self, attempt: int, now: int, why: str) -> None:
-        due = self._due
-        self._count_loss(self._dials.pop(attempt).address, why)
-        self._due = now + self._jitter()
-        self._failures += 1
-        if self._dials:
-            self._due = min(self._due, due)
-        else:
+        self._count_loss(self.dialing.failed(attempt, now), why)
+        if not self.dialing:
             self.link = Link.DOWN
 
     def _hang_up(self, now: int, why: str) -> None:
@@ -309,8 +261,7 @@
 
     def _turned_away(self, now: int, busy: Busy) -> None:
         """Go elsewhere; back here not before the time that was told, and a random while."""
-        wait = busy.retry_after_ms * MS + self._random.randrange(self.terms.reconnect_first + 1)
-        self._barred[self.address] = now + wait
+        self.dialing.bar(self.address, now, busy.retry_after_ms * MS)
         self._stale_tries = max(self._stale_tries - 1, 0)
         self._hang_up(now, f"busy: {busy.reason}")
 
@@ -318,19 +269,12 @@
         """Go on to the next source after a random while."""
         self.link = Link.DOWN
         self._count_loss(self.address, why)
-        self._due = now + self._jitter()
-        self._failures += 1
+        self.dialing.lost(now)
 
     def _count_loss(self, address: str, why: str) -> None:
         self.losses += 1
         self.last_loss = f"{address}: {why}"
 
-    def _jitter(self) -> int:
-        """Full jitter: anything up to a bound that doubles with each failure."""
-        terms = self.terms
-        bound = min(terms.reconnect_first << min(self._failures, 16), terms.reconnect_most)
-        return self._random.randrange(bound + 1)
-
     # ---- messages --------------------------------------------------------------------------
 
     def received(self, attempt: int, now: int, message: Message) -> None:
@@ -374,8 +318,7 @@
     def _begin(self, now: int) -> None:
         """Tell a source that knows nothing of us what is in force here, and ask what is open."""
         self.connections += 1
-        self._failures = 0
-        self._barred.clear()
+        self.dialing.welcomed()
         self._refusals = dict(self._refusing)
         self._acknowledge(now)
         for number, question in self._questions.items():
@@ -468,10 +411,10 @@
             self._stale_again = now
             self._stale_tries = 0
             return
-        if now >= self._stale_again and len(self.addresses) > 1:
+        if now >= self._stale_again and len(self.dialing.addresses) > 1:
             self._stale_again = now + self._stale_wait
             self._stale_wait = min(self._stale_wait * 2, self.terms.stale_again_most)
-            self._stale_tries = min(self.terms.stale_tries, len(self.addresses) - 1)
+            self._stale_tries = min(self.terms.stale_tries, len(self.dialing.addresses) - 1)
         elif self._stale_tries:
             self._stale_tries -= 1
         if self._stale_tries:
@@ -644,8 +587,3 @@
     def _send(self, message: Message, now: int) -> None:
         self._said = now
         self.actions.append(Send(message))
-
-
-def _preference(name: str, address: str) -> bytes:
-    """Rendezvous hashing (Thaler and Ravishankar 1996): each subscriber's own order."""
-    return blake2b(f"{name} {address}".encode(), digest_size=8).digest()
--- a/tests/distribution/model/network.py
+++ b/tests/distribution/model/network.py
@@ -154,7 +154,7 @@
         """Answer what is dialled: connected, refused, or not at all; now, or later."""
         dials, self.dials = self.dials, []
         for action in dials:
-            if not self.subscriber.is_dialing(action.attempt):
+            if action.attempt not in self.subscriber.dialing:
                 continue
             if self.world.answers_later():
                 self.dials.append(action)
--- a/tests/distribution/simulation.py
+++ b/tests/distribution/simulation.py
@@ -238,7 +238,7 @@
             self.core.applied(action.batch, simulation.now)
 
     def _dialled(self, action: Dial) -> None:
-        if not self.core.is_dialing(action.attempt):
+        if action.attempt not in self.core.dialing:
             return
         source = self.simulation.sources[action.address]
         if source.condition is Condition.DEAD:
--- a/tests/distribution/test_reconnects.py
+++ b/tests/distribution/test_reconnects.py
@@ -135,7 +135,7 @@
     simulation.connect_all(10 * SECOND)
     simulation.records.dials.clear()
     for subscriber in simulation.subscribers:
-        subscriber.core._random = random or subscriber.core._random
+        subscriber.core.dialing._random = random or subscriber.core.dialing._random
     followed.become(Condition.DEAD)
     simulation.run(5 * SECOND)
     first: dict[str, int] = {}
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -74,9 +74,9 @@
 def test_the_subscribers_of_a_lost_source_spread_over_all_others() -> None:
     names = [f"node-{n}" for n in range(3_600)]
     subscribers = [Subscriber(n, SOURCES, Replica(1), TERMS, Random(n), 0) for n in names]
-    lost = [s for s in subscribers if s.addresses[0] == SOURCES[0]][:240]
+    lost = [s for s in subscribers if s.dialing.addresses[0] == SOURCES[0]][:240]
     assert len(lost) > 200
-    shares = Counter(s.addresses[1] for s in lost)
+    shares = Counter(s.dialing.addresses[1] for s in lost)
     assert len(shares) == 14 and max(shares.values()) <= 2 * len(lost) / 14
 
 
@@ -96,7 +96,7 @@
     follower = Follower()
     bounds: Counter[int] = Counter()
     for _ in range(200):
-        follower.subscriber._failures = 0
+        follower.subscriber.dialing._failures = 0
         for failures in range(6):
             follower.wait(0)
             while follower.subscriber.link is not Link.DIALING:
