--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -74,9 +74,9 @@
 def test_the_subscribers_of_a_lost_source_spread_over_all_others() -> None:
     names = [f"node-{n}" for n in range(3_600)]
     subscribers = [Subscriber(n, SOURCES, Replica(1), TERMS, Random(n), 0) for n in names]
-    lost = [s for s in subscribers if s.addresses[0] == SOURCES[0]][:240]
+    lost = [s for s in subscribers if s.dialing.addresses[0] == SOURCES[0]][:240]
     assert len(lost) > 200
-    shares = Counter(s.addresses[1] for s in lost)
+    shares = Counter(s.dialing.addresses[1] for s in lost)
     assert len(shares) == 14 and max(shares.values()) <= 2 * len(lost) / 14
 
 
@@ -96,7 +96,7 @@
     follower = Follower()
     bounds: Counter[int] = Counter()
     for _ in range(200):
-        follower.subscriber._failures = 0
+        follower.subscriber.dialing._failures = 0
         for failures in range(6):
             follower.wait(0)
             while follower.subscriber.link is not Link.DIALING:
@@ -311,6 +311,23 @@
     assert not follower.subscriber.replica.entries
 
 
+def test_what_is_subscribed_to_and_not_held_is_given_up_before_a_comparison() -> None:
+    follower = Follower()
+    follower.connect()
+    holding(follower, "t", 9)
+    follower.subscriber.give_up(["t"], follower.now)
+    follower.subscriber.lookup(["n:t"], follower.now)
+    serial = [m for m in follower.said() if isinstance(m, Lookup)][-1].question
+    follower.hears(Found(serial, ["t"], [Resource("t", 4, Kind.CONTENT, b"old")], 6))
+    assert follower.subscriber.subscriptions == {"t"}
+    another = Position(Epoch(6, b"f"), 6)
+    follower.hears(Welcome(another, compare=True, parent=Position(EPOCH, 6)))
+    assert [m for m in follower.said() if isinstance(m, Unsubscribe)] == [Unsubscribe(["t"])]
+    assert not follower.subscriber.subscriptions
+    follower.wait(TERMS.ask_again)
+    assert [m for m in follower.said() if isinstance(m, Lookup)]
+
+
 def test_refusals_are_told_to_each_source_that_is_come_to() -> None:
     follower = Follower()
     follower.connect()
