The scale rig: a fault in one delivery ends no process and holds up nothing behind it

Cause: in a trial at full size a hollow process ended as its region's cut was healed: what had waited on a link was delivered within the rig's own command, to a stream that its client had given up, which raised KeyError. On a transport that is a line in the log.

Change: after a pause delivery goes on from the loop, as a transport's would, and what follows an item that raised is delivered all the same. A connection that is made only after its dial was given up is closed; that is one way to such a stream, whether it was this one the trial did not show.

--- a/standins/scale/delay.py
+++ b/standins/scale/delay.py
@@ -34,7 +34,7 @@
 
     def resume(self) -> None:
         self._paused = False
-        self._deliver_due()
+        self._schedule()
 
     def clear(self) -> None:
         """What is on its way is lost."""
@@ -54,6 +54,8 @@
     def _deliver_due(self) -> None:
         self._stop_timer()
         now = asyncio.get_running_loop().time()
-        while self._items and not self._paused and self._items[0][0] <= now:
-            self._deliver(self._items.popleft()[1])
-        self._schedule()
+        try:
+            while self._items and not self._paused and self._items[0][0] <= now:
+                self._deliver(self._items.popleft()[1])
+        finally:  # what follows one that raised is delivered all the same, as by a transport
+            self._schedule()
--- a/standins/scale/links.py
+++ b/standins/scale/links.py
@@ -110,7 +110,7 @@
     call()
 
 
-class _Ends(asyncio.Protocol):
+class LinkEnds(asyncio.Protocol):
     """Passes what happens on a connection to its stream."""
 
     def __init__(self, network: NodeLinks, address: str, made: Callable[[], SealedStream]) -> None:
@@ -118,8 +118,12 @@
         self._address = address
         self._stream = made()
         self._link: Link | None = None
+        self._forgotten = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if self._forgotten:  # its dial was given up before the loop came to this
+            cast(asyncio.Transport, transport).abort()
+            return
         delay_s = self._network.delay_s(self._address)
         self._link = Link(cast(asyncio.Transport, transport), self._stream, delay_s)
         self._network.add(self._address, self._link)
@@ -127,13 +131,14 @@
 
     def forget(self) -> None:
         """The connection is none any more, and nobody says so."""
+        self._forgotten = True
         if self._link is not None:
             self._network.remove(self._address, self._link)
             self._link.forget()
 
     def data_received(self, data: bytes) -> None:
-        assert self._link is not None
-        self._link.received(data)
+        if self._link is not None:
+            self._link.received(data)
 
     def pause_writing(self) -> None:
         self._stream.pause_writing()
@@ -142,9 +147,9 @@
         self._stream.resume_writing()
 
     def connection_lost(self, error: Exception | None) -> None:
-        assert self._link is not None
-        self._network.remove(self._address, self._link)
-        self._link.lost(error)
+        if self._link is not None:
+            self._network.remove(self._address, self._link)
+            self._link.lost(error)
 
 
 class NodeLinks:
@@ -168,10 +173,10 @@
         if address in self._cut_off:
             await asyncio.Event().wait()
         loop = asyncio.get_running_loop()
-        dialed: list[_Ends] = []
+        dialed: list[LinkEnds] = []
 
-        def ends() -> _Ends:
-            dialed.append(_Ends(self, address, made))
+        def ends() -> LinkEnds:
+            dialed.append(LinkEnds(self, address, made))
             return dialed[-1]
 
         try:
--- a/tests/scale_rig/test_delay.py
+++ b/tests/scale_rig/test_delay.py
@@ -13,7 +13,7 @@
 
 from standins.relay import Address
 from standins.scale.delay import DelayLine
-from standins.scale.links import Link, NodeLinks
+from standins.scale.links import Link, LinkEnds, NodeLinks
 from standins.scale.relay import DelayedRelay
 from tansywood.distribution.stream import SealedStream
 
@@ -75,6 +75,29 @@
     uvloop.run(story())
 
 
+def test_one_that_raises_holds_up_nothing_that_follows() -> None:
+    async def story() -> None:
+        failed: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, told: failed.append(told))
+        came: list[int] = []
+
+        def deliver(item: int) -> None:
+            if item == 1:
+                raise ValueError("one")
+            came.append(item)
+
+        line = DelayLine[int](DELAY_S, deliver)
+        line.pause()
+        for item in range(4):
+            line.put(item)
+        await asyncio.sleep(2 * DELAY_S)
+        line.resume()
+        await until(lambda: len(came) == 3)
+        assert came == [0, 2, 3] and len(failed) == 1
+
+    uvloop.run(story())
+
+
 def test_what_is_cleared_does_not_arrive() -> None:
     async def story() -> None:
         came: list[int] = []
@@ -178,6 +201,16 @@
     uvloop.run(story())
 
 
+def test_a_connection_that_is_made_after_its_dial_was_given_up_is_closed() -> None:
+    ends = Ends()
+    made = LinkEnds(NodeLinks(), "127.0.0.1:1", lambda: cast(SealedStream, ends))
+    made.forget()
+    made.connection_made(cast(asyncio.Transport, ends))
+    made.data_received(b"hello")
+    made.connection_lost(None)
+    assert ends.aborted and not ends.heard
+
+
 def test_a_dial_given_up_as_it_connects_leaves_nothing_on_its_way() -> None:
     async def story() -> None:
         server = await asyncio.start_server(lambda _reader, writer: writer.close(), "127.0.0.1", 0)
