--- a/tests/scale_rig/test_delay.py
+++ b/tests/scale_rig/test_delay.py
@@ -134,6 +134,9 @@
     def resume_reading(self) -> None:
         pass
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.heard.append("made")
+
     def data_received(self, data: bytes) -> None:
         self.heard.append(data.decode())
 
@@ -221,8 +224,8 @@
         asyncio.get_running_loop().set_exception_handler(lambda _loop, told: failed.append(told))
 
         class Greeting(Ends):
-            def connection_made(self, transport: asyncio.WriteTransport) -> None:
-                transport.write(b"hello")
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                cast(asyncio.WriteTransport, transport).write(b"hello")
                 begun.set()
 
         dial = links.dial(f"{host}:{port}", lambda: cast(SealedStream, Greeting()))
