--- a/benchmarks/scale/limits.py
+++ b/benchmarks/scale/limits.py
@@ -167,7 +167,8 @@
         "how much of each tenant's limits an instance may use",
         "at a home a row for each limit and holder; at a holder one for each limit and home",
         "three to nine homes deal fixed slices of every tenant; every instance claims from each "
-        "four times a second, and for all tenants at rest once a second",
+        "four times a second, for all tenants at rest once a second, and twice for those that a "
+        "worker keeps",
         CARRIED_BY,
         tuple(findings),
         tuple(effects()),
