A history restored without its last changes sends what those stood for

Cause: a reader that is told all but what has changed again stands behind the superseded changes: it may be at 17 without the change of 17, where the same tenant changes at 20. Where the publisher goes on from a copy that ends at 18, the change of 17 is the last one, and the reader resumed behind it: it kept the state before, until the next change.

A hello now tells the revision at which nothing waited (a field at its end). Into another epoch a source resumes from there; a hello without it is compared. An instance acknowledges no more than that there. The test of a source behind its epoch's beginning says the new field in its hellos.

--- a/tansywood/distribution/messages.py
+++ b/tansywood/distribution/messages.py
@@ -100,7 +100,9 @@
 class Hello(Struct, array_like=True, frozen=True, tag="h"):
     """The first message. `position` is where to resume: all that is held holds up to there.
     `newest` is the latest revision that anything held may have. With `only_fresh` a source that
-    has not heard the publisher lately is to say so and to take nothing up."""
+    has not heard the publisher lately is to say so and to take nothing up. At `whole` nothing
+    waited: a position behind it leaves out what had changed again by then, which says nothing in
+    a history that does not have those later changes."""
 
     name: NodeName
     everything: bool = False
@@ -108,6 +110,7 @@
     subscriptions: Annotated[list[Uid], Meta(max_length=MAX_SUBSCRIPTIONS)] = []
     newest: Count = 0
     only_fresh: bool = False
+    whole: Count = 0
 
 
 class Versions(Struct, array_like=True, frozen=True, tag="v"):
--- a/tansywood/distribution/source.py
+++ b/tansywood/distribution/source.py
@@ -399,7 +399,8 @@
         if hello.only_fresh and self._age_ms(now) * MS >= self.terms.stale:
             self._end(session, Busy(0, STALE))
             return
-        compare = not self.replica.covers(hello.position, hello.newest)
+        position = self._resume_from(hello)
+        compare = not self.replica.covers(position, hello.newest)
         holds = theirs != Epoch() or bool(hello.subscriptions)
         if compare and holds and self.replica.whole < self.replica.parent.revision:
             self._end(session, Busy(NOT_READY_MS, BEHIND_ITS_EPOCH))
@@ -413,7 +414,13 @@
             return
         self._admit(session, now, hello, compare)
         if not compare:
-            self._resume(session, hello.position.revision)
+            self._resume(session, position.revision)
+
+    def _resume_from(self, hello: Hello) -> Position:
+        position = hello.position
+        if position.epoch == self.replica.epoch:
+            return position
+        return Position(position.epoch, min(position.revision, hello.whole))
 
     def _come_back_ms(self, now: int, wait: int) -> int:
         """Those who are turned away are told times one after the other, at the admitted rate."""
--- a/tansywood/distribution/subscriber.py
+++ b/tansywood/distribution/subscriber.py
@@ -203,7 +203,9 @@
         held = list(self.subscriptions)
         only_fresh = self._stale_tries > 0
         place = replica.position
-        hello = Hello(self.name, self.everything, place, held, replica.newest, only_fresh)
+        hello = Hello(
+            self.name, self.everything, place, held, replica.newest, only_fresh, replica.whole
+        )
         self._send(hello, now)
 
     def disconnected(self, attempt: int, now: int, why: str = "closed") -> None:
@@ -337,6 +339,7 @@
             self.actions.append(HistoryChanged())
         else:
             replica.begin_epoch(welcome.position.epoch, welcome.parent)
+            self._acknowledge_at_most(replica.whole)
             self.actions.append(Continued())
 
     def _send_versions(self, now: int) -> None:
@@ -501,6 +504,10 @@
     def _hold_back(self, revision: int) -> None:
         """Something was taken that holds only up to there: neither resume nor say we have more."""
         self.replica.step_back(revision)
+        self._acknowledge_at_most(revision)
+
+    def _acknowledge_at_most(self, revision: int) -> None:
+        """Of what has been taken so far."""
         self._acknowledged = min(self._acknowledged, revision)
         for batch in self._batches:
             batch.progress = min(batch.progress, revision)
--- a/tests/distribution/test_histories.py
+++ b/tests/distribution/test_histories.py
@@ -80,7 +80,11 @@
 
 @pytest.mark.parametrize(
     ("seed", "faults"),
-    [*((seed, Faults()) for seed in ONCE_BROKEN), (2676, Faults(clock_jumps=True))],
+    [
+        *((seed, Faults()) for seed in ONCE_BROKEN),
+        (2676, Faults(clock_jumps=True)),
+        (3269, SLOW_READERS),
+    ],
 )
 def test_a_history_that_once_broke_the_property_holds(seed: int, faults: Faults) -> None:
     play(seed, faults=faults)
--- a/tests/distribution/test_source.py
+++ b/tests/distribution/test_source.py
@@ -237,7 +237,7 @@
     for position, newest in (((EPOCH, 8), 8), ((EPOCH, 8), 11)):
         number = bench.source.opened(NOW)
         bench.source.received(
-            number, NOW, Hello(f"n{newest}", False, Position(*position), ["t1"], newest)
+            number, NOW, Hello(f"n{newest}", False, Position(*position), ["t1"], newest, whole=8)
         )
         answers.append(bench.told(number)[0])
     assert isinstance(answers[0], Welcome) and not answers[0].compare
@@ -290,3 +290,30 @@
     bench.source.received(number, NOW, Acknowledge(3, [Refusal("t2", 2, "bad")], 1))
     rollout = bench.source.rollout("t2", 2)
     assert (rollout.have, rollout.waiting, rollout.refused) == (0, 0, 1)
+
+
+def test_where_a_restored_history_lacks_later_changes_what_they_stood_for_is_sent() -> None:
+    """`t2` changed at 17 and again at 20: a reader that was told all but it up to 18 stands at
+    18, and the history that goes on from 18 has the state of 17."""
+    replica = Replica(TERMS.window, Epoch(2, b"b"), 18)
+    replica.load([content("t1", 16), content("t2", 17)])
+    replica.set_floor(10)
+    replica.record(16, "t1")
+    replica.record(17, "t2")
+    replica.begin_epoch(Epoch(2, b"b"), Position(EPOCH, 18))
+    source = Source(replica, TERMS, NOW, is_publisher=True)
+
+    def sent(everything: bool, whole: int) -> list[str]:
+        number = source.opened(NOW)
+        place = Position(EPOCH, 18)
+        hello = Hello("n", everything, place, ["t1", "t2"], newest=18, whole=whole)
+        source.received(number, NOW, hello)
+        welcome = source.next_message(number, NOW)
+        assert isinstance(welcome, Welcome) and not welcome.compare
+        changes = []
+        while isinstance(message := source.next_message(number, NOW), Changes):
+            changes += [resource.uid for resource in message.resources]
+        return changes
+
+    assert sent(False, 15) == ["t1", "t2"]
+    assert sent(True, 16) == ["t2"]
