The scale rig: which nodes were not there in the end, and why

Need: a trial ended with 2,614 nodes behind 30 s after its end; whether they were not connected, behind the revision or without an answer was not told, so its cause is not known.

Change: the problem counts the three apart.

--- a/standins/scale/driver.py
+++ b/standins/scale/driver.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from functools import partial
 from pathlib import Path
@@ -81,14 +82,15 @@
         waiting = await self._until_all(revision, 0, end)
         if not waiting:  # what is nobody's has to be asked for once more
             waiting = await self._until_all(revision, time.monotonic_ns(), end)
-        problems = [f"{waiting} nodes are behind {SETTLE_S:.0f} s after the end"] if waiting else []
+        counts = ", ".join(f"{count} {why}" for why, count in sorted(waiting.items()))
+        problems = [f"nodes {SETTLE_S:.0f} s after the end: {counts}"] if waiting else []
         for distributor in self._rig.distributors:
             if not distributor.running:
                 problems.append(f"{distributor.name} has ended by itself")
         return problems
 
-    async def _until_all(self, revision: int, since: int, end: float) -> int:
-        """Wait for all nodes to be where the publisher was; returns how many are not at the end."""
+    async def _until_all(self, revision: int, since: int, end: float) -> Counter[str]:
+        """Wait for all nodes to be where the publisher was; returns how many are not, and why."""
         while (waiting := await self._rig.waiting(revision, since)) and time.monotonic() < end:
             await asyncio.sleep(POLL_S)
         return waiting
--- a/standins/scale/hollow.py
+++ b/standins/scale/hollow.py
@@ -154,17 +154,18 @@
             raise RuntimeError(f"no command: {do}")
 
     def _state(self, revision: int, since: int) -> Command:
-        """How many nodes are not connected, do not have all they asked for (what was
-        nobody's: since then), or are behind."""
-        lives = [node.life for node in self._nodes.values()]
-        waiting = sum(
-            life is None
-            or not life.client.connected
-            or not life.complete(since)
-            or life.replica.revision < revision
-            for life in lives
-        )
-        return {"waiting": waiting}
+        """How many nodes are not connected, or else are behind a revision, or else do not have all
+        they asked for (what was nobody's: since then)."""
+        counts = Counter[str]()
+        for node in self._nodes.values():
+            life = node.life
+            if life is None or not life.client.connected:
+                counts["not connected"] += 1
+            elif life.replica.revision < revision:
+                counts["behind"] += 1
+            elif not life.complete(since):
+                counts["without an answer"] += 1
+        return dict(counts)
 
     def _counters(self) -> Command:
         traffic = Traffic()
--- a/standins/scale/rig.py
+++ b/standins/scale/rig.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import secrets
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -71,10 +72,12 @@
     async def tell_hollows(self, do: str, **more: object) -> list[Command]:
         return await asyncio.gather(*(hollow.ask(do, **more) for hollow in self.hollows))
 
-    async def waiting(self, revision: int, since: int = 0) -> int:
-        """How many nodes are not where the publisher was at a revision: see Hollow."""
-        told = await self.tell_hollows("state", revision=revision, since=since)
-        return sum(int(state["waiting"]) for state in told)
+    async def waiting(self, revision: int, since: int = 0) -> Counter[str]:
+        """How many nodes are not where the publisher was at a revision, and why: see Hollow."""
+        counts = Counter[str]()
+        for told in await self.tell_hollows("state", revision=revision, since=since):
+            counts.update(told)
+        return counts
 
     async def _start_publisher(self, size: list[str]) -> str:
         log = self.folder / "publisher.log"
