--- a/benchmarks/scale/limits.py
+++ b/benchmarks/scale/limits.py
@@ -78,8 +78,8 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     home = shipped.Allocator(shipped.Terms(), 1, 0, 0)
-    for pot, (whole, tail) in rows.items():
-        home.set_whole(pot, whole, tail)
+    for key, (whole, tail) in rows.items():
+        home.set_whole(key, whole, tail)
     at = 100 * shipped.SECOND
     for holder in range(model.NODES_PER_TENANT):
         life = shipped.member_update(holder).life
--- a/standins/fleet/day.py
+++ b/standins/fleet/day.py
@@ -191,7 +191,7 @@
     while at < seconds - 12.0:
         span = rng.uniform(1.0, 5.0)
         one = rng.choice(names)
-        kind = rng.choice(("stop", "kill", "bare", "part", "split", "one_way", "weather", "server"))
+        kind = rng.choice(("stop", "kill", "bare", "part", "split", "one_way", "lossy", "server"))
         if kind == "stop":
             faults += [
                 Fault(at, "stop", {"instance": one}),
@@ -211,7 +211,7 @@
             rest = [n for n in names if n not in some]
             what = "cut" if kind == "split" else "cut_one_way"
             faults += [Fault(at, what, {"from": some, "to": rest}), Fault(at + span, "heal")]
-        elif kind == "weather":
+        elif kind == "lossy":
             word = rng.choice(("loss", "late", "twice"))
             faults += [
                 Fault(at, word, {"part": rng.uniform(0.05, 0.4)}),
--- a/standins/fleet/leases.py
+++ b/standins/fleet/leases.py
@@ -37,7 +37,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 KINDS = (
-    "kill", "bare", "restore", "stop", "cut", "one_way", "weather", "full", "slow", "broken",
+    "kill", "bare", "restore", "stop", "cut", "one_way", "lossy", "full", "slow", "broken",
 )  # fmt: skip
 
 
@@ -416,9 +416,9 @@
             self.network.cut(some, rest, both=kind == "cut")
             await asyncio.sleep(span)
             self.network.heal()
-        elif kind == "weather":
+        elif kind == "lossy":
             over = {w: rng.uniform(0.02, 0.25) for w in ("loss", "late", "twice")}
-            self.say("weather " + " ".join(f"{w} {v:.2f}" for w, v in over.items()))
+            self.say("lossy " + " ".join(f"{w} {v:.2f}" for w, v in over.items()))
             self.network.all(**over)
             await asyncio.sleep(span)
             self.network.all(loss=0.0, late=0.0, twice=0.0)
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -41,7 +41,7 @@
 DIAL_S = 0.02  # between two looks for a worker that is away
 WAIT_S = 1.0  # a connection waits so long for any worker to be there
 WAITING = 4096  # connections that wait for a worker; more are told to come again
-LINGER_S = 1.0  # for the last word to be read before the close
+LINGER_S = 1.0  # for the answer to be read before the close
 STOP_S = 0.5
 LAST_ANSWERS_S = 0.2  # before the end of it, for those that wait for the agent
 AWAY = b"Retry-After: 2.000\r\nConnection: close\r\n\r\n"
@@ -51,7 +51,7 @@
 
 
 class Visitor:
-    """A connection that has not said whose it is, or that gets its last word here."""
+    """A connection that has not said whose it is, or that is answered here."""
 
     __slots__ = ("address", "data", "listener", "shown", "sock", "until")
 
@@ -215,13 +215,13 @@
                 continue
             goes = self.lobby.enter(visitor, address[0], time.monotonic_ns() // MS)
             if isinstance(goes, Visitor):
-                self.last_word(goes, FULL)
+                self.answer_and_close(goes, FULL)
             if goes is not visitor:
                 self.loop.add_reader(sock, self.readable, visitor)
                 self.readable(visitor)  # mostly its request is there already
 
     def enter(self, visitor: Visitor) -> None:
-        """One whose listener alone says whose it is: no message tells. It has no last word."""
+        """One whose listener alone says whose it is: no message tells; nobody's is just closed."""
         if not self.asks_agent(visitor):
             self.decide(visitor, UNKNOWN)
 
@@ -248,10 +248,10 @@
         head = look(visitor.data)
         if not head.whole:
             if len(visitor.data) >= MAX_HEAD:
-                self.last_word(visitor, TOO_LONG)
+                self.answer_and_close(visitor, TOO_LONG)
             return
         if not head.sound:
-            self.last_word(visitor, UNKNOWN)
+            self.answer_and_close(visitor, UNKNOWN)
             return
         visitor.shown = Shown(visitor.listener, head.host, head.name, head.key)
         if not self.asks_agent(visitor):
@@ -265,11 +265,11 @@
         """To its tenant's worker; `nobodys` is the answer where it is known to be nobody's."""
         uid = self.identify(visitor)
         if uid is None:
-            self.last_word(visitor, nobodys)
+            self.answer_and_close(visitor, nobodys)
         elif self.status[uid] != ACTIVE:
-            self.last_word(visitor, STOPPED)
+            self.answer_and_close(visitor, STOPPED)
         elif self.rates[uid].take(time.monotonic_ns()):
-            self.last_word(visitor, TOO_MANY)
+            self.answer_and_close(visitor, TOO_MANY)
         else:
             self.forget(visitor)
             self.hand_over(Waiting(uid, visitor, self.loop.time()))
@@ -278,7 +278,7 @@
         self.lobby.leave(visitor)
         self.loop.remove_reader(visitor.sock)
 
-    def last_word(self, visitor: Visitor, answer: bytes) -> None:
+    def answer_and_close(self, visitor: Visitor, answer: bytes) -> None:
         """Answer, and close once it was read: closing on unread bytes would reset it."""
         self.forget(visitor)
         self.turned_away += 1
@@ -404,7 +404,7 @@
         self.loop.call_later(SWEEP_S, self.sweep)
         for who in self.lobby.late(time.monotonic_ns() // MS):
             assert isinstance(who, Visitor)
-            self.last_word(who, EMPTY[408] + b"Connection: close\r\n\r\n")
+            self.answer_and_close(who, EMPTY[408] + b"Connection: close\r\n\r\n")
         for who in self.lookups.late(time.monotonic_ns() // MS):
             assert isinstance(who, Visitor)
             self.decide(who, FULL)
--- a/tansywood/service/isotenant.py
+++ b/tansywood/service/isotenant.py
@@ -33,22 +33,22 @@
 
     def __init__(self, server: TenantFront) -> None:
         super().__init__(server)
-        self.seat: Seat = server.seat
+        self.state: TenantState = server.state
 
     def data_received(self, data: bytes) -> None:
         began = time.perf_counter_ns()
         try:
             super().data_received(data)
         finally:
-            self.seat.used += time.perf_counter_ns() - began
+            self.state.used += time.perf_counter_ns() - began
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self.seat.held and self.transport is not None:
+        if self.state.held and self.transport is not None:
             self.transport.pause_reading()
 
 
-class Seat:
+class TenantState:
     """What a worker knows of a tenant at work, whatever its protocol: see TenantServer."""
 
     def __init__(self) -> None:
@@ -107,8 +107,8 @@
 class TenantFront(IsoServer):
     """The terminals of one tenant; they come from a door instead of a listener."""
 
-    def __init__(self, seat: Seat, *args: Any, **over: Any) -> None:
-        self.seat = seat
+    def __init__(self, state: TenantState, *args: Any, **over: Any) -> None:
+        self.state = state
         super().__init__(*args, **over)
 
     def connection(self) -> TerminalConnection:
@@ -116,27 +116,27 @@
 
     def request(self, conn: TerminalConnection, message: Message, one: Frame, at: int) -> None:
         cls = self.mapping.class_of(message)
-        seat = self.seat
+        state = self.state
         if cls is None or message.mti[1] == "4":
             super().request(conn, message, one, at)
             return
         why, wait = "", AWAY
-        if seat.stopping:
+        if state.stopping:
             why = "busy"
-        elif seat.status != ACTIVE:
-            why = seat.status
-        elif seat.bucket is not None and (limit := seat.bucket.take(time.monotonic_ns())):
+        elif state.status != ACTIVE:
+            why = state.status
+        elif state.bucket is not None and (limit := state.bucket.take(time.monotonic_ns())):
             why, wait = "rate", limit
-        seat.report.asked(cls)
+        state.report.asked(cls)
         if why:
-            seat.report.refused(cls, why)
+            state.report.refused(cls, why)
             conn.write(self.refusal(message, wait), one.tpdu)
         else:
             super().request(conn, message, one, at)
 
     def settle(self, caller: Caller, answer: bytes, fate: Fate) -> None:
         cls = self.mapping.class_of(caller.message) or ""
-        report, node = self.seat.report, self.node
+        report, node = self.state.report, self.node
         if fate == Fate.NEVER_RAN:
             report.refused(cls, "open" if node.open >= node.config.max_open else "busy")
         elif fate == Fate.IN_DOUBT:
@@ -173,10 +173,10 @@
             most=iso.servers_outstanding,
             sign_on=iso.servers_sign_on,
         )
-        self.server = seat = Seat()
-        seat.bucket = Bucket(time.monotonic_ns(), limits.rate_per_s, limits.burst)
-        seat.status = view["status"]
-        seat.most = limits.connections
+        self.server = state = TenantState()
+        state.bucket = Bucket(time.monotonic_ns(), limits.rate_per_s, limits.burst)
+        state.status = view["status"]
+        state.most = limits.connections
         node.start()
         node.discovery.tell(shape.members(self.settings, view["since"], self.rev))
         self.records: StoreRecords | None = None
@@ -235,7 +235,7 @@
         if view["version"] == self.version:
             return
         self.version = view["version"]
-        node, seat = self.node, self.server
+        node, state = self.node, self.server
         new = read(view["document"])
         old, self.settings = self.settings, new
         assert new.iso8583 is not None
@@ -243,14 +243,14 @@
         node.config = config
         node.sockets = node.own_sockets()
         node.budget.limit(new.limits.held_bytes)
-        seat.most = new.limits.connections
-        if new.limits != old.limits and seat.bucket is not None:
-            seat.bucket.change(time.monotonic_ns(), new.limits.rate_per_s, new.limits.burst)
+        state.most = new.limits.connections
+        if new.limits != old.limits and state.bucket is not None:
+            state.bucket.change(time.monotonic_ns(), new.limits.rate_per_s, new.limits.burst)
         numbers = node.retune(config.settings)
         self.mapping = node.upstream.mapping = mapping_of(new.iso8583)
-        if seat.front is not None:
-            seat.front.mapping = self.mapping
-            seat.front.know(config.settings.classes, numbers)
+        if state.front is not None:
+            state.front.mapping = self.mapping
+            state.front.know(config.settings.classes, numbers)
         if new.servers != old.servers:
             self.rev += 1
             node.discovery.roster.name_zones(shape.zones(new))
--- a/tansywood/service/node.py
+++ b/tansywood/service/node.py
@@ -23,7 +23,7 @@
 SAVE_S = 2.0  # a quarter of the longest time that a server is ejected
 
 
-class Keeper:
+class HealthRecorder:
     """Recalls at the start, saves now and then and at the end."""
 
     def __init__(self, run: Run, face: AsyncStore) -> None:
@@ -67,14 +67,14 @@
 
     async def around(run: Run) -> None:
         async with AsyncStore(store) as face:
-            keeper = Keeper(run, face)
-            run.node.recall = keeper.recall
-            saving = asyncio.ensure_future(keeper.saves())
+            recorder = HealthRecorder(run, face)
+            run.node.recall = recorder.recall
+            saving = asyncio.ensure_future(recorder.saves())
             try:
                 await run.run()
             finally:
                 saving.cancel()
-                await keeper.save()
+                await recorder.save()
 
     try:
         store = Store.open(path)
--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -24,7 +24,7 @@
 
 SECOND = 1_000_000_000
 AWAY = 2 * SECOND  # told to callers of a tenant that is suspended or drains
-LAST_WORD_S = 1.0
+CLOSE_AFTER_S = 1.0
 KEY = b"x-tenant-key"
 # What nobody's requests get, whoever asked for whatever: the same bytes in every case.
 UNKNOWN = EMPTY[404] + b"Connection: close\r\n\r\n"
@@ -215,7 +215,7 @@
 
 
 def with_answer(loop: asyncio.AbstractEventLoop, sock: socket.socket, answer: bytes) -> None:
-    """A last word to a connection that nobody takes. It is closed a moment later: closed on
+    """Answer a connection that nobody takes. It is closed a moment later: closed on
     unread bytes it would be reset, and the reset could reach the caller before the answer."""
     try:
         sock.setblocking(False)
@@ -224,7 +224,7 @@
     except OSError:
         sock.close()
         return
-    loop.call_later(LAST_WORD_S, sock.close)
+    loop.call_later(CLOSE_AFTER_S, sock.close)
 
 
 class Hosted:
--- a/tests/lease/test_processes.py
+++ b/tests/lease/test_processes.py
@@ -38,7 +38,7 @@
         return rig
 
 
-KINDS = ("kill", "stop", "cut", "bare", "weather", "full", "one_way", "restore", "slow")
+KINDS = ("kill", "stop", "cut", "bare", "lossy", "full", "one_way", "restore", "slow")
 
 
 def stopped_holder(fenced: bool) -> LeaseRig:
