What a source refuses is told with place and remedy, a bounded number of times

A source counted refusals by reason and said nothing: a peer that had not said hello was not in its log at all. Each refusal now carries what to do about it; a source's log names the peer's address, the count so far and the remedy, once in 10 s for each reason; a subscriber's last loss names the source and the remedy. Distributors hand their log to the server.

Tests: each attack of test_stream.py has one line with the peer's address and the remedy, each of test_sealing.py tells the remedy at either end; the log is bounded.

--- a/tansywood/distribution/client.py
+++ b/tansywood/distribution/client.py
@@ -133,8 +133,7 @@
         try:
             self.subscriber.received(attempt, time.monotonic_ns(), message)
         except ProtocolError as err:
-            self.refused["protocol"] += 1
-            stream.abort(str(err))
+            stream.refuse("protocol", str(err))
             return
         if self._overheard is not None:
             self._overheard(message)
--- a/tansywood/distribution/distributor.py
+++ b/tansywood/distribution/distributor.py
@@ -90,13 +90,14 @@
         terms: Terms,
         random: Random,
         on_ready: Callable[[], None] = lambda: None,
+        log: Callable[[str], None] = lambda _text: None,
     ) -> None:
         """`on_ready` is called once, when everything is held for the first time."""
         now = time.monotonic_ns()
         self.name = name
         self.replica = Replica(terms.window)
         self.source = Source(self.replica, terms, now, is_publisher=False)
-        self.server = SourceServer(self.source, keys, fleet)
+        self.server = SourceServer(self.source, keys, fleet, log=log)
         subscriber = Subscriber(name, publishers, self.replica, terms, random, now, everything=True)
         self.client = SubscriberClient(subscriber, keys, fleet, self._handle, self._overheard)
         self._on_ready: Callable[[], None] | None = on_ready
@@ -217,6 +218,7 @@
         settings.terms,
         Random(),
         ready,
+        log,
     )
     address = await distributor.start(settings.listen)
     log(f"listening at {address.host}:{address.port}")
--- a/tansywood/distribution/server.py
+++ b/tansywood/distribution/server.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from tansywood.distribution.messages import Message
+from tansywood.distribution.refusals import RefusalLog
 from tansywood.distribution.source import ProtocolError, Session, Source
 from tansywood.distribution.stream import Keys, SealedStream
 from tansywood.distribution.terms import MS, SECOND
@@ -39,6 +40,7 @@
         self._overheard = overheard
         self._on_close = on_close
         self._log = log
+        self._refusals = RefusalLog(log)
         self._streams: dict[int, SealedStream] = {}
         self._numbers: dict[SealedStream, int] = {}
         self._server: asyncio.Server | None = None
@@ -95,8 +97,7 @@
         try:
             self.source.received(number, time.monotonic_ns(), message)
         except ProtocolError as err:
-            self.refused["protocol"] += 1
-            stream.abort(str(err))
+            stream.refuse("protocol", str(err))
             return
         if self._overheard is not None:
             self._overheard(self.source.sessions[number], message)
@@ -108,6 +109,10 @@
             self._send_ready(number)
 
     def closed(self, stream: SealedStream, why: str) -> None:
+        if stream.refusal:
+            count = self.refused[stream.refusal]
+            now = time.monotonic_ns()
+            self._refusals.refused(stream.refusal, count, stream.peer, why, now)
         number = self._numbers.pop(stream, None)
         if number is None:
             return
--- a/tansywood/distribution/stream.py
+++ b/tansywood/distribution/stream.py
@@ -3,7 +3,8 @@
 Each end begins with sixteen random bytes, its life on this connection. All that follows are frames:
 four bytes of length, big-endian, then a sealed message. Both lives are bound into every seal, so
 nothing that was recorded on one connection can be played into another, and whoever does not hold a
-key of the fleet is found out at the first frame. What is refused is counted by its reason.
+key of the fleet is found out at the first frame. What is refused is counted by its reason, and told
+with its remedy.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from typing import Protocol, cast
 
 from tansywood.distribution.messages import MAX_FRAME, Message, MessageError, pack, unpack
+from tansywood.distribution.refusals import described
 from tansywood.fleet.messages import LIFE
 from tansywood.fleet.seal import Seal, SealError
 
@@ -61,6 +63,8 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._why = "closed by the other end"
+        self.refusal = ""  # the reason for which the connection was ended
+        self.peer = "an unknown address"
         self.paused = False
         self.bytes_in = 0
         self.bytes_out = 0
@@ -73,13 +77,16 @@
         # uvloop's transports are no subclass of asyncio.Transport, so that can't be asserted.
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=HIGH_WATER)
+        address = transport.get_extra_info("peername")
+        if address:
+            self.peer = f"{address[0]}:{address[1]}"
         self._write(self._life)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self._buffer:
-            self._refused["truncated"] += 1
         if exc is not None:
             self._why = str(exc)
+        if self._buffer:
+            self._count("truncated", f"a message that was cut short: {self._why}")
         self._transport = None
         self._owner.closed(self, self._why)
 
@@ -120,6 +127,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def refuse(self, reason: str, what: str) -> None:
+        """Take nothing more from this peer; counted, and told by `closed`."""
+        self._count(reason, what)
+        self._buffer.clear()
+        self.abort(self._why)
+
     # ---- the parts -------------------------------------------------------------------------
 
     def _write(self, data: bytes) -> None:
@@ -145,7 +158,7 @@
             return None
         (length,) = LENGTH.unpack_from(self._buffer)
         if length > MAX_SEALED:
-            self._refuse("oversize", f"a frame of {length} bytes; {MAX_SEALED} at most")
+            self.refuse("oversize", f"a frame of {length} bytes; {MAX_SEALED} at most")
             return None
         end = LENGTH.size + length
         if len(self._buffer) < end:
@@ -162,15 +175,15 @@
                 raise SealError("forged")
             message = unpack(body)
         except SealError as err:
-            self._refuse(err.why, f"a message that is not sealed for us: {err.why}")
+            self.refuse(err.why, f"a message that is not sealed for us: {err.why}")
             return
         except MessageError as err:
-            self._refuse("message", f"no message of this protocol: {err}")
+            self.refuse("message", f"no message of this protocol: {err}")
             return
         self.messages_in += 1
         self._owner.received(self, message)
 
-    def _refuse(self, reason: str, why: str) -> None:
+    def _count(self, reason: str, what: str) -> None:
         self._refused[reason] += 1
-        self._buffer.clear()
-        self.abort(why)
+        self.refusal = reason
+        self._why = described(reason, what)
--- a/tests/distribution/test_sealing.py
+++ b/tests/distribution/test_sealing.py
@@ -16,6 +16,7 @@
 
 from tansywood.distribution import stream as stream_module
 from tansywood.distribution.messages import Acknowledge, Message, MessageError, pack, unpack
+from tansywood.distribution.refusals import LOG_EVERY, REMEDIES, RefusalLog
 from tansywood.distribution.stream import LENGTH, MAX_SEALED, SealedStream
 from tansywood.fleet import seal as seal_module
 from tansywood.fleet.messages import LIFE
@@ -24,6 +25,7 @@
 KEY, OTHER_KEY = bytes(range(32)), bytes(32)
 FLEET, OTHER_FLEET = "fleet", "another"
 SAID = Acknowledge(7)
+PEER = ("10.1.2.3", 4567)
 
 
 class KeptTransport:
@@ -42,6 +44,9 @@
         self.written.clear()
         return data
 
+    def get_extra_info(self, name: str) -> object:
+        return PEER if name == "peername" else None
+
     def set_write_buffer_limits(self, high: int) -> None:
         """Nothing waits here."""
 
@@ -176,10 +181,10 @@
 
 
 def refuses(name: str, connector: bool) -> bool:
-    """Whether an attack is refused, counted once, and ends the connection with its reason."""
+    """Whether an attack is refused, counted once, and ends the connection with its remedy."""
     attack, reason = ATTACKS[name]
     end = attack(connector)
-    told = reason in end.why or reason in ("truncated", "oversize")
+    told = REMEDIES[reason] in end.why and end.stream.refusal == reason
     return not end.taken and end.transport.closed and told and end.refused == {reason: 1}
 
 
@@ -231,21 +236,21 @@
         try:
             self._owner.received(self, unpack(body))
         except MessageError as err:
-            self._refuse("message", str(err))
+            self.refuse("message", str(err))
 
 
 class UncountedStream(SealedStream):
     """Ends the connection and counts nothing."""
 
-    def _refuse(self, reason: str, why: str) -> None:
+    def refuse(self, reason: str, what: str) -> None:
         self._buffer.clear()
-        self.abort(why)
+        self.abort(what)
 
 
 class ForgivingStream(SealedStream):
     """Counts, and goes on with the connection."""
 
-    def _refuse(self, reason: str, why: str) -> None:
+    def refuse(self, reason: str, what: str) -> None:
         self._refused[reason] += 1
 
 
@@ -285,3 +290,23 @@
 def test_a_life_is_never_used_twice() -> None:
     lives = {End(True).life for _ in range(100)}
     assert len(lives) == 100 and all(len(life) == LIFE for life in lives)
+
+
+def test_the_log_names_the_peer_and_the_remedy_and_is_bounded() -> None:
+    lines: list[str] = []
+    log = RefusalLog(lines.append)
+    for number in range(1, 1001):
+        log.refused("stranger", number, "10.1.2.3:4567", REMEDIES["stranger"], number)
+    log.refused("forged", 1, "10.1.2.4:1", "another fleet's", 2_000)
+    log.refused("stranger", 1001, "10.1.2.5:1", "again", LOG_EVERY + 1)
+    assert [line.split(",")[0] for line in lines] == [
+        "refused (stranger",
+        "refused (forged",
+        "refused (stranger",
+    ]
+    assert "10.1.2.3:4567" in lines[0] and "same key file" in lines[0]
+    assert "1001 so far" in lines[2]
+
+
+def test_each_reason_of_a_seal_has_a_remedy() -> None:
+    assert set(seal_module.WHYS) <= set(REMEDIES)
--- a/tests/distribution/test_stream.py
+++ b/tests/distribution/test_stream.py
@@ -26,6 +26,7 @@
     pack,
     unpack,
 )
+from tansywood.distribution.refusals import REMEDIES
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import SourceServer
 from tansywood.distribution.source import Source
@@ -82,7 +83,8 @@
         replica = Replica(TERMS.window, Epoch(1, b"a"))
         replica.commit(Resource("t1", 1, Kind.CONTENT, b"one"))
         self.source = Source(replica, TERMS, time.monotonic_ns(), is_publisher=True)
-        self.server = SourceServer(self.source, lambda: [KEY], FLEET)
+        self.log: list[str] = []
+        self.server = SourceServer(self.source, lambda: [KEY], FLEET, log=self.log.append)
         self.at = Address("127.0.0.1", 0)
         self.honest: Raw
 
@@ -214,6 +216,9 @@
             await listener.counted(reason)
             await raw.ended()
             assert sum(listener.server.refused.values()) == listener.server.refused[reason] == 1
+            (line,) = (line for line in listener.log if line.startswith(f"refused ({reason}"))
+            host, port = raw.writer.get_extra_info("sockname")
+            assert f"{host}:{port}" in line and REMEDIES[reason] in line
             await listener.honest_goes_on()
 
     asyncio.run(story())
