--- a/tansywood/distribution/server.py
+++ b/tansywood/distribution/server.py
@@ -105,7 +105,7 @@
             return
         if self._overheard is not None:
             self._overheard(self.source.sessions[number], message)
-        self.pump()
+        self._take_another_turn()  # once for all messages that came in one read
 
     def writable(self, stream: SealedStream) -> None:
         number = self._numbers.get(stream)
--- a/tests/distribution/test_turns.py
+++ b/tests/distribution/test_turns.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from tansywood.distribution.client import SubscriberClient
-from tansywood.distribution.messages import Changes, Epoch, Message
+from tansywood.distribution.messages import Acknowledge, Changes, Epoch, Message
 from tansywood.distribution.replica import Replica
 from tansywood.distribution.server import TURN_MESSAGES, SourceServer
 from tansywood.distribution.source import Source
@@ -18,6 +18,7 @@
 from .test_sockets import LOCAL, keys, resource, until
 
 RESOURCES = 120
+SAID_AT_ONCE = 50  # messages of another one that come in one read
 BODY = bytes(48 << 10)  # two of them are more than one message takes
 
 
@@ -40,37 +41,85 @@
         await asyncio.sleep(0)
 
 
-def test_what_fetches_everything_is_sent_a_few_messages_in_each_turn_of_the_loop() -> None:
-    """Sockets take some megabytes at once: without the bound all of it goes in one turn."""
+def held_by(replica: Replica) -> bool:
+    return len(replica.entries) == RESOURCES
+
 
-    async def story() -> None:
-        terms = Terms()
-        replica = Replica(terms.window, Epoch(1, b"a"))
+class Story:
+    """A source with much to send, and one that fetches all of it."""
+
+    def __init__(self) -> None:
+        self.terms = Terms()
+        replica = Replica(self.terms.window, Epoch(1, b"a"))
         for number in range(RESOURCES):
             replica.commit(resource(f"t{number}", number + 1, BODY))
-        source = CountedSource(replica, terms, time.monotonic_ns(), is_publisher=True)
-        source.made = Counter()
-        server = SourceServer(source, keys, "fleet")
-        at = await server.start(LOCAL)
-        held = Replica(terms.window)
+        self.source = CountedSource(replica, self.terms, time.monotonic_ns(), is_publisher=True)
+        self.source.made = Counter()
+        self.server = SourceServer(self.source, keys, "fleet")
+        self.address = ""
+
+    async def start(self) -> None:
+        at = await self.server.start(LOCAL)
+        self.address = f"{at.host}:{at.port}"
+
+    def subscriber(self, name: str, everything: bool) -> SubscriberClient:
+        """It connects at once."""
         subscriber = Subscriber(
-            "distributor-1",
-            [f"{at.host}:{at.port}"],
-            held,
-            terms,
+            name,
+            [self.address],
+            Replica(self.terms.window),
+            self.terms,
             Random(1),
             time.monotonic_ns(),
-            everything=True,
+            everything,
         )
         client = SubscriberClient(subscriber, keys, "fleet", lambda _action: None)
-        turns = asyncio.create_task(count_turns(source))
         client.start()
-        await until(lambda: len(held.entries) == RESOURCES)
+        return client
+
+    def check(self) -> None:
+        """The loop reads, and a timer sends, in the same turn as a turn of the server."""
+        assert sum(self.source.made.values()) >= RESOURCES // 2
+        assert max(self.source.made.values()) <= 3 * TURN_MESSAGES
+
+
+def test_what_fetches_everything_is_sent_a_few_messages_in_each_turn_of_the_loop() -> None:
+    """Sockets take some megabytes at once: without the bound all of it goes in one turn."""
+
+    async def main() -> None:
+        story = Story()
+        await story.start()
+        turns = asyncio.create_task(count_turns(story.source))
+        client = story.subscriber("distributor-1", everything=True)
+        await until(lambda: held_by(client.subscriber.replica))
         turns.cancel()
         client.stop()
-        server.stop()
-        assert sum(source.made.values()) >= RESOURCES // 2
-        # The loop reads, and a timer sends, in the same turn as a turn of the server.
-        assert max(source.made.values()) <= 3 * TURN_MESSAGES
+        story.server.stop()
+        story.check()
+
+    asyncio.run(main())
+
+
+def test_what_others_say_meanwhile_makes_its_turns_no_more() -> None:
+    """All that came in one read is answered in one turn, whatever else is to be sent."""
+
+    async def main() -> None:
+        story = Story()
+        await story.start()
+        talker = story.subscriber("node-1", everything=False)
+        await until(lambda: talker.connected)
+        turns = asyncio.create_task(count_turns(story.source))
+        client = story.subscriber("distributor-1", everything=True)
+        while not story.source.made:
+            await asyncio.sleep(0)
+        assert talker._stream is not None
+        for _ in range(SAID_AT_ONCE):
+            talker._stream.send(Acknowledge(0))
+        await until(lambda: held_by(client.subscriber.replica))
+        turns.cancel()
+        for one in (client, talker):
+            one.stop()
+        story.server.stop()
+        story.check()
 
-    asyncio.run(story())
+    asyncio.run(main())
