What moved is imported from where it is; names kept for old importers are gone

Seen when the change was read once more: dividing files had left re-exports (Fault in checks, LeaseTerms and SECOND in lease, nothing in calls, ask and quantile in the tenants' benchmark, records in the rig's publisher) so that importers need not change. They import from the modules that have these now.

--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -35,8 +35,8 @@
 from standins.distributed import Distributed, NodeMachine, distributed
 from standins.ledger import Ledger
 from standins.memory import private_bytes
+from standins.scale.documents import records
 from standins.scale.plan import CHANGES_PER_S, host_of, uid_of
-from standins.scale.publisher import records
 from standins.servers import Behaviour, TopupServer
 from standins.service import Operator, cpu_s
 from tansywood.store import Batch, Store
--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -15,12 +15,14 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
+from benchmarks.figures import quantile
 from benchmarks.request_cost import Server
 from benchmarks.scale import latency, model, processes
 from benchmarks.scale.fit import Point
 from benchmarks.scale.judge import judge
 from benchmarks.scale.model import Effect, Event, Figure, Resource, Role, Series, Source
-from benchmarks.tenants import ask, quantile, tenant
+from benchmarks.tenants import tenant
+from benchmarks.tenants_load import ask
 from standins.platform import request
 from standins.service import ServiceProcess
 
--- a/benchmarks/scale/latency.py
+++ b/benchmarks/scale/latency.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from benchmarks.tenants import quantile
+from benchmarks.figures import quantile
 
 RESAMPLES = 400
 SEED = 1
--- a/benchmarks/scale/shipped.py
+++ b/benchmarks/scale/shipped.py
@@ -21,9 +21,9 @@
 from tansywood.fleet.share import Limits
 from tansywood.fleet.signals import Kind, Signals
 from tansywood.fleet.terms import SECOND, Terms
-from tansywood.lease.context import SECOND as LEASE_SECOND
 from tansywood.lease.fragments import Fragment
-from tansywood.lease.service import LeaseTerms
+from tansywood.lease.terms import SECOND as LEASE_SECOND
+from tansywood.lease.terms import LeaseTerms
 
 __all__ = [
     "LEASE_SECOND",
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -30,11 +30,9 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.figures import median_and_interval
-from benchmarks.figures import quantile as quantile  # benchmarks.scale names it here
+from benchmarks.figures import median_and_interval, quantile
 from benchmarks.request_cost import SETTINGS, Server, asks, listening
-from benchmarks.tenants_load import FLOODED_LIMIT, WORK_S
-from benchmarks.tenants_load import ask as ask  # benchmarks.scale names it here
+from benchmarks.tenants_load import FLOODED_LIMIT, WORK_S, ask
 from standins.platform import config, request, roster, target
 from standins.service import Operator, ServiceProcess, cpu_s, document, memory_mb
 
--- a/standins/fleet/leaseworld.py
+++ b/standins/fleet/leaseworld.py
@@ -13,12 +13,12 @@
 from random import Random
 
 from tansywood.lease.client import LeaseClient
-from tansywood.lease.context import SECOND, Peer
+from tansywood.lease.context import Peer
 from tansywood.lease.disk import Kept, changes
 from tansywood.lease.fragments import Fragment
 from tansywood.lease.raft import MS, Raft, Timing
-from tansywood.lease.service import LeaseTerms
 from tansywood.lease.spread import Ranking
+from tansywood.lease.terms import SECOND, LeaseTerms
 from tansywood.lease.voter import Voter
 
 
--- a/standins/scale/publisher.py
+++ b/standins/scale/publisher.py
@@ -30,8 +30,6 @@
 from tansywood.store import Batch, Store
 from tansywood.tenancy.identity import Key, digest, token
 
-__all__ = ["records"]
-
 KEY_ID = "rigoperator1"
 TOKEN = token(KEY_ID, "r" * 43)  # it opens nothing but a run's own administration
 CALLS_PER_S = 10_000.0
--- a/tansywood/admin/api.py
+++ b/tansywood/admin/api.py
@@ -23,13 +23,14 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from tansywood.admin import problems
-from tansywood.admin.calls import Call, Cursors, Operation, nothing
+from tansywood.admin.calls import Call, Cursors, Operation
 from tansywood.admin.core import Administration
 from tansywood.admin.openapi import description
 from tansywood.admin.operations import OPERATIONS
 from tansywood.tenancy import schema
 from tansywood.tenancy.checks import schema_faults
 from tansywood.tenancy.identity import Key, verify
+from tansywood.tenancy.model import nothing
 from tansywood.tenancy.registry import Refused
 
 MAX_BODY = 1 << 20
--- a/tansywood/admin/calls.py
+++ b/tansywood/admin/calls.py
@@ -18,7 +18,6 @@
 
 from tansywood.admin.core import Administration
 from tansywood.tenancy.identity import Key
-from tansywood.tenancy.model import nothing as nothing  # what most operations refuse with
 from tansywood.tenancy.registry import Actor, Change, Refused, Registry, Tenant
 
 PAGE = 50
--- a/tansywood/admin/key_calls.py
+++ b/tansywood/admin/key_calls.py
@@ -4,9 +4,10 @@
 
 from starlette.responses import Response
 
-from tansywood.admin.calls import Call, nothing, shown_key
+from tansywood.admin.calls import Call, shown_key
 from tansywood.admin.core import new_id, new_secret
 from tansywood.tenancy.identity import Key
+from tansywood.tenancy.model import nothing
 from tansywood.tenancy.registry import Change, Registry
 
 
--- a/tansywood/admin/report_calls.py
+++ b/tansywood/admin/report_calls.py
@@ -7,9 +7,10 @@
 
 from starlette.responses import Response
 
-from tansywood.admin.calls import PAGE, PAGE_MOST, WAIT_MOST_S, Call, nothing, whole_number
+from tansywood.admin.calls import PAGE, PAGE_MOST, WAIT_MOST_S, Call, whole_number
 from tansywood.distribution.rollout import Summary
 from tansywood.service.report import with_percentiles
+from tansywood.tenancy.model import nothing
 from tansywood.tenancy.registry import Refused
 
 ELSEWHERE = (
--- a/tansywood/admin/tenant_calls.py
+++ b/tansywood/admin/tenant_calls.py
@@ -7,9 +7,10 @@
 
 from starlette.responses import Response
 
-from tansywood.admin.calls import PAGE, PAGE_MOST, Call, nothing, shown, whole_number
+from tansywood.admin.calls import PAGE, PAGE_MOST, Call, shown, whole_number
 from tansywood.admin.core import new_id
 from tansywood.tenancy import changes, schema
+from tansywood.tenancy.model import nothing
 from tansywood.tenancy.registry import Change, Refused, Registry, Tenant
 
 Handler = Callable[[Call], Awaitable[Response]]
--- a/tansywood/distribution/settings.py
+++ b/tansywood/distribution/settings.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from tansywood.distribution.messages import MAX_SUBSCRIPTIONS
-from tansywood.tenancy.checks import Fault
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.schema import ADDRESS, NAME, whole
 
 TENANTS = 500  # that an instance holds at most, where its settings don't say
--- a/tansywood/lease/context.py
+++ b/tansywood/lease/context.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from tansywood.fleet.events import EventLog
-from tansywood.lease.terms import SECOND as SECOND  # rigs name it here
 from tansywood.lease.terms import LeaseTerms
 
 COUNTED = ("asks", "told", "foreign", "length", "unread", "stale", "behind")
--- a/tansywood/lease/service.py
+++ b/tansywood/lease/service.py
@@ -13,7 +13,7 @@
 from tansywood.lease.messages import LeaseReply, LeaseRequest
 from tansywood.lease.raft import Out, Raft
 from tansywood.lease.table import Change, End, Give, Table, Take, pack
-from tansywood.lease.terms import LeaseTerms as LeaseTerms  # rigs and benchmarks name it here
+from tansywood.lease.terms import LeaseTerms
 
 DEAF_MOST = 16  # that are told of
 ASKED_MOST = 4096  # holders whose latest request is remembered
--- a/tansywood/service/check.py
+++ b/tansywood/service/check.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from tansywood.service.settings import SettingsError, load
-from tansywood.tenancy.checks import Fault, faults
+from tansywood.tenancy.checks import faults
+from tansywood.tenancy.fault import Fault
 
 
 def found_in(path: str) -> list[Fault]:
--- a/tansywood/service/settings.py
+++ b/tansywood/service/settings.py
@@ -13,7 +13,8 @@
 from tansywood.distribution.settings import DistributionSettings, Role
 from tansywood.fleet import settings as fleet_settings
 from tansywood.fleet.settings import FleetSettings
-from tansywood.tenancy.checks import Fault, schema_faults
+from tansywood.tenancy.checks import schema_faults
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.schema import NAME, whole
 from windrelay.config import Address, parse_address
 
--- a/tansywood/tenancy/checks.py
+++ b/tansywood/tenancy/checks.py
@@ -14,7 +14,7 @@
 from jsonschema.exceptions import ValidationError
 
 from tansywood.iso8583.dialect import BUILT_IN, DialectError, FieldSpec, built_in, parse
-from tansywood.tenancy.fault import Fault as Fault  # as it has always been named here
+from tansywood.tenancy.fault import Fault
 from tansywood.tenancy.schema import DEFAULT_LIMITS, MAX_ZONES, TENANT
 
 MAX_FAULTS = 100  # told of one document; a list of thousands helps nobody
