Log why requests are refused, failed or retried, and every change of a backend's state

Change: changes of backends' states (slow start with the attempts it took, ejection, half-open) are gathered into at most one line a second, none is lost; decisions are counted by reason and logged once in 10 s; the node tells how many lines its limit dropped. The ways into slow start go through one method, begin_slow_start.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -18,6 +18,7 @@
 from heapq import heappop, heappush
 from random import Random
 
+from flinthatch.decision_log import DecisionLog, Reason, TransitionLog
 from flinthatch.interface import (
     MS,
     SECOND,
@@ -175,7 +176,8 @@
         "cost", "ejected_until", "ejection_backoff", "error_fraction", "half_open",
         "hardware_kind", "id", "in_flight", "index", "is_local", "last_outcome_at",
         "latency_ratio", "listed_state", "paused_until", "rounding_offset", "silent_since",
-        "slot_limit", "slot_offset", "slow_start_node_count", "slow_start_until", "stalled",
+        "slot_limit", "slot_offset", "slow_start_node_count", "slow_start_send_count",
+        "slow_start_until", "stalled",
         "started_at", "state", "weight", "zone",
     )  # fmt: skip
 
@@ -208,7 +210,8 @@
         self.consecutive_failures = 0  # time-outs and failed connections without an answer between
         self.error_fraction = 0.0  # smoothed fraction of answers that were errors
         self.consecutive_rejections = 0
-        self.slow_start_until = 0
+        self.slow_start_until = 0  # 0 once its end has been logged
+        self.slow_start_send_count = 0  # attempts of this node since the slow start began
         self.slow_start_node_count = 1.0  # nodes among which the slow-start budget is split
         self.paused_until = 0
 
@@ -446,6 +449,8 @@
         self.list_failure_count = 0
         self.list_call_pending = False
         self.log_silent_until = 0
+        self.decision_log = DecisionLog()
+        self.transition_log = TransitionLog()
         self.overloaded_until = 0
         self.last_loss_at = 0  # time of the last refusal, rejection or time-out, or of the start
         # Requests that arrived so long after the last loss that none was a client's retry, and
@@ -517,8 +522,8 @@
             backend = Backend(listing, listing.zone == self.settings.zone)
             self.backends[listing.backend] = backend
             self.set_state(backend, listing.state)
-            if listing.started_at and now - listing.started_at < self.settings.slow_start:
-                backend.slow_start_until = listing.started_at + self.settings.slow_start
+            if listing.started_at:
+                self.begin_slow_start(backend, listing.started_at + self.settings.slow_start)
         else:
             if (
                 listing.state != State.GONE
@@ -526,9 +531,7 @@
                 and listing.started_at != backend.started_at
             ):
                 backend.started_at = listing.started_at
-                backend.slow_start_until = max(
-                    backend.slow_start_until, listing.started_at + self.settings.slow_start
-                )
+                self.begin_slow_start(backend, listing.started_at + self.settings.slow_start)
                 if backend.ejected_until:
                     self.end_ejection(backend)
             self.set_state(backend, listing.state)
@@ -549,7 +552,7 @@
         """End a ban. Operators ban a backend to restart it, so it returns in slow start."""
         backend = self.backends.get(backend_id)
         if backend is not None and backend_id in self.banned:
-            backend.slow_start_until = max(backend.slow_start_until, now + self.settings.slow_start)
+            self.begin_slow_start(backend, now + self.settings.slow_start)
         self.banned.discard(backend_id)
         self.reapply_listed_state(now, backend_id)
 
@@ -657,6 +660,8 @@
                     backend_limit,
                     max(MIN_SLOW_START_SLOT_COUNT, backend_limit * self.warm_fraction(backend)),
                 )
+            elif backend.slow_start_until:
+                self.log_end_of_slow_start(backend)
             node_count = self.zone_node_count if backend.is_local else remote_node_count
             # Local and remote nodes share one slow-start budget in the same proportion as they
             # share the limit.
@@ -772,7 +777,7 @@
                     # in turn. A node with a good part of the traffic has those others in its
                     # own queue, and the guess that a request is late may be wrong: two nodes
                     # refused 40 of 100 requests because of it.
-                    self.refuse_or_fail(pending)
+                    self.refuse_or_fail(pending, Reason.LATE_ON_ARRIVAL)
                     return
         slack = min(pending.target_at, pending.deadline_at) - now - int(class_state.mean_latency)
         pending.wait_until = now + max(int(slack * MAX_QUEUE_WAIT_FRACTION), 0)
@@ -927,11 +932,11 @@
             request = self.take_next_request(self.select_next_class(low_priority), low_priority)
             # The retry window of a keyed request may close while it waits for a slot.
             if now > request.wait_until or (request.attempts and not self.may_retry(now, request)):
-                self.refuse_or_fail(request)
+                self.refuse_or_fail(request, Reason.WAITED_TOO_LONG)
                 continue
             target = self.choose_backend_for(now, request, backend)
             if target is None:
-                self.refuse_or_fail(request)
+                self.refuse_or_fail(request, Reason.NO_BACKEND_FOR_KEY)
             else:
                 self.start_attempt(now, request, target)
 
@@ -1054,6 +1059,7 @@
             backend.silent_since = now
         backend.in_flight += 1
         if backend.slow_start_until > now:
+            backend.slow_start_send_count += 1
             self.pace_slow_start(now, backend)
         self.update_bucket(backend)
         self.actions.send(request.id, backend.id, timeout)
@@ -1077,6 +1083,22 @@
         backend.paused_until = now + pause
         self.schedule_wakeup(backend.paused_until, backend)
 
+    def begin_slow_start(self, backend: Backend, until: int) -> None:
+        """Keep a backend in slow start until then; one that lasts longer already stays as it is."""
+        if until <= max(backend.slow_start_until, self.now):
+            return
+        if backend.slow_start_until <= self.now:
+            backend.slow_start_send_count = 0
+            self.log_transition(f"backend {backend.id} in slow start")
+        backend.slow_start_until = until
+
+    def log_end_of_slow_start(self, backend: Backend) -> None:
+        """Log what this node sent to a backend in its slow start, if it sent anything."""
+        backend.slow_start_until = 0
+        count = backend.slow_start_send_count
+        if count:
+            self.log_transition(f"backend {backend.id} out of slow start after {count} attempts")
+
     def warm_fraction(self, backend: Backend) -> float:
         """The part of its capacity that a backend in slow start is expected to have by now."""
         settings = self.settings
@@ -1093,7 +1115,7 @@
             self.next_wakeup_at = due
             self.actions.set_timer(TIMER_WAKE, due)
 
-    def refuse_or_fail(self, request: Request) -> None:
+    def refuse_or_fail(self, request: Request, reason: Reason) -> None:
         """Answer a request without service: refuse it where a retry is harmless, else fail it."""
         if request.ended:
             return
@@ -1104,8 +1126,10 @@
         if not request.attempts_in_flight:
             self.requests.pop(request.id, None)
         if self.may_refuse(request):
+            self.decision_log.count_refused(reason)
             self.actions.refuse(request.id, self.retry_after(request))
         else:
+            self.decision_log.count_failed(reason)
             self.actions.fail(request.id)
 
     def retry_after(self, request: Request) -> int:
@@ -1226,12 +1250,14 @@
             self.retry_or_answer(
                 now,
                 pending,
+                outcome,
                 min(duration / class_state.mean_latency, 1.0) if outcome == ERROR else 1.0,
             )
         self.dispatch(now)
 
-    def retry_or_answer(self, now: int, request: Request, price: float) -> None:
-        """Queue a further attempt ahead of other requests, or answer without service.
+    def retry_or_answer(self, now: int, request: Request, outcome: int, price: float) -> None:
+        """After this outcome, queue a further attempt ahead of other requests, or answer without
+        service.
 
         `price` is taken from the retry budget, which bounds the work that is done twice. An
         error that came at once cost the backend nothing: when such errors were charged in
@@ -1248,8 +1274,9 @@
             if allowed:
                 self.retry_budget -= price
         if not allowed:
-            self.refuse_or_fail(request)
+            self.refuse_or_fail(request, Reason.RETRY_NOT_ALLOWED)
             return
+        self.decision_log.count_retry(outcome)
         self.enqueue(request, True)
         self.schedule_wakeup(request.wait_until, request)
 
@@ -1375,12 +1402,23 @@
         backend.ejection_backoff = min(backend.ejection_backoff * 2, MAX_EJECTION_BACKOFF_NS)
         if restarted:
             # The backend's process may be replaced before the list says so.
-            backend.slow_start_until = backend.ejected_until + self.settings.slow_start
-        self.log_limited(now, f"backend {backend.id} out: {reason}")
+            self.begin_slow_start(backend, backend.ejected_until + self.settings.slow_start)
+        ejected_for_ms = (backend.ejected_until - now) // MS
+        self.log_transition(f"backend {backend.id} out: {reason}, for {ejected_for_ms} ms")
         self.ejected_count += 1
         self.schedule_wakeup(backend.ejected_until, backend)
         self.update_bucket(backend)
 
+    def log_transition(self, text: str) -> None:
+        """Log a change of a backend's state, at once or with others of the same second."""
+        self.transition_log.add(text)
+        self.flush_transition_log()
+
+    def flush_transition_log(self) -> None:
+        line = self.transition_log.take_line(self.now)
+        if line:
+            self.actions.log(line)
+
     def log_limited(self, now: int, text: str) -> None:
         """Log a change of state, at most one line per second."""
         if now >= self.log_silent_until:
@@ -1389,6 +1427,7 @@
 
     def end_ejection(self, backend: Backend) -> None:
         """Let an ejected backend in again, half-open: with one request at a time."""
+        self.log_transition(f"backend {backend.id} half-open")
         backend.ejected_until = 0
         backend.stalled = False
         backend.half_open = True
@@ -1449,7 +1488,7 @@
         pending.half_closed_at = now
         if pending.queued:
             self.dequeue(pending)
-            self.refuse_or_fail(pending)
+            self.refuse_or_fail(pending, Reason.CLIENT_HALF_CLOSED)
 
     def on_probe(
         self, now: int, backend: int, outcome: int, duration: int, load: Sequence[float] = ()
@@ -1496,7 +1535,7 @@
                     self.update_bucket(item)
             elif item.queued and item.wait_until <= now:
                 self.dequeue(item)
-                self.refuse_or_fail(item)
+                self.refuse_or_fail(item, Reason.WAITED_TOO_LONG)
         self.next_wakeup_at = 0
         if wakeups:
             self.next_wakeup_at = wakeups[0][0]
@@ -1508,6 +1547,10 @@
 
         Runs twice a second.
         """
+        self.flush_transition_log()
+        summary = self.decision_log.take_summary(now)
+        if summary:
+            self.actions.log(f"decisions: {summary}")
         self.send_rate += 0.3 * (self.send_count * SECOND / CYCLE_NS - self.send_rate)
         self.send_count = 0
         self.calm_count, self.calm_late_count = (
--- a/flinthatch/learned_state.py
+++ b/flinthatch/learned_state.py
@@ -168,8 +168,8 @@
         # A record may extend the slow start that follows from the backend's start, not shorten it.
         slow_start_left = int(finite_or(entry.get("cold"), 0.0)) - age
         if slow_start_left > 0:
-            backend.slow_start_until = max(
-                backend.slow_start_until, now + min(slow_start_left, balancer.settings.slow_start)
+            balancer.begin_slow_start(
+                backend, now + min(slow_start_left, balancer.settings.slow_start)
             )
         pause_left = int(finite_or(entry.get("rest"), 0.0)) - age
         if pause_left > 0:
--- a/flinthatch/reconfigure.py
+++ b/flinthatch/reconfigure.py
@@ -16,6 +16,7 @@
 from dataclasses import replace
 
 from flinthatch.balancer import TIME_LEFT_STEP_COUNT, Balancer, ClassState
+from flinthatch.decision_log import Reason
 from flinthatch.interface import Effect, RequestClass, Scope, Settings
 
 RETIRED_PREFIX = "~"  # before the name of a class that takes no new requests
@@ -102,7 +103,7 @@
     queued = [r for r in balancer.requests.values() if r.queued]
     for r in queued:
         balancer.dequeue(r)
-        balancer.refuse_or_fail(r)
+        balancer.refuse_or_fail(r, Reason.SERVICE_ENDS)
     return len(queued)
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -168,6 +168,10 @@
     for i in range(3):
         balancer.on_outcome(2 * MS, i, 0, 5, MS, True)
     assert balancer.ejected_count == 3 and len(host.calls_named("log")) == 1
+    balancer.on_timer(2 * SECOND, 2)
+    logged = " ".join(str(c[1]) for c in host.calls_named("log"))
+    ejected = [b.id for b in balancer.backends.values() if b.ejected_until]
+    assert len(host.calls_named("log")) == 2 and all(f"{b} out:" in logged for b in ejected)
 
 
 def test_read_delay_shortens_the_target_but_is_not_taken_for_the_clients_time() -> None:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -581,16 +581,22 @@
 
     def log(self, text: str) -> None:
         """Write a line to standard error; past MAX_LOG_LINES_PER_S lines a second, further ones are
-        dropped."""
+        dropped, and the next line that is written tells their number."""
         second = time.monotonic_ns() // SECOND
         if second != self.log_second:
+            dropped_count = max(self.log_line_count - MAX_LOG_LINES_PER_S, 0)
             self.log_second = second
             self.log_line_count = 0
+            if dropped_count:
+                self.write_log_line(f"{dropped_count} log lines dropped")
         self.log_line_count += 1
         if self.log_line_count <= MAX_LOG_LINES_PER_S:
-            # Standard error may have no reader left; that must not fail the event that is logged.
-            with contextlib.suppress(OSError, ValueError):
-                print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+            self.write_log_line(text)
+
+    def write_log_line(self, text: str) -> None:
+        # Standard error may have no reader left; that must not fail the event that is logged.
+        with contextlib.suppress(OSError, ValueError):
+            print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
 
     # ---- time ---------------------------------------------------------
 
