--- a/standins/servers.py
+++ b/standins/servers.py
@@ -60,6 +60,7 @@
     work_s: float = 0.002  # mean time of a request's work, drawn exponentially
     late_s: float = 0.3
     most_s: float = float("inf")  # that a request's work takes
+    is_serial: bool = False  # one request's work at a time, the others wait
 
     def greeting(self, rng: Random) -> Greeting:
         if self.greeting_script:
@@ -122,6 +123,7 @@
         if path == "/health/live":
             self.write(answer())
             return
+        server.arrived_at.append(asyncio.get_running_loop().time())
         reply = server.behaviour.reply(server.rng)
         work = server.rng.expovariate(1 / server.behaviour.work_s)
         work = min(work, server.behaviour.most_s)
@@ -134,7 +136,7 @@
             server.runs += 1
             if reply == Reply.LATE:
                 work += server.behaviour.late_s
-            asyncio.get_running_loop().call_later(work, self.done, reply, rid)
+            asyncio.get_running_loop().call_at(server.finish_time(work), self.done, reply, rid)
 
     def done(self, reply: Reply, rid: str) -> None:
         good = answer(served_body(rid))
@@ -183,12 +185,22 @@
         self.last_head = b""
         self.runs = 0
         self.boot_ms = 0
+        self.arrived_at: list[float] = []  # of requests, by the loop's clock
+        self._busy_until = 0.0
         self._listener: asyncio.Server | None = None
 
     @property
     def alive(self) -> bool:
         return self._listener is not None
 
+    def finish_time(self, work_s: float) -> float:
+        """When a request that came now and takes so much work has its answer."""
+        now = asyncio.get_running_loop().time()
+        if not self.behaviour.is_serial:
+            return now + work_s
+        self._busy_until = max(self._busy_until, now) + work_s
+        return self._busy_until
+
     async def start(self) -> None:
         """Listen, at the same port as before; OSError where somebody else has it now."""
         loop = asyncio.get_running_loop()
