A node of much traffic no longer overruns the budget of a server in slow start

Cause: the few nodes that hold slots at a starting server divided its budget by a rate that each took from its own traffic times the number of nodes. A node with five times the mean traffic took five times its part. The slots followed the rank in the list, so that each change of the list, every second in a release, gave them to other nodes, whose first attempts had no pace; and no pause was longer than one overload window, however many nodes shared it. Change: the estimate of what a server takes is bounded by what this node knows a server to do (one request in the baseline latency, or what its zone's servers answer it), which holds for the sum whoever sends; slots at a server in slow start are dealt by its id alone; the first attempt waits a random part of the pause; the pause has no upper bound but the end of slow start. The arithmetic is in flinthatch/slow_start.py.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -31,6 +31,15 @@
     State,
     Update,
 )
+from flinthatch.slow_start import (
+    REMOTE_FRACTION,
+    NodeTraffic,
+    count_senders,
+    estimate_capacity,
+    first_node_by_id,
+    pause_between_attempts,
+    warm_fraction,
+)
 
 # Concurrency limit: the number of requests that all nodes together keep in flight at one
 # backend. The limit starts at INITIAL_CONCURRENCY_LIMIT and follows the congestion of the
@@ -62,7 +71,6 @@
 # limit if the mean latency, time-outs included, exceeds this part of the latency target.
 MAX_TIMED_OUT_FRACTION = 0.04
 TIMEOUT_CUT_MIN_TARGET_RATIO = 0.35
-REMOTE_LIMIT_FRACTION = 0.34  # part of the limit that nodes of other zones share
 # Step between the rounding offsets of consecutive backends. The golden section spreads the
 # offsets of any run of backends evenly, so that the part of them that round the limit up
 # matches the limit's fraction.
@@ -136,6 +144,7 @@
 MAX_EJECTION_BACKOFF_NS = 8 * SECOND
 # Computation of the class shares.
 CYCLE_NS = SECOND // 2
+RATE_GAIN = 0.3  # of the smoothed rates, per cycle
 # Decay of a class's sums per cycle, so that sparse traffic is averaged over some seconds.
 CYCLE_DECAY_RATIO = 0.85
 # Exponents of the utility curve: where the latency target is met, and where it is missed.
@@ -147,9 +156,6 @@
 # Lower bound of the served fraction of a class, by which the share that would serve all of
 # its requests is estimated.
 MIN_SERVED_FRACTION = 0.02
-# Slow start: the part of the configured budget that all nodes together use. The rest covers
-# nodes whose lists differ and requests that are heavier than the mean.
-SLOW_START_BUDGET_FRACTION = 0.7
 MIN_SLOW_START_SLOT_COUNT = 2  # slots below which slow start does not reduce the limit
 
 INFINITE = float("inf")
@@ -176,9 +182,9 @@
         "cost", "ejected_until", "ejection_backoff", "error_fraction", "half_open",
         "hardware_kind", "id", "in_flight", "index", "is_local", "last_outcome_at",
         "latency_ratio", "listed_state", "paused_until", "rounding_offset", "silent_since",
-        "slot_limit", "slot_offset", "slow_start_node_count", "slow_start_send_count",
-        "slow_start_until", "stalled",
-        "started_at", "state", "weight", "zone",
+        "slot_limit", "slot_offset", "slow_start_is_new", "slow_start_send_count",
+        "slow_start_sender_count", "slow_start_until", "stalled", "started_at", "state", "weight",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, listing: Listing, is_local: bool) -> None:
@@ -212,7 +218,8 @@
         self.consecutive_rejections = 0
         self.slow_start_until = 0  # 0 once its end has been logged
         self.slow_start_send_count = 0  # attempts of this node since the slow start began
-        self.slow_start_node_count = 1.0  # nodes among which the slow-start budget is split
+        self.slow_start_sender_count = 1.0  # nodes that share its slow-start budget
+        self.slow_start_is_new = False  # its first pause is not planned yet
         self.paused_until = 0
 
     def is_unreliable(self, now: int) -> bool:
@@ -441,11 +448,14 @@
         self.target_ratio_sums = [0.0] * len(self.classes)  # of latencies, in latency targets
         self.target_ratio_counts = [0.0] * len(self.classes)
         self.queued_in_cycle = False
-        self.send_count = 0
-        self.send_rate = 0.0  # attempts per second, smoothed
+        self.send_count = self.local_answer_count = 0
+        # Per second, smoothed.
+        self.send_rate = 0.0  # attempts at all backends
+        self.local_answer_rate = 0.0  # good answers of backends in the own zone
         self.fleet_error_fraction = 0.0  # smoothed fraction of all answers that were errors
         self.ejected_count = 0  # ejected backends that the list calls ready
         self.ready_count = 0
+        self.local_ready_count = 0
         self.list_failure_count = 0
         self.list_call_pending = False
         self.log_silent_until = 0
@@ -609,6 +619,7 @@
             len(zone_backends) for zone, zone_backends in zones.items() if zone != settings.zone
         )
         remote_rank = 0
+        self.local_ready_count = len(zones.get(settings.zone, ()))
         for zone in sorted(zones):
             zone_backends = sorted(zones[zone], key=lambda b: b.id)
             self.ready_count += len(zone_backends)
@@ -617,16 +628,15 @@
                 # backend three slots.
                 backend.rounding_offset = rank * ROUNDING_OFFSET_STEP % 1.0
                 if backend.is_local:
-                    backend.slot_offset = (
-                        self.zone_node_index
-                        - first_node(rank, len(zone_backends), self.zone_node_count)
-                    ) % self.zone_node_count
+                    node, node_count = self.zone_node_index, self.zone_node_count
+                    first = first_node(rank, len(zone_backends), node_count)
                 else:
-                    backend.slot_offset = (
-                        settings.node
-                        - first_node(remote_rank, remote_backend_count, remote_node_count)
-                    ) % remote_node_count
+                    node, node_count = settings.node, remote_node_count
+                    first = first_node(remote_rank, remote_backend_count, node_count)
                     remote_rank += 1
+                if backend.slow_start_until > self.now:
+                    first = first_node_by_id(backend.id, node_count)
+                backend.slot_offset = (node - first) % node_count
         self.update_slot_limits()
 
     def update_slot_limits(self) -> None:
@@ -643,7 +653,7 @@
         )
         if local_count:
             limit = max(limit, MIN_SLOTS_PER_NODE * self.zone_node_count / local_count)
-        remote_limit = limit * REMOTE_LIMIT_FRACTION
+        remote_limit = limit * REMOTE_FRACTION
         remote_node_count = max(1, settings.balancers - self.zone_node_count)
         has_remote_nodes = settings.balancers > self.zone_node_count
         total = 0
@@ -658,20 +668,17 @@
                 # half-warm backends idle and its nodes short of slots.
                 backend_limit = min(
                     backend_limit,
-                    max(MIN_SLOW_START_SLOT_COUNT, backend_limit * self.warm_fraction(backend)),
+                    max(
+                        MIN_SLOW_START_SLOT_COUNT,
+                        backend_limit
+                        * warm_fraction(settings, backend.slow_start_until - self.now),
+                    ),
                 )
             elif backend.slow_start_until:
                 self.log_end_of_slow_start(backend)
             node_count = self.zone_node_count if backend.is_local else remote_node_count
-            # Local and remote nodes share one slow-start budget in the same proportion as they
-            # share the limit.
-            budget_part = (
-                (1.0 if backend.is_local else REMOTE_LIMIT_FRACTION) / (1.0 + REMOTE_LIMIT_FRACTION)
-                if has_remote_nodes
-                else 1.0
-            )
-            backend.slow_start_node_count = (
-                max(1, min(int(backend_limit + 1.0), node_count)) / budget_part
+            backend.slow_start_sender_count = count_senders(
+                backend_limit, node_count, backend.is_local, has_remote_nodes
             )
             backend_limit = int(backend_limit + backend.rounding_offset)
             slot_limit = (
@@ -683,6 +690,10 @@
                 slot_limit = min(slot_limit, self.granted_slots.get(backend.id, 0))
             backend.slot_limit = slot_limit
             total += slot_limit
+            if backend.slow_start_is_new:
+                backend.slow_start_is_new = False
+                senders = backend.slow_start_sender_count * self.instance_count
+                self.pause_in_slow_start(backend, self.random.random() * (1.0 - 1.0 / senders))
             self.update_bucket(backend)
         self.total_slots = max(total, 1)
 
@@ -1060,35 +1071,48 @@
         backend.in_flight += 1
         if backend.slow_start_until > now:
             backend.slow_start_send_count += 1
-            self.pace_slow_start(now, backend)
+            self.pause_in_slow_start(backend)
         self.update_bucket(backend)
         self.actions.send(request.id, backend.id, timeout)
 
-    def pace_slow_start(self, now: int, backend: Backend) -> None:
-        """Pause a backend in slow start, so that it gets only this node's part of its budget."""
-        settings = self.settings
-        usual_rate = self.send_rate * settings.balancers / max(self.ready_count, 1)
-        rate = (
-            SLOW_START_BUDGET_FRACTION
-            * settings.overload_factor
-            * self.warm_fraction(backend)
-            * usual_rate
+    def pause_in_slow_start(self, backend: Backend, part: float = 1.0) -> None:
+        """Pause a backend in slow start for this part of the pause between two attempts."""
+        capacity = estimate_capacity(
+            NodeTraffic(
+                self.send_rate,
+                self.local_answer_rate,
+                self.ready_count,
+                self.local_ready_count,
+                self.mean_baseline_latency(),
+            ),
+            self.settings.balancers,
         )
-        longest = settings.overload_window * self.instance_count
-        pause = (
-            longest
-            if rate <= 0
-            else min(int(SECOND * backend.slow_start_node_count / rate), longest)
+        pause = pause_between_attempts(
+            self.settings,
+            backend.slow_start_until - self.now,
+            capacity,
+            backend.slow_start_sender_count * self.instance_count,
         )
-        backend.paused_until = now + pause
+        backend.paused_until = max(backend.paused_until, self.now + int(part * pause))
         self.schedule_wakeup(backend.paused_until, backend)
 
+    def mean_baseline_latency(self) -> float:
+        """The baseline latency over all classes by their traffic, in nanoseconds."""
+        traffic = sum(c.response_count for c in self.classes)
+        if not traffic:
+            return max(c.baseline_latency or c.mean_latency for c in self.classes)
+        return (
+            sum(c.response_count * (c.baseline_latency or c.mean_latency) for c in self.classes)
+            / traffic
+        )
+
     def begin_slow_start(self, backend: Backend, until: int) -> None:
         """Keep a backend in slow start until then; one that lasts longer already stays as it is."""
         if until <= max(backend.slow_start_until, self.now):
             return
         if backend.slow_start_until <= self.now:
             backend.slow_start_send_count = 0
+            backend.slow_start_is_new = True
             self.log_transition(f"backend {backend.id} in slow start")
         backend.slow_start_until = until
 
@@ -1099,14 +1123,6 @@
         if count:
             self.log_transition(f"backend {backend.id} out of slow start after {count} attempts")
 
-    def warm_fraction(self, backend: Backend) -> float:
-        """The part of its capacity that a backend in slow start is expected to have by now."""
-        settings = self.settings
-        elapsed = 1.0 - (backend.slow_start_until - self.now) / max(settings.slow_start, 1)
-        return settings.slow_start_fraction + (1.0 - settings.slow_start_fraction) * max(
-            0.0, min(1.0, elapsed)
-        )
-
     def schedule_wakeup(self, due: int, item: Request | Backend) -> None:
         """Look at a queued request or a paused or ejected backend again at `due`."""
         self.wakeup_count += 1
@@ -1289,6 +1305,7 @@
         load: Sequence[float],
     ) -> None:
         """Learn latency, cost and health of a backend from a good answer."""
+        self.local_answer_count += backend.is_local
         ratio = self.record_latency(class_state, backend, duration)
         cost = 0.5 * backend.latency_ratio + 0.5 * ratio
         if 0 <= self.queue_column < len(load):
@@ -1551,8 +1568,7 @@
         summary = self.decision_log.take_summary(now)
         if summary:
             self.actions.log(f"decisions: {summary}")
-        self.send_rate += 0.3 * (self.send_count * SECOND / CYCLE_NS - self.send_rate)
-        self.send_count = 0
+        self.update_rates()
         self.calm_count, self.calm_late_count = (
             self.calm_count * CALM_COUNT_DECAY_RATIO,
             self.calm_late_count * CALM_COUNT_DECAY_RATIO,
@@ -1649,6 +1665,14 @@
         self.update_shares()
         self.dispatch(now)
 
+    def update_rates(self) -> None:
+        cycles_per_second = SECOND / CYCLE_NS
+        self.send_rate += RATE_GAIN * (self.send_count * cycles_per_second - self.send_rate)
+        self.local_answer_rate += RATE_GAIN * (
+            self.local_answer_count * cycles_per_second - self.local_answer_rate
+        )
+        self.send_count = self.local_answer_count = 0
+
     def update_shares(self) -> None:
         """Compute the class shares from the traffic and response times of the past cycles."""
         flows = []
--- a/tests/fleet/test_limits_lent.py
+++ b/tests/fleet/test_limits_lent.py
@@ -89,10 +89,13 @@
     assert b.instance_count == 4
     row = b.backends[1]
     row.slow_start_until = 8 * SECOND
-    b.pace_slow_start(0, row)
-    assert (
-        row.paused_until == 4 * b.settings.overload_window
-    )  # a quarter of the rate of a single instance
+    pauses = []
+    for instance_count in (1, 4):
+        shared_limits.apply_limits(b, 0, None, instance_count=instance_count, retry_share=0.25)
+        row.paused_until = 0
+        b.pause_in_slow_start(row)
+        pauses.append(row.paused_until)
+    assert pauses[1] == 4 * pauses[0] > 0  # a quarter of the rate of a single instance
     shared_limits.apply_limits(b, 0, None)
     assert b.max_retry_budget == RETRY_BUDGET_BURST_COUNT
 
--- a/tests/mass/test_fleet.py
+++ b/tests/mass/test_fleet.py
@@ -113,7 +113,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     assert most_pushed(monkeypatch) < 0.9
-    monkeypatch.setattr(Balancer, "pace_slow_start", lambda _self, _now, _backend: None)
+    monkeypatch.setattr(Balancer, "pause_in_slow_start", lambda _self, _backend, _part=1.0: None)
     assert most_pushed(monkeypatch) > 1.0
 
 
