A stepped wall clock no longer hides the start of a backend

Change: a start that no earlier list named is recent: where its time says otherwise it counts as now. Converted starts are kept with their boot_ms, also over an upgrade. What a first list names is still dated by the wall clock; a step between a backend's start and a restart of the node within the slow start stays open.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -151,6 +151,31 @@
     assert later[0].started_at != rows[0].started_at
 
 
+@pytest.mark.parametrize("step_s", [-3600, -5, 5, 3600])
+def test_a_stepped_wall_clock_hides_no_start_of_a_backend(tmp_path: Path, step_s: int) -> None:
+    lists = empty_backend_list(tmp_path)
+    update, rows, endpoints, _ = lists.parse(roster(target("s-1", 1)))
+    lists.apply(1, update, rows, endpoints)
+    lists.wall_clock_offset_ns += step_s * 1_000_000_000
+    boot_ms = time.time_ns() // 1_000_000 - 500
+    change = roster(target("s-2", 2, boot_ms=boot_ms), rev=2, whole=False)
+    update, rows, endpoints, _ = lists.parse(change)
+    age = time.monotonic_ns() - rows[0].started_at
+    assert 0 <= age < 3_000_000_000
+    lists.apply(2, update, rows, endpoints)
+    assert lists.parse(change)[1] == rows
+
+
+def test_a_start_that_an_earlier_list_named_keeps_its_time(tmp_path: Path) -> None:
+    lists = empty_backend_list(tmp_path)
+    boot_ms = time.time_ns() // 1_000_000 - 600_000
+    raw = roster(target("s-1", 1, boot_ms=boot_ms))
+    update, rows, endpoints, _ = lists.parse(raw)
+    lists.apply(1, update, rows, endpoints)
+    assert time.monotonic_ns() - rows[0].started_at > 500_000_000_000
+    assert lists.parse(raw)[1] == rows
+
+
 def test_a_list_changes_nothing_until_it_is_applied(tmp_path: Path) -> None:
     lists = empty_backend_list(tmp_path)
     update, rows, endpoints, _ = lists.parse(roster(target("s-1", 1), target("s-2", 2, "leaving")))
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -27,8 +27,8 @@
 STALE_ANSWERS_BEFORE_ACCEPTANCE = 3
 # Ids that were ever listed are remembered: a management call rejects an id that never was.
 MAX_REMEMBERED_IDS = 8192
-# Clocks differ by less; a start further in the future is treated as unknown.
-MAX_CLOCK_SKEW_NS = 60_000_000_000
+# Time from a backend's start until it is listed, at most.
+MAX_LISTING_DELAY_NS = 3_000_000_000
 STATES_BY_NAME = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 
@@ -48,7 +48,9 @@
     """The current list of backends: its revision, the rows, and the address of each backend."""
 
     __slots__ = (
+        "_applied_at",
         "_kinds",
+        "_starts",
         "_zones",
         "endpoints",
         "remembered_ids",
@@ -60,13 +62,15 @@
     def __init__(self, config: Config) -> None:
         self._zones = {name: i for i, name in enumerate(config.zones)}
         self._kinds = {name: i for i, name in enumerate(config.kinds)}
-        # boot_ms is wall-clock time. With one offset that never changes, the same start is the same
-        # number in every list; an offset measured anew for each list would make it look like a
-        # restart. After a step of the wall clock, later starts look older or younger by that step.
+        # boot_ms is wall-clock time of other machines. With one offset that never changes, the same
+        # start is the same number in every list; a new offset would make it look like a restart.
         self.wall_clock_offset_ns = time.time_ns() - time.monotonic_ns()
         self.endpoints: dict[int, Address] = {}
         self.rows: dict[int, Listing] = {}
         self.revision = 0
+        self._applied_at = 0  # when a list was last adopted, 0 before the first one
+        # By backend: its boot_ms, and that start on the monotonic clock.
+        self._starts: dict[int, tuple[int, int]] = {}
         self.remembered_ids: dict[int, None] = {}  # ids that were ever listed, the latest last
 
     def add_zones(self, names: Iterable[str]) -> None:
@@ -133,18 +137,30 @@
             self._zones.get(target.get("az"), 0),
             int(target.get("pod_group") or 0),
             self._kinds.get(target.get("model"), 0),
-            self._boot_time(int(target.get("boot_ms") or 0)),
+            self._start_time(backend, int(target.get("boot_ms") or 0)),
             float(target.get("capacity_hint") or 1.0),
         )
         return row, endpoint
 
-    def _boot_time(self, boot_ms: int) -> int:
+    def _start_time(self, backend: int, boot_ms: int) -> int:
         """Convert a start time of the wall clock, in ms, to ns of the monotonic clock; 0 where it
-        is unknown."""
+        is unknown.
+
+        Either machine's wall clock may be wrong by seconds or by hours. A start of which no earlier
+        list told is recent: where its time says otherwise, the backend counts as started now.
+        """
         if boot_ms <= 0:
             return 0
-        boot = boot_ms * 1_000_000 - self.wall_clock_offset_ns
-        return 0 if boot > time.monotonic_ns() + MAX_CLOCK_SKEW_NS else max(boot, 1)
+        known = self._starts.get(backend)
+        if known is not None and known[0] == boot_ms:
+            return known[1]
+        now = time.monotonic_ns()
+        started_at = max(boot_ms * 1_000_000 - self.wall_clock_offset_ns, 1)
+        earliest = self._applied_at - MAX_LISTING_DELAY_NS if self._applied_at else 0
+        if not earliest <= started_at <= now:
+            started_at = now
+        self._starts[backend] = (boot_ms, started_at)
+        return started_at
 
     def apply(
         self, revision: int, update: Update, rows: list[Listing], endpoints: dict[int, Address]
@@ -170,6 +186,8 @@
                 stale.append(backend)
                 self._remove(backend)
         self.revision = revision
+        if self.rows:
+            self._applied_at = time.monotonic_ns()
         return stale
 
     def remember(self, backend: int) -> None:
@@ -188,6 +206,7 @@
             "zones": self._zones,
             "kinds": self._kinds,
             "clock": self.wall_clock_offset_ns,
+            "starts": [[backend, *start] for backend, start in self._starts.items()],
             "rev": self.revision,
             "rows": [[*row, *self.endpoints[row.backend]] for row in self.rows.values()],
             "seen": list(self.remembered_ids),
@@ -206,9 +225,11 @@
                 int(record["rev"]),
                 record["clock"],
             )
+            starts = {int(b): (int(ms), int(at)) for b, ms, at in record.get("starts", ())}
         except (KeyError, TypeError, IndexError) as err:
             raise ValueError(f"{type(err).__name__}: {err}") from None
         self.wall_clock_offset_ns = int(wall_clock_offset_ns)
+        self._starts = starts
         for backend in remembered_ids:
             self.remember(backend)
         self.apply(revision, Update.FULL, rows, endpoints)
@@ -217,6 +238,7 @@
     def _remove(self, backend: int) -> None:
         self.endpoints.pop(backend, None)
         self.rows.pop(backend, None)
+        self._starts.pop(backend, None)
 
     def find_displaced(self, rows: list[Listing], endpoints: dict[int, Address]) -> list[Listing]:
         """Return, with state GONE, the backends at whose addresses these rows list other ids.
