A credit runs once though the wall clock is set an hour forward

What callers saw: with the wall clock stepped forward, the ISO 8583 front forgot the answers that it keeps for repeats, and a repeated credit ran a second time; the administration undid a change whose time to be confirmed had not passed. Cause: both counted windows by the wall clock. Change: tansywood/clock.py gives Unix time from the wall clock at the process's start and the real time since; the front, the administration, the workers and the door use it. A step between two lives of a process still moves stored times. Evidence: the new test over sockets repeats a credit after a step of an hour: it ran twice before (fails with front.py taken back), once now. 1117 tests of the packages pass.

--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -16,7 +16,8 @@
 
 import tansywood.service.part as part
 from tansywood.admin.api import Api
-from tansywood.admin.core import Administration, now_ms
+from tansywood.admin.core import Administration
+from tansywood.clock import unix_ms
 from tansywood.store import Batch, Store, StoreError
 from tansywood.store.aio import AsyncStore
 from tansywood.tenancy.registry import MAX_PUBLISHED, Registry
@@ -54,7 +55,7 @@
 
     registry.most_tenants = MAX_PUBLISHED
     keys = KeyFile(Path(options.key_file), lambda text: print(f"admin: {text}", file=sys.stderr))
-    history = await begin_epoch(store, registry.seq, now_ms())
+    history = await begin_epoch(store, registry.seq, unix_ms())
     parameters = Parameters()
     publisher = Publisher(
         replica_of(registry, history, parameters.max_resumable_changes),
--- a/tansywood/admin/core.py
+++ b/tansywood/admin/core.py
@@ -12,11 +12,11 @@
 import secrets
 import string
 import sys
-import time
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from tansywood.admin.feed import Feed
+from tansywood.clock import unix_ms
 from tansywood.store import Batch, StoreError, StoreFull
 from tansywood.store.aio import AsyncStore
 from tansywood.tenancy.identity import digest
@@ -32,10 +32,6 @@
 ACTORS = 1000  # of which rates are kept
 
 
-def now_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 def new_id() -> str:
     return "".join(secrets.choice(LETTERS) for _ in range(12))
 
@@ -53,7 +49,7 @@
         feed_path: str,
         listeners: Iterable[str],
         rate_per_s: float,
-        clock_ms: Callable[[], int] = now_ms,
+        clock_ms: Callable[[], int] = unix_ms,
         iso_listeners: Iterable[str] = (),
     ) -> None:
         self.store = store
@@ -171,4 +167,4 @@
         return bucket.take(now_ns)
 
 
-__all__ = ["Administration", "digest", "new_id", "new_secret", "now_ms"]
+__all__ = ["Administration", "digest", "new_id", "new_secret"]
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any, cast
 
 from flinthatch import Effect, Outcome, RequestClass
+from tansywood.clock import unix_ms
 from tansywood.iso8583 import repeats
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Frame, Framer, Framing, FramingError, answering, frame
@@ -168,7 +168,7 @@
         mapping: Mapping,
         secret: bytes,
         must_sign_on: bool = False,
-        now_ms: Callable[[], int] = lambda: time.time_ns() // MS,
+        now_ms: Callable[[], int] = unix_ms,
         records: Records | None = None,
         rows: Sequence[Row] = (),
     ) -> None:
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -22,6 +22,7 @@
 from dataclasses import replace
 from typing import Any
 
+from tansywood.clock import unix_ms
 from tansywood.service import part
 from tansywood.service.follow import Follower
 from tansywood.service.lookups import Lookups, aliases_to_ask
@@ -259,7 +260,7 @@
 
     def identify(self, visitor: Visitor) -> str | None:
         """The tenant whose connection this is, as far as is known here."""
-        return self.directory.identify(visitor.shown, time.time_ns() // MS)
+        return self.directory.identify(visitor.shown, unix_ms())
 
     def decide(self, visitor: Visitor, nobodys: bytes) -> None:
         """To its tenant's worker; `nobodys` is the answer where it is known to be nobody's."""
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -13,9 +13,9 @@
 import os
 import socket
 import sys
-import time
 from typing import TYPE_CHECKING, Any
 
+from tansywood.clock import unix_ms
 from tansywood.service import part, wire
 from tansywood.service.follow import Follower
 from tansywood.service.isotenant import IsoHosted
@@ -145,7 +145,7 @@
 
     def identify(self, listener: str, host: bytes, name: bytes, key: bytes) -> str | None:
         words = (w.decode("latin-1") for w in (host, name, key))
-        return self.directory.identify(Shown(listener, *words), time.time_ns() // MS)
+        return self.directory.identify(Shown(listener, *words), unix_ms())
 
     # ---- connections -------------------------------------------------------------------------
 
--- a/tests/iso8583/test_sockets.py
+++ b/tests/iso8583/test_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import replace
 
@@ -200,6 +201,24 @@
     run(main())
 
 
+def test_a_credit_runs_once_though_the_wall_clock_is_set_an_hour_forward(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            terminal = await w.terminal()
+            message = terminal.message()
+            w.ledger.asked(request_id(message), "credit", True)
+            first = await terminal.ask(message)
+            wall_clock = time.time_ns
+            monkeypatch.setattr(time, "time_ns", lambda: wall_clock() + 3600 * 10**9)
+            await asyncio.sleep(1.0)  # the front has looked for what it may forget
+            assert await terminal.ask(again(message)) == first
+            assert len(w.servers[0].seen) == 1
+
+    run(main())
+
+
 def test_a_terminal_that_hangs_up_finds_its_credits_answer_when_it_comes_back() -> None:
     async def main() -> None:
         async with world(None) as w:
