A keyed retry no longer passes over the pause of a server in slow start

Found by looking for the same mistake in related code: the retry of a keyed request picks a server of the first one's zone or cell itself, and looked at neither slots nor pauses, so that every node could send a starting server further requests beside its part. Now a server in slow start is left out until its pause ends; where no other is left the request ends as one that may not be tried again. Evidence: the new test sends to the paused server without the line, and fails.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -1022,7 +1022,7 @@
         """Pick a backend that knows the key of a keyed request from its first attempt.
 
         None where no ready backend of that zone or cell is left: the first one may be draining
-        by now and must not get the retry either.
+        by now and must not get the retry either, nor may one in slow start before its pause ends.
         """
         assert request.first_maybe_run is not None
         first = request.first_maybe_run.backend
@@ -1032,6 +1032,7 @@
             for b in self.backends.values()
             if b.state == State.READY
             and not b.ejected_until
+            and not (b.slow_start_until > self.now and b.paused_until > self.now)
             and (b.zone == first.zone if by_zone else b.cell == first.cell)
         ]
         return min(free, key=lambda b: (b is first, b.in_flight, b.id)) if free else None
@@ -1417,11 +1418,11 @@
             return
         backend.ejected_until = now + backend.ejection_backoff
         backend.ejection_backoff = min(backend.ejection_backoff * 2, MAX_EJECTION_BACKOFF_NS)
+        ejected_for_ms = (backend.ejected_until - now) // MS
+        self.log_transition(f"backend {backend.id} out: {reason}, for {ejected_for_ms} ms")
         if restarted:
             # The backend's process may be replaced before the list says so.
             self.begin_slow_start(backend, backend.ejected_until + self.settings.slow_start)
-        ejected_for_ms = (backend.ejected_until - now) // MS
-        self.log_transition(f"backend {backend.id} out: {reason}, for {ejected_for_ms} ms")
         self.ejected_count += 1
         self.schedule_wakeup(backend.ejected_until, backend)
         self.update_bucket(backend)
--- a/tests/test_slow_start_rules.py
+++ b/tests/test_slow_start_rules.py
@@ -5,7 +5,7 @@
 import pytest
 
 from flinthatch import Balancer, Listing, Settings, State, Update
-from flinthatch.interface import MS, SECOND, RequestClass
+from flinthatch.interface import MS, SECOND, Effect, RequestClass, Scope
 from flinthatch.slow_start import NodeTraffic, estimate_capacity, pause_between_attempts
 
 from .fakes import RecordingHost
@@ -62,3 +62,24 @@
         balancer.on_backend_list(now, Update.FULL, [row])
         pauses.add(balancer.backends[COLD].paused_until)
     assert len(pauses) == 8 and max(pauses) - min(pauses) > 100 * MS
+
+
+def test_a_keyed_retry_waits_for_the_pause_of_a_backend_in_slow_start() -> None:
+    now = 100 * SECOND
+    keyed = RequestClass(
+        "renew", 200 * MS, SECOND, Effect.TOKEN, Scope.CELL, retry_window=5 * SECOND
+    )
+    host = RecordingHost()
+    balancer = Balancer(Settings(classes=(keyed,), balancers=8, max_attempts=4), 1, host)
+    balancer.start(now)
+    other_cell = Listing(3, State.READY, zone=1, cell=9)
+    balancer.on_backend_list(now, Update.FULL, [Listing(1, State.READY, cell=7), other_cell])
+    balancer.on_request(now, 1, 0, SECOND)
+    cold = Listing(2, State.READY, cell=7, started_at=now - MS)
+    gone = Listing(1, State.DRAINING, cell=7)
+    balancer.on_backend_list(now, Update.DELTA, [cold, gone])
+    balancer.backends[2].paused_until = now + 500 * MS
+    balancer.concurrency_limit = 64.0
+    balancer.update_slot_limits()
+    balancer.on_outcome(now + MS, 1, 0, 6, MS, False)
+    assert [c[2] for c in host.calls_named("send")] == [1]
