--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,11 +12,13 @@
 import subprocess
 import sys
 from errno import (
+    EADDRNOTAVAIL,
     EAGAIN,
     EBADF,
     ECONNABORTED,
     ECONNREFUSED,
     ECONNRESET,
+    EHOSTUNREACH,
     EINTR,
     EIO,
     EMFILE,
@@ -25,6 +27,7 @@
     ENOBUFS,
     ENOMEM,
     EPIPE,
+    EPROTO,
     ETIMEDOUT,
 )
 from pathlib import Path
@@ -59,7 +62,10 @@
         ("connect", error)
         for error in (ECONNREFUSED, ENETUNREACH, EINTR, ENOBUFS, ETIMEDOUT, EAGAIN)
     ),
-    *(("so_error", error) for error in (ECONNREFUSED, ETIMEDOUT, ECONNRESET)),
+    *(("accept4", error) for error in (ENETUNREACH, EHOSTUNREACH, EPROTO)),
+    *(("connect", error) for error in (EADDRNOTAVAIL, EHOSTUNREACH)),
+    *(("so_error", error) for error in (ECONNREFUSED, ETIMEDOUT, ECONNRESET, EHOSTUNREACH)),
+    *((call, EHOSTUNREACH) for call in ("read", "recv", "write")),
     *(("read", error) for error in (ECONNRESET, ETIMEDOUT, ENOBUFS, EPIPE, EINTR, EAGAIN)),
     *(("recv", error) for error in (ECONNRESET, EBADF, ENOBUFS)),
     *(("write", error) for error in (ECONNRESET, EPIPE, ENOBUFS, ETIMEDOUT, EINTR, EAGAIN)),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -174,6 +174,17 @@
     assert len(host.calls_named("log")) == 2 and all(f"{b} out:" in logged for b in ejected)
 
 
+def test_an_ejection_is_logged_though_another_line_came_just_before() -> None:
+    balancer, host = build_balancer(count=6)
+    balancer.on_backend_list(MS, Update.FAILED)
+    balancer.on_request(2 * MS, 1, 1, SECOND)
+    for backend in balancer.backends.values():
+        backend.consecutive_failures = 1
+    balancer.on_outcome(3 * MS, 1, 0, 5, MS, True)
+    assert balancer.ejected_count == 1
+    assert any(" out: " in str(c[1]) for c in host.calls_named("log"))
+
+
 def test_read_delay_shortens_the_target_but_is_not_taken_for_the_clients_time() -> None:
     balancer, host = build_balancer(count=1)
     for i in range(40):  # the time left that first tries come with
