--- a/tansywood/admin/__main__.py
+++ b/tansywood/admin/__main__.py
@@ -17,7 +17,7 @@
 import tansywood.service.part as part
 from tansywood.admin.api import Api
 from tansywood.admin.core import Administration
-from tansywood.clock import unix_ms
+from tansywood.service.part import unix_ms
 from tansywood.store import Batch, Store, StoreError
 from tansywood.store.aio import AsyncStore
 from tansywood.tenancy.registry import MAX_PUBLISHED, Registry
--- a/tansywood/admin/core.py
+++ b/tansywood/admin/core.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING
 
 from tansywood.admin.feed import Feed
-from tansywood.clock import unix_ms
+from tansywood.service.part import unix_ms
 from tansywood.store import Batch, StoreError, StoreFull
 from tansywood.store.aio import AsyncStore
 from tansywood.tenancy.identity import digest
--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -8,7 +8,6 @@
 from typing import Any, cast
 
 from flinthatch import Effect, Outcome, RequestClass
-from tansywood.clock import unix_ms
 from tansywood.iso8583 import repeats
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Frame, Framer, Framing, FramingError, answering, frame
@@ -25,6 +24,7 @@
     older,
     original_of,
 )
+from windrelay.clock import unix_ms
 from windrelay.config import Address
 from windrelay.node import Attempt, Node
 from windrelay.node import Request as NodeRequest
--- a/tansywood/service/door.py
+++ b/tansywood/service/door.py
@@ -22,7 +22,6 @@
 from dataclasses import replace
 from typing import Any
 
-from tansywood.clock import unix_ms
 from tansywood.service import part
 from tansywood.service.follow import Follower
 from tansywood.service.lookups import Lookups, aliases_to_ask
@@ -34,6 +33,7 @@
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.placement import Placement
 from tansywood.tenancy.settings import ACTIVE, read
+from windrelay.clock import unix_ms
 from windrelay.server import ACCEPT_RETRY_ERRNOS, EMPTY_RESPONSE_HEADS
 
 MS = 1_000_000
--- a/tansywood/service/part.py
+++ b/tansywood/service/part.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from windrelay.clock import unix_ms as unix_ms
+
 if TYPE_CHECKING:
     from tansywood.service.follow import Follower
 
--- a/tansywood/service/worker.py
+++ b/tansywood/service/worker.py
@@ -15,7 +15,6 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-from tansywood.clock import unix_ms
 from tansywood.service import part, wire
 from tansywood.service.follow import Follower
 from tansywood.service.isotenant import IsoHosted
@@ -26,6 +25,7 @@
 from tansywood.tenancy.fair import waits
 from tansywood.tenancy.identity import Directory, Key, Known, Shown
 from tansywood.tenancy.settings import read
+from windrelay.clock import unix_ms
 
 if TYPE_CHECKING:
     from tansywood.service.sharing import Sharing
