Log why a connection to a backend closes, and for which request it was last used

Change: CloseReason names each reason, ConnectionLog counts dials, reuses and closes into one line in 10 s; bytes on an idle connection and behind a response are a line of their own with the request id, and the lines on unusable responses and broken connections name the request too. The interval that DecisionLog had is now a class that both logs share.

--- a/flinthatch/decision_log.py
+++ b/flinthatch/decision_log.py
@@ -35,8 +35,8 @@
     SERVICE_ENDS = "the service ends"
 
 
-class DecisionLog:
-    """Counts of the current interval."""
+class IntervalCounts:
+    """Counts of the current interval, by what is counted."""
 
     __slots__ = ("counts", "ends_at")
 
@@ -44,6 +44,20 @@
         self.counts: Counter[str] = Counter()
         self.ends_at = 0
 
+    def take_summary(self, now: int) -> str:
+        """Return the interval's line once it has ended, and begin the next; else nothing."""
+        if now < self.ends_at:
+            return ""
+        self.ends_at = now + INTERVAL_NS
+        counts, self.counts = self.counts, Counter()
+        return "; ".join(f"{count} {what}" for what, count in sorted(counts.items()))
+
+
+class DecisionLog(IntervalCounts):
+    """Counts of a Balancer's decisions."""
+
+    __slots__ = ()
+
     def count_refused(self, reason: Reason) -> None:
         self.counts[f"refused, {reason}"] += 1
 
@@ -53,14 +67,6 @@
     def count_retry(self, outcome: int) -> None:
         self.counts[f"another attempt after {OUTCOME_NAMES.get(outcome, outcome)}"] += 1
 
-    def take_summary(self, now: int) -> str:
-        """Return the interval's line once it has ended, and begin the next; else nothing."""
-        if now < self.ends_at:
-            return ""
-        self.ends_at = now + INTERVAL_NS
-        counts, self.counts = self.counts, Counter()
-        return "; ".join(f"{count} {what}" for what, count in sorted(counts.items()))
-
 
 class TransitionLog:
     """Changes of backends' states that are still to be logged."""
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -19,6 +19,7 @@
 
 from flinthatch import Outcome
 from windrelay.config import Address
+from windrelay.connection_log import CloseReason, ConnectionLog
 from windrelay.guard import closes_connection_on_error
 from windrelay.interfaces import StreamingCaller
 from windrelay.socket_view import SocketView, has_unread_data
@@ -63,6 +64,7 @@
 GROWTH_DELAY_NS = 5_000_000_000  # time until a longer timeout is tried after a shorter was learned
 MAX_GROWTH_DELAY_NS = 60_000_000_000  # limit of the growth delay, which doubles each time
 MS = 1_000_000
+STATUS_LINE_START_BYTES = 12  # the version and the status code
 
 # The platform's names of load metrics, each with the other name that settings may use for it.
 LOAD_METRIC_ALIASES = {
@@ -86,7 +88,8 @@
         "_announced_close", "_body_chunks", "_body_size", "_budgeted_bytes", "_chunked", "_closed",
         "_complete", "_content_length", "_content_type", "_descriptor_released", "_dial_task",
         "_dial_timer", "_ends_at_close", "_has_extra_data", "_headers_done", "_interim_count",
-        "_invalid", "_keep_alive", "_last_received_at", "_load_report", "_not_processed",
+        "_invalid", "_keep_alive", "_last_received_at", "_last_request_id", "_load_report",
+        "_not_processed",
         "_reading_paused", "_received_bytes", "_socket_view", "_stall_timer", "_status",
         "_streaming_to", "_unsent_chunks", "_writing_paused", "address", "attempt", "backend",
         "idle_since", "parser", "pool", "request_written", "transport",
@@ -100,6 +103,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.idle_since = 0
+        self._last_request_id = b""  # of the last request that was written; a probe has none
         self._closed = False
         self._descriptor_released = False
         self._budgeted_bytes = 0  # buffered response bytes, counted in the node's memory budget
@@ -168,11 +172,11 @@
         self._release_descriptor()
         if isinstance(error, OSError) and error.errno in LOCAL_RESOURCE_ERRNOS:
             # A limit of this host was reached; this is no failure of the backend.
-            self._close_with_outcome(Outcome.NOT_SENT)
+            self._close_with_outcome(Outcome.NOT_SENT, CloseReason.LOCAL_RESOURCES)
             return
         if error is not None and not isinstance(error, OSError):
             self.pool.node.record_error("a backend dial", error)
-        self._fail_connection()
+        self._fail_connection(CloseReason.NOT_ESTABLISHED)
 
     @closes_connection_on_error
     def _dial_expired(self, turns_left: int) -> None:
@@ -181,7 +185,7 @@
         if turns_left:
             self.pool.node.loop.call_soon(self._dial_expired, turns_left - 1)
         else:
-            self._fail_connection()
+            self._fail_connection(CloseReason.NOT_ESTABLISHED)
 
     @closes_connection_on_error
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -223,6 +227,7 @@
         attempt = self.attempt
         assert attempt is not None
         request = attempt.request
+        self._last_request_id = b"" if request is None else request.client_request_id
         if request is None:
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
         else:
@@ -255,7 +260,7 @@
                 return
             attempt = self.attempt
             if len(self._unsent_chunks) == 1 and attempt and not self.pool.node.may_begin(attempt):
-                self._close_with_outcome(Outcome.NOT_SENT)
+                self._close_with_outcome(Outcome.NOT_SENT, CloseReason.ATTEMPT_GIVEN_UP)
                 return
             transport.write(self._unsent_chunks.popleft())
             self.request_written = not self._unsent_chunks and not transport.is_closing()
@@ -282,7 +287,12 @@
             return
         if self.attempt is None:
             # An idle connection got bytes that answer no request.
-            self._close()
+            idle_ms = (time.monotonic_ns() - self.idle_since) // MS
+            self.pool.node.log(
+                f"backend {self.backend}: {len(data)} bytes on a connection idle for {idle_ms} ms, "
+                f"beginning {data[:STATUS_LINE_START_BYTES]!r}, last used for {self._last_used_for}"
+            )
+            self._close(CloseReason.UNSOLICITED_BYTES)
             return
         self._received_bytes += len(data)
         self._last_received_at = time.monotonic_ns()
@@ -343,10 +353,14 @@
         attempt = self.attempt
         if attempt is not None:
             self.pool.node.log(
-                f"backend {self.backend}: answer not used, {self._received_bytes} bytes received, "
-                f"status {self._status}, Content-Length {self._content_length}"
+                f"backend {self.backend}: response to {self._last_used_for} not used, "
+                f"{self._received_bytes} bytes received, status {self._status}, "
+                f"Content-Length {self._content_length}"
             )
-        self._close_with_outcome(Outcome.ERROR if self.request_written else Outcome.CONNECT_FAILED)
+        self._close_with_outcome(
+            Outcome.ERROR if self.request_written else Outcome.CONNECT_FAILED,
+            CloseReason.RESPONSE_NOT_USABLE,
+        )
 
     def on_message_begin(self) -> None:
         if self._complete:
@@ -461,7 +475,7 @@
 
     def cancel(self) -> None:
         self._streaming_to = None
-        self._close_with_outcome(Outcome.CANCELLED)
+        self._close_with_outcome(Outcome.CANCELLED, CloseReason.CALLER_LEFT)
 
     def _abort_stream(self) -> None:
         """Abort a stream that is incomplete, so that its receiver can tell."""
@@ -483,6 +497,12 @@
         self._keep_alive = self.parser.should_keep_alive()
         self._complete = True
 
+    @property
+    def _last_used_for(self) -> str:
+        """What the connection was last used for, as the log names it."""
+        request_id = self._last_request_id
+        return f"request {request_id.decode('latin-1')}" if request_id else "a probe"
+
     @closes_connection_on_error
     def connection_lost(self, exc: Exception | None) -> None:
         if self._socket_view is not None:
@@ -494,7 +514,7 @@
             if self._received_bytes and self.attempt is not None:
                 self._reject_response()  # the backend was alive; a dead one fails the next dial
             else:
-                self._fail_connection()
+                self._fail_connection(CloseReason.BROKEN)
         finally:
             self._release_descriptor()
 
@@ -506,6 +526,7 @@
             self.pool.idle_timeout.record_break(now, self.backend, idle)
         self.pool.node.log(
             f"backend {self.backend} broke off: {exc or 'connection closed'}, "
+            f"{self._last_used_for}, "
             f"idle for {idle // MS} ms before the attempt, "
             f"{(now - attempt.sent_at) // MS} ms after the send, "
             f"{self._received_bytes} response bytes received, "
@@ -515,7 +536,7 @@
     def close_on_error(self, where: str, error: BaseException) -> None:
         """Handle an exception in a callback: this connection breaks, and nothing else."""
         self.pool.node.record_error(where, error)
-        self._fail_connection()
+        self._fail_connection(CloseReason.EXCEPTION)
         if self.transport is not None:
             self.transport.abort()  # even if the exception came after `_closed` was set
 
@@ -533,17 +554,9 @@
     def _finish_response(self) -> None:
         """Deliver a complete response, report the outcome, and keep or close the connection."""
         attempt, self.attempt = self.attempt, None
-        transport = self.transport
         chunks, self._body_chunks = self._body_chunks, []
         node = self.pool.node
-        reusable = (
-            not self._has_extra_data
-            and self.request_written
-            and not self._writing_paused
-            and self._keep_alive
-            and transport is not None
-            and not transport.is_closing()
-        )
+        close_reason = self._reason_not_to_reuse()
         self._cancel_stall_timer()
         outcome = self._outcome()
         if attempt is not None:
@@ -567,13 +580,26 @@
             elif request is None and outcome == Outcome.ERROR and self._status == 503:
                 outcome = Outcome.FULL
         self._release_budget()
-        if reusable:
+        if close_reason is None:
             self.pool.release(self)
         else:
-            self._close()
+            self._close(close_reason)
         if attempt is not None:
             node.conclude(attempt, outcome, self._parse_load_report())
 
+    def _reason_not_to_reuse(self) -> CloseReason | None:
+        """Return why the connection can't carry another attempt after a complete response."""
+        if self._has_extra_data:
+            self.pool.node.log(
+                f"backend {self.backend}: bytes behind the response to {self._last_used_for}"
+            )
+            return CloseReason.BYTES_BEHIND_RESPONSE
+        if not self.request_written or self._writing_paused:
+            return CloseReason.RESPONSE_BEFORE_REQUEST
+        if not self._keep_alive or self.transport is None or self.transport.is_closing():
+            return CloseReason.NOT_KEPT_ALIVE
+        return None
+
     def _parse_load_report(self) -> Sequence[float]:
         """Return the reported load in the order of the settings' columns, or () without one."""
         config = self.pool.node.config
@@ -593,7 +619,7 @@
 
     # ---- closing ------------------------------------------------------
 
-    def abandon(self) -> bool:
+    def abandon(self, reason: CloseReason = CloseReason.ATTEMPT_GIVEN_UP) -> bool:
         """Close the connection and drop its attempt; a late response must reach nobody.
 
         Returns false if the request's last byte was certainly never written.
@@ -601,22 +627,24 @@
         may_have_run = self.request_written
         self.attempt = None
         self._abort_stream()
-        self._close()
+        self._close(reason)
         return may_have_run
 
     def cancel_dial(self) -> None:
         """End a dial to a backend that gets no new attempts; this is no failure of the backend."""
-        self._close_with_outcome(Outcome.NOT_SENT)
+        self._close_with_outcome(Outcome.NOT_SENT, CloseReason.BACKEND_NOT_READY)
 
-    def _fail_connection(self) -> None:
+    def _fail_connection(self, reason: CloseReason) -> None:
         """Close a broken connection and report the outcome of its attempt."""
-        self._close_with_outcome(Outcome.RESET if self.request_written else Outcome.CONNECT_FAILED)
+        self._close_with_outcome(
+            Outcome.RESET if self.request_written else Outcome.CONNECT_FAILED, reason
+        )
 
-    def _close_with_outcome(self, outcome: Outcome) -> None:
+    def _close_with_outcome(self, outcome: Outcome, reason: CloseReason) -> None:
         """Close the connection and report the outcome of its attempt, if it carries one."""
         attempt, self.attempt = self.attempt, None
         self._abort_stream()
-        self._close()
+        self._close(reason)
         if attempt is not None:
             self.pool.node.conclude(attempt, outcome)
 
@@ -625,10 +653,11 @@
             self._stall_timer.cancel()
             self._stall_timer = None
 
-    def _close(self) -> None:
+    def _close(self, reason: CloseReason) -> None:
         if self._closed:
             return
         self._closed = True
+        self.pool.connection_log.count_close(reason)
         self.pool.pending_dials.discard(self)
         self.pool.remove_idle(self)
         self.parser = None
@@ -738,12 +767,13 @@
     """
 
     __slots__ = (
-        "descriptor_count", "idle_by_age", "idle_by_backend", "idle_timeout", "node",
-        "pending_dials",
+        "connection_log", "descriptor_count", "idle_by_age", "idle_by_backend", "idle_timeout",
+        "node", "pending_dials",
     )  # fmt: skip
 
     def __init__(self, node: HttpNode) -> None:
         self.node = node
+        self.connection_log = ConnectionLog()
         self.descriptor_count = 0  # open connections and dials
         self.idle_by_backend: dict[int, list[BackendConnection]] = {}
         self.idle_by_age: dict[BackendConnection, None] = {}
@@ -768,18 +798,20 @@
             self.node.conclude(attempt, Outcome.CONNECT_FAILED)
             return
         while (conn := self.take_idle(backend, attempt.sent_at)) is not None:
-            if (
-                attempt.sent_at - conn.idle_since <= self.idle_timeout.timeout_ns
-                and conn.is_usable()
-            ):
+            if attempt.sent_at - conn.idle_since > self.idle_timeout.timeout_ns:
+                conn.abandon(CloseReason.IDLE_TOO_LONG)
+            elif not conn.is_usable():
+                conn.abandon(CloseReason.ENDED_WHILE_IDLE)
+            else:
+                self.connection_log.count_reuse()
                 attempt.connection = conn
                 conn.start_on_idle(attempt)
                 return
-            conn.abandon()
         if not self.node.has_room_for_backend():
             # The node is short of descriptors; this is no failure of the backend.
             self.node.conclude(attempt, Outcome.NOT_SENT)
             return
+        self.connection_log.count_dial()
         conn = BackendConnection(self, backend, address)
         attempt.connection = conn
         conn.dial(attempt)
@@ -812,7 +844,7 @@
         if conn.backend in node.balancer.banned or not node.discovery.backend_list.is_ready(
             conn.backend, conn.address
         ):
-            conn.abandon()
+            conn.abandon(CloseReason.BACKEND_NOT_READY)
             return
         conn.idle_since = time.monotonic_ns()
         self.idle_by_backend.setdefault(conn.backend, []).append(conn)
@@ -836,21 +868,24 @@
     def close_idle(self, backend: int) -> None:
         """Close all idle connections to a backend."""
         for conn in list(self.idle_by_backend.get(backend, ())):
-            conn.abandon()
+            conn.abandon(CloseReason.BACKEND_NOT_READY)
 
     def close_oldest_idle(self) -> bool:
         """Close the connection that has been idle longest; returns false if none is idle."""
         conn = next(iter(self.idle_by_age), None)
         if conn is None:
             return False
-        conn.abandon()
+        conn.abandon(CloseReason.DESCRIPTOR_NEEDED)
         return True
 
     def sweep(self, now: int) -> None:
-        """Close connections that have been idle for longer than the idle timeout."""
+        """Close connections that have been idle for longer than the idle timeout, and log."""
+        summary = self.connection_log.take_summary(now)
+        if summary:
+            self.node.log(f"connections: {summary}")
         self.idle_timeout.grow_if_due(now)
         keep_since = now - self.idle_timeout.timeout_ns
         while (
             conn := next(iter(self.idle_by_age), None)
         ) is not None and conn.idle_since < keep_since:
-            conn.abandon()
+            conn.abandon(CloseReason.IDLE_TOO_LONG)
