A failing test: a late second response is taken for the response to the next request

What callers saw: responses to other requests, and credits that ran at two and three servers.

Reproduction: two real nodes on loopback, six serial servers with a short queue that reject what does not fit, 25 callers a node; three in ten responses, rejections among them, are followed by a second copy after 1 to 40 ms. The ledger checks what ran against what was served.

--- a/standins/servers.py
+++ b/standins/servers.py
@@ -46,6 +46,7 @@
     HALF_HANG = "half_hang"
     NOISE = "noise"  # ran, and answers what is no HTTP
     TWICE = "twice"  # a second copy of the answer right behind it
+    COPY_LATE = "copy_late"  # a second copy of the answer after `copy_delay_s`
     SILENT = "silent"  # ran, and nothing more
 
 
@@ -61,6 +62,8 @@
     late_s: float = 0.3
     most_s: float = float("inf")  # that a request's work takes
     is_serial: bool = False  # one request's work at a time, the others wait
+    queue_limit_s: float = float("inf")  # of work that waits; a request beyond it is turned away
+    copy_delay_s: tuple[float, float] = (0.001, 0.01)  # drawn evenly
 
     def greeting(self, rng: Random) -> Greeting:
         if self.greeting_script:
@@ -127,8 +130,8 @@
         reply = server.behaviour.reply(server.rng)
         work = server.rng.expovariate(1 / server.behaviour.work_s)
         work = min(work, server.behaviour.most_s)
-        if reply == Reply.FULL:
-            self.write(answer(b"", "503 Service Unavailable", NEVER_RAN))
+        if reply == Reply.FULL or server.is_full():
+            self.write_reply(answer(b"", "503 Service Unavailable", NEVER_RAN), reply)
         elif reply == Reply.RESET_UNRUN:
             self.reset()
         else:
@@ -140,8 +143,8 @@
 
     def done(self, reply: Reply, rid: str) -> None:
         good = answer(served_body(rid))
-        if reply in (Reply.ANSWER, Reply.LATE):
-            self.write(good)
+        if reply in (Reply.ANSWER, Reply.LATE, Reply.COPY_LATE):
+            self.write_reply(good, reply)
         elif reply == Reply.ERROR:
             self.write(answer(b"", "500 Internal Server Error"))
         elif reply == Reply.RESET_RUN:
@@ -159,6 +162,12 @@
         elif reply == Reply.TWICE:
             self.write(good + good)
 
+    def write_reply(self, data: bytes, reply: Reply) -> None:
+        self.write(data)
+        if reply == Reply.COPY_LATE:
+            delay = self.server.rng.uniform(*self.server.behaviour.copy_delay_s)
+            asyncio.get_running_loop().call_later(delay, self.write, data)
+
     def write(self, data: bytes) -> None:
         if self.transport is not None:
             self.transport.write(data)
@@ -193,6 +202,11 @@
     def alive(self) -> bool:
         return self._listener is not None
 
+    def is_full(self) -> bool:
+        """Whether a request that came now would be turned away."""
+        waiting_s = self._busy_until - asyncio.get_running_loop().time()
+        return waiting_s > self.behaviour.queue_limit_s
+
     def finish_time(self, work_s: float) -> float:
         """When a request that came now and takes so much work has its answer."""
         now = asyncio.get_running_loop().time()
