A late second response is no longer taken for the response to the next request

What callers saw: responses to other requests, and credits sent to two, three and four servers.

Cause: HTTP/1.1 matches responses to requests by their order on a connection alone. A connection was reused for the next request as soon as its response was complete (one idle for 3 ms was preferred, any other taken if there was none, which under load is always). A second copy that came after the next request had been written was taken for the response to that: a 200 served it, a rejection had a request that was running sent elsewhere, and the connection stayed one response behind for as long as it was busy.

Change: a connection rests for 50 ms after a response before it carries another request; an attempt waits for that rather than dials, and goes elsewhere where the connection gets bytes or ends meanwhile. Where the last 32 responses all differed, copies of a connection's last eight are recognised by checksum and dropped, and the rest is 10 ms. Bytes that come late lengthen the rest.

Tests: the one that asserted that a connection fresh from its response is used even so now holds that it is the last to be chosen, others that nothing is written before the rest is over. A client that half-closes at once is played on a connection that has rested, as what it asserts is about begun attempts.

--- a/standins/servers.py
+++ b/standins/servers.py
@@ -20,6 +20,7 @@
 from standins.platform import answer, parts
 
 RESET = b"\1\0\0\0\0\0\0\0"  # struct linger: on, no time
+COPY_LATENESS_S = 0.002  # of a second copy beyond its longest delay
 NEVER_RAN = "X-Not-Processed: 1"
 
 
@@ -165,8 +166,15 @@
     def write_reply(self, data: bytes, reply: Reply) -> None:
         self.write(data)
         if reply == Reply.COPY_LATE:
-            delay = self.server.rng.uniform(*self.server.behaviour.copy_delay_s)
-            asyncio.get_running_loop().call_later(delay, self.write, data)
+            loop = asyncio.get_running_loop()
+            shortest, longest = self.server.behaviour.copy_delay_s
+            delay = self.server.rng.uniform(shortest, longest)
+            loop.call_later(delay, self.write_copy, data, loop.time() + longest)
+
+    def write_copy(self, data: bytes, latest: float) -> None:
+        """Write it unless this loop is so late that it would come after the longest delay."""
+        if asyncio.get_running_loop().time() <= latest + COPY_LATENESS_S:
+            self.write(data)
 
     def write(self, data: bytes) -> None:
         if self.transport is not None:
--- a/tests/test_faulty_peers.py
+++ b/tests/test_faulty_peers.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from flinthatch.connection_reuse import MIN_QUIET_TIME_NS
+
 from .harness import (
     HANG_TIMEOUT_S,
     Peer,
@@ -237,7 +239,8 @@
         peer.send(answer(b"first"))
         assert first_client.message()[2] == b"first"
         # The pooled connection is used: with a dial, it would depend on timing whether the attempt
-        # starts before the node sees the half-close.
+        # starts before the node sees the half-close. So it would before the connection is quiet.
+        time.sleep(2 * MIN_QUIET_TIME_NS / 1e9)
         client = running.connect()
         client.send(request())
         client.sock.shutdown(socket.SHUT_WR)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,14 +10,16 @@
 
 import pytest
 
-from windrelay.upstream import (
+from flinthatch.connection_reuse import (
     GROWTH_DELAY_NS,
     MIN_LEARNED_TIMEOUT_NS,
+    MIN_QUIET_TIME_NS,
     MS,
-    SETTLED_IDLE_NS,
+    SHORT_QUIET_TIME_NS,
     AdaptiveIdleTimeout,
-    HttpConnectionPool,
+    QuietTime,
 )
+from windrelay.upstream import HttpConnectionPool
 
 from .harness import HANG_TIMEOUT_S, accept, answer, listen, node, request, roster, target
 
@@ -138,19 +140,45 @@
 class IdleConnection:
     """The part of an idle connection that the pool reads."""
 
+    backend = 7
+    is_recognisable = False
+
     def __init__(self, since: int) -> None:
         self.idle_since = since
 
 
 def test_a_connection_fresh_from_its_response_is_taken_after_settled_ones() -> None:
-    """Its backend may be closing it, and the close would arrive just behind the response."""
     pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
-    old, settled, fresh = (
+    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(SECOND)
+    old, settled, fresh, freshest = (
         IdleConnection(1),
-        IdleConnection(SECOND - SETTLED_IDLE_NS),
+        IdleConnection(SECOND - MIN_QUIET_TIME_NS),
+        IdleConnection(SECOND - MIN_QUIET_TIME_NS + 1),
         IdleConnection(SECOND - 1),
     )
-    pool.idle_by_backend = {7: [old, settled, fresh]}
-    pool.idle_by_age = {old: None, settled: None, fresh: None}
-    assert [pool.take_idle(7, SECOND) for _ in range(4)] == [settled, old, fresh, None]
+    pool.idle_by_backend = {7: [old, settled, fresh, freshest]}
+    pool.idle_by_age = dict.fromkeys([old, settled, fresh, freshest])
+    taken = [pool.take_idle(7, SECOND) for _ in range(5)]
+    assert taken == [settled, old, fresh, freshest, None]
     assert not pool.idle_by_backend and not pool.idle_by_age
+
+
+def test_a_connection_rests_less_where_a_second_copy_would_be_recognised() -> None:
+    pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
+    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(SECOND)
+    resting, ready = (
+        IdleConnection(SECOND - MIN_QUIET_TIME_NS + 1),
+        IdleConnection(SECOND - SHORT_QUIET_TIME_NS),
+    )
+    ready.is_recognisable = True
+    pool.idle_by_backend = {7: [resting, ready]}
+    pool.idle_by_age = dict.fromkeys([resting, ready])
+    assert [pool.take_idle(7, SECOND) for _ in range(3)] == [ready, resting, None]
+
+
+def test_no_connection_is_reused_where_none_survives_the_quiet_time() -> None:
+    pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
+    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(MIN_QUIET_TIME_NS - 1)
+    fresh = IdleConnection(SECOND - 1)
+    pool.idle_by_backend, pool.idle_by_age = {7: [fresh]}, {fresh: None}
+    assert pool.take_idle(7, SECOND) is None
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -14,10 +14,12 @@
 from collections import deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, cast
+from zlib import crc32
 
 import httptools
 
 from flinthatch import Outcome
+from flinthatch.connection_reuse import AdaptiveIdleTimeout, QuietTime, ResponseHistory
 from windrelay.config import Address
 from windrelay.connection_log import CloseReason, ConnectionLog
 from windrelay.guard import closes_connection_on_error
@@ -42,28 +44,18 @@
 LOCAL_RESOURCE_ERRNOS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 )
+REMEMBERED_CHECKSUM_COUNT = 8  # of a connection's last responses, to recognise second copies
 MAX_INTERIM_RESPONSE_COUNT = 8  # 1xx responses that are skipped before the final response
 # Turns of the event loop between the expiry of a dial's time-out and the end of the dial. A
 # connection that the kernel has established by the expiry is found by the poll of that turn and
 # reported in the next turn, behind the callbacks already due there. Without these turns the node
 # would take a delay of its own event loop for a slow backend.
 DIAL_GRACE_TURNS = 3
-# Once a connection has been idle for this time, a close that the backend sent right behind its
-# last response has arrived.
-SETTLED_IDLE_NS = 3_000_000
 # An idle connection is closed this long before the backend's own idle timeout would close it.
 IDLE_MARGIN_NS = 2_000_000_000
-# Number of different backends whose connections must break before a shorter timeout is learned.
-LEARN_MIN_BACKEND_COUNT = 2
-# Each break after a shorter idle time must be outweighed by this many breaks after longer ones.
-LEARN_CONTRARY_BREAK_WEIGHT = 2
-# Connections that break after less idle time than this break whatever their idle time was.
-MIN_LEARNED_TIMEOUT_NS = 25_000_000
-LEARN_MAX_USE_COUNT = 256  # latest uses of idle connections that are taken into account
-LEARN_WINDOW_NS = 10_000_000_000  # age up to which such a use is taken into account
-GROWTH_DELAY_NS = 5_000_000_000  # time until a longer timeout is tried after a shorter was learned
-MAX_GROWTH_DELAY_NS = 60_000_000_000  # limit of the growth delay, which doubles each time
 MS = 1_000_000
+SECOND = 1_000 * MS
+TIMER_ROUNDING_S = 0.0005  # the loop rounds to whole milliseconds
 STATUS_LINE_START_BYTES = 12  # the version and the status code
 
 # The platform's names of load metrics, each with the other name that settings may use for it.
@@ -85,14 +77,15 @@
     """
 
     __slots__ = (
-        "_announced_close", "_body_chunks", "_body_size", "_budgeted_bytes", "_chunked", "_closed",
-        "_complete", "_content_length", "_content_type", "_descriptor_released", "_dial_task",
-        "_dial_timer", "_ends_at_close", "_has_extra_data", "_headers_done", "_interim_count",
-        "_invalid", "_keep_alive", "_last_received_at", "_last_request_id", "_load_report",
-        "_not_processed",
-        "_reading_paused", "_received_bytes", "_socket_view", "_stall_timer", "_status",
-        "_streaming_to", "_unsent_chunks", "_writing_paused", "address", "attempt", "backend",
-        "idle_since", "parser", "pool", "request_written", "transport",
+        "_announced_close", "_body_chunks", "_body_size", "_budgeted_bytes", "_checksum",
+        "_chunked", "_closed", "_complete", "_content_length", "_content_type",
+        "_descriptor_released", "_dial_task", "_dial_timer", "_ends_at_close", "_has_dropped_copy",
+        "_has_extra_data", "_headers_done", "_idle_ns", "_interim_count", "_invalid",
+        "_keep_alive", "_last_checksums", "_last_received_at", "_last_request_id", "_load_report",
+        "_not_processed", "_quiet_timer", "_reading_paused", "_received_bytes", "_socket_view",
+        "_stall_timer", "_status", "_streaming_to", "_unsent_chunks", "_writing_paused", "address",
+        "attempt", "backend", "idle_since", "is_recognisable", "parser", "pool", "request_written",
+        "transport",
     )  # fmt: skip
 
     def __init__(self, pool: HttpConnectionPool, backend: int, address: Address) -> None:
@@ -111,6 +104,11 @@
         self._dial_task: asyncio.Task[None] | None = None
         self._dial_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
+        self._quiet_timer: asyncio.TimerHandle | None = None  # set while an attempt waits for it
+        self.is_recognisable = False  # a second copy of the last response would be recognised
+        self._last_checksums: deque[int] = deque(maxlen=REMEMBERED_CHECKSUM_COUNT)
+        self._has_dropped_copy = False  # and waits for the response that should follow it
+        self._idle_ns = -1  # idle time before the request; negative on a new connection
         self._reset_exchange()
 
     def _reset_exchange(self) -> None:
@@ -135,6 +133,7 @@
         self._content_type = b""
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._checksum = 0  # of the body; 0 where it is empty or streamed
         self._complete = False
         self._announced_close = False
         self._ends_at_close = False  # the response has no length: the connection's end ends it
@@ -151,7 +150,7 @@
         node = self.pool.node
         self.attempt = attempt
         self.pool.descriptor_count += 1
-        self.pool.pending_dials.add(self)
+        self.pool.unsent.add(self)
         timeout = node.config.settings.connect_timeout / 1e9
         self._dial_timer = node.loop.call_later(timeout, self._dial_expired, DIAL_GRACE_TURNS)
         self._dial_task = node.loop.create_task(self._connect())
@@ -190,7 +189,7 @@
     @closes_connection_on_error
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.pool.pending_dials.discard(self)
+        self.pool.unsent.discard(self)
         if self._dial_timer is not None:
             self._dial_timer.cancel()
             self._dial_timer = None
@@ -222,16 +221,61 @@
         self.attempt = attempt
         self._write_request()
 
+    def start_when_quiet(self, attempt: Attempt, delay_ns: int) -> None:
+        """Send an attempt on a connection that was idle, once it has been idle this much longer."""
+        self._reset_exchange()
+        self.attempt = attempt
+        self.pool.unsent.add(self)
+        loop = self.pool.node.loop
+        self._quiet_timer = loop.call_later(
+            delay_ns / SECOND + TIMER_ROUNDING_S, self._on_quiet_timer
+        )
+
+    @closes_connection_on_error
+    def _on_quiet_timer(self) -> None:
+        if not self.is_usable():
+            # The loop has not reported yet what came; the attempt needs another connection.
+            attempt = self._detach_waiting_attempt()
+            self._close(CloseReason.ENDED_WHILE_IDLE)
+            self._send_elsewhere(attempt)
+            return
+        self.attempt = attempt = self._detach_waiting_attempt()
+        if attempt is None:
+            return
+        if self.pool.node.may_begin(attempt):
+            self._write_request()
+            return
+        self.attempt = None
+        self.pool.release(self)
+        self.pool.node.conclude(attempt, Outcome.NOT_SENT)
+
+    def _detach_waiting_attempt(self) -> Attempt | None:
+        """Take the attempt that waits for a quiet connection off this one, if there is one."""
+        if self._quiet_timer is None:
+            return None
+        self._quiet_timer.cancel()
+        self._quiet_timer = None
+        self.pool.unsent.discard(self)
+        attempt, self.attempt = self.attempt, None
+        return attempt
+
+    def _send_elsewhere(self, attempt: Attempt | None) -> None:
+        if attempt is not None:
+            attempt.connection = None
+            self.pool.node.start_attempt(attempt)
+
     def _write_request(self) -> None:
         """Write the attempt's request, or a health probe if the attempt has no request."""
         attempt = self.attempt
         assert attempt is not None
         request = attempt.request
+        now = time.monotonic_ns()
+        self._idle_ns = now - self.idle_since if self.idle_since else -1
         self._last_request_id = b"" if request is None else request.client_request_id
         if request is None:
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
         else:
-            time_left = attempt.sent_at + attempt.timeout - time.monotonic_ns()
+            time_left = attempt.sent_at + attempt.timeout - now
             parsed = request.incoming
             head = b"%s%d\r\n\r\n" % (parsed.head, max(time_left // MS, 1))
             if parsed.body_size <= WRITE_CHUNK_BYTES:
@@ -285,14 +329,8 @@
         parser = self.parser
         if parser is None:
             return
-        if self.attempt is None:
-            # An idle connection got bytes that answer no request.
-            idle_ms = (time.monotonic_ns() - self.idle_since) // MS
-            self.pool.node.log(
-                f"backend {self.backend}: {len(data)} bytes on a connection idle for {idle_ms} ms, "
-                f"beginning {data[:STATUS_LINE_START_BYTES]!r}, last used for {self._last_used_for}"
-            )
-            self._close(CloseReason.UNSOLICITED_BYTES)
+        if self.attempt is None or self._quiet_timer is not None:
+            self._drop_unsolicited(data)
             return
         self._received_bytes += len(data)
         self._last_received_at = time.monotonic_ns()
@@ -311,11 +349,24 @@
             self._finish_response()
         elif self._invalid or (not self._headers_done and self._received_bytes > MAX_HEAD_BYTES):
             self._reject_response()
-        elif self._stall_timer is None:
+        elif self._stall_timer is None and self._received_bytes:
             self._stall_timer = self.pool.node.loop.call_later(
                 RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
             )
 
+    def _drop_unsolicited(self, data: bytes) -> None:
+        """Close an idle connection that got bytes which answer no request."""
+        now = time.monotonic_ns()
+        idle_ns = now - self.idle_since
+        self.pool.quiet_time.record_unsolicited_bytes(now, idle_ns)
+        self.pool.node.log(
+            f"backend {self.backend}: {len(data)} bytes on a connection idle for {idle_ns // MS} "
+            f"ms, beginning {data[:STATUS_LINE_START_BYTES]!r}, last used for {self._last_used_for}"
+        )
+        attempt = self._detach_waiting_attempt()
+        self._close(CloseReason.UNSOLICITED_BYTES)
+        self._send_elsewhere(attempt)
+
     def eof_received(self) -> bool:
         # A response without a length is complete when its connection ends.
         if self.attempt is not None and self._ends_at_close and not self._invalid:
@@ -418,6 +469,7 @@
             self._streaming_to.send_data(body)
         else:
             self._body_chunks.append(body)
+            self._checksum = crc32(body, self._checksum)
             self._budgeted_bytes += len(body)
             self.pool.node.budget.reserve(len(body))
             if (
@@ -438,6 +490,7 @@
             self._invalid = True  # the request has ended or its caller has left
         else:
             self._streaming_to = cast(StreamingCaller, request.client)
+            self._checksum = 0  # it is passed on before it is complete
             chunks, self._body_chunks = self._body_chunks, []
             self.pool.node.begin_answer(attempt)
             self._streaming_to.begin_stream(self._content_type, self._content_length, self)
@@ -494,6 +547,9 @@
             self._interim_count += 1
             self._reset_response()
             return
+        if self._is_second_copy():
+            self._drop_second_copy()
+            return
         self._keep_alive = self.parser.should_keep_alive()
         self._complete = True
 
@@ -508,6 +564,7 @@
         if self._socket_view is not None:
             self._socket_view.release()
             self._socket_view = None
+        waiting = self._detach_waiting_attempt()
         try:
             if self.attempt is not None:
                 self._record_break(self.attempt, exc)
@@ -517,17 +574,17 @@
                 self._fail_connection(CloseReason.BROKEN)
         finally:
             self._release_descriptor()
+            self._send_elsewhere(waiting)
 
     def _record_break(self, attempt: Attempt, exc: Exception | None) -> None:
         """Log a connection that broke during an attempt, and adapt the idle timeout to it."""
         now = time.monotonic_ns()
-        idle = attempt.sent_at - self.idle_since if self.idle_since else -MS
-        if self.idle_since and not self._received_bytes:
-            self.pool.idle_timeout.record_break(now, self.backend, idle)
+        if self._idle_ns >= 0 and not self._received_bytes:
+            self.pool.idle_timeout.record_break(now, self.backend, self._idle_ns)
         self.pool.node.log(
             f"backend {self.backend} broke off: {exc or 'connection closed'}, "
             f"{self._last_used_for}, "
-            f"idle for {idle // MS} ms before the attempt, "
+            f"idle for {self._idle_ns // MS} ms before the request, "
             f"{(now - attempt.sent_at) // MS} ms after the send, "
             f"{self._received_bytes} response bytes received, "
             f"request written: {self.request_written}"
@@ -560,9 +617,8 @@
         self._cancel_stall_timer()
         outcome = self._outcome()
         if attempt is not None:
-            if self.idle_since:
-                idle = attempt.sent_at - self.idle_since
-                self.pool.idle_timeout.record_success(node.now, idle)
+            if self._idle_ns >= 0:
+                self.pool.idle_timeout.record_success(node.now, self._idle_ns)
             request = attempt.request
             receiver, self._streaming_to = self._streaming_to, None
             if receiver is not None:
@@ -580,6 +636,7 @@
             elif request is None and outcome == Outcome.ERROR and self._status == 503:
                 outcome = Outcome.FULL
         self._release_budget()
+        self._record_response(outcome)
         if close_reason is None:
             self.pool.release(self)
         else:
@@ -587,6 +644,36 @@
         if attempt is not None:
             node.conclude(attempt, outcome, self._parse_load_report())
 
+    def _record_response(self, outcome: Outcome) -> None:
+        """Remember a complete response, so that a second copy of it is recognised."""
+        history = self.pool.response_history
+        self._has_dropped_copy = False
+        checksum = self._checksum if outcome == Outcome.OK else 0
+        if checksum:
+            history.record(checksum)
+            self._last_checksums.append(checksum)
+        self.is_recognisable = checksum != 0 and history.are_distinct
+
+    def _is_second_copy(self) -> bool:
+        """Whether the response is that to an earlier request on the connection once more."""
+        return (
+            self._status == 200
+            and self._checksum in self._last_checksums
+            and self.pool.response_history.are_distinct
+        )
+
+    def _drop_second_copy(self) -> None:
+        self.pool.node.log(
+            f"backend {self.backend}: a second copy of an earlier response, "
+            f"{(time.monotonic_ns() - self.idle_since) // MS} ms after the last one, "
+            f"dropped before the response to {self._last_used_for}"
+        )
+        self._has_dropped_copy = True
+        self._received_bytes = 0
+        self._cancel_stall_timer()
+        self._release_budget()
+        self._reset_response()
+
     def _reason_not_to_reuse(self) -> CloseReason | None:
         """Return why the connection can't carry another attempt after a complete response."""
         if self._has_extra_data:
@@ -624,14 +711,18 @@
 
         Returns false if the request's last byte was certainly never written.
         """
+        if self._detach_waiting_attempt() is not None:
+            self.pool.release(self)
+            return False
         may_have_run = self.request_written
         self.attempt = None
         self._abort_stream()
         self._close(reason)
         return may_have_run
 
-    def cancel_dial(self) -> None:
-        """End a dial to a backend that gets no new attempts; this is no failure of the backend."""
+    def cancel_unsent(self) -> None:
+        """End an attempt that waits for a dial or a quiet connection, where its backend gets no
+        new attempts; this is no failure of the backend."""
         self._close_with_outcome(Outcome.NOT_SENT, CloseReason.BACKEND_NOT_READY)
 
     def _fail_connection(self, reason: CloseReason) -> None:
@@ -658,13 +749,18 @@
             return
         self._closed = True
         self.pool.connection_log.count_close(reason)
-        self.pool.pending_dials.discard(self)
+        if self._has_dropped_copy:
+            self.pool.response_history.record_mistake()
+        self.pool.unsent.discard(self)
         self.pool.remove_idle(self)
         self.parser = None
         self._body_chunks = []
         self._unsent_chunks = None
         self._release_budget()
         self._cancel_stall_timer()
+        if self._quiet_timer is not None:
+            self._quiet_timer.cancel()
+            self._quiet_timer = None
         if self._dial_timer is not None:
             self._dial_timer.cancel()
             self._dial_timer = None
@@ -694,72 +790,6 @@
         return self._socket_view is None or has_unread_data(self._socket_view)
 
 
-class AdaptiveIdleTimeout:
-    """The longest time for which a connection may have been idle and still be reused.
-
-    A backend, or a network device on the way, may drop idle connections long before the
-    configured time, and the node learns of it only when it writes the next request. That request
-    then counts as one that may have run. A shorter timeout is learned when most connections that
-    had been idle for that time or longer broke under the first bytes of a request.
-
-    Nothing is learned from breaks that hit long and short idle times alike, because a dial for
-    every request would only cost time. Nothing is learned from the breaks of a single backend
-    either, because that backend may just have been restarted. Where one connection in twenty
-    breaks by chance, the two with the longest idle times among the latest uses break every few
-    seconds: learning from those two alone brought the timeout to 0 within 20 s, and every request
-    needed a dial.
-    """
-
-    __slots__ = ("_grow_at", "_growth_delay", "_recent_uses", "max_timeout_ns", "timeout_ns")
-
-    def __init__(self, max_timeout_ns: int) -> None:
-        self.max_timeout_ns = max_timeout_ns
-        self.timeout_ns = max_timeout_ns
-        # The latest reuses: time, idle time before it, and the backend if the connection broke.
-        self._recent_uses: deque[tuple[int, int, int | None]] = deque(maxlen=LEARN_MAX_USE_COUNT)
-        self._growth_delay = GROWTH_DELAY_NS
-        self._grow_at = 0
-
-    def record_success(self, now: int, idle_ns: int) -> None:
-        """Record that a connection reused after this idle time brought a response."""
-        self._recent_uses.append((now, idle_ns, None))
-
-    def record_break(self, now: int, backend: int, idle_ns: int) -> None:
-        """Record a break under the first bytes after this idle time; it may shorten the timeout."""
-        uses = self._recent_uses
-        uses.append((now, idle_ns, backend))
-        while now - uses[0][0] > LEARN_WINDOW_NS:
-            uses.popleft()
-        break_count = learned_ns = 0
-        broken_backends = set()
-        total_break_count = sum(use[2] is not None for use in uses)
-        longest_idle_first = sorted(uses, key=lambda use: -use[1])
-        for use_count, (_, use_idle_ns, broken_backend) in enumerate(longest_idle_first, 1):
-            if broken_backend is not None:
-                break_count += 1
-                broken_backends.add(broken_backend)
-                required = LEARN_MIN_BACKEND_COUNT + LEARN_CONTRARY_BREAK_WEIGHT * (
-                    total_break_count - break_count
-                )
-                if (
-                    len(broken_backends) >= LEARN_MIN_BACKEND_COUNT
-                    and break_count >= required
-                    and break_count * 3 >= use_count * 2
-                ):
-                    learned_ns = max(use_idle_ns * 7 // 10, MIN_LEARNED_TIMEOUT_NS)
-        if 0 < learned_ns < self.timeout_ns:
-            self.timeout_ns = learned_ns
-            self._grow_at = now + self._growth_delay
-            # After each failed try of a longer timeout the next try waits twice as long.
-            self._growth_delay = min(2 * self._growth_delay, MAX_GROWTH_DELAY_NS)
-
-    def grow_if_due(self, now: int) -> None:
-        """Raise a learned timeout by half once its growth delay has passed."""
-        if self.timeout_ns < self.max_timeout_ns and now >= self._grow_at:
-            self.timeout_ns = min(self.timeout_ns * 3 // 2 + MS, self.max_timeout_ns)
-            self._grow_at = now + self._growth_delay
-
-
 class HttpConnectionPool:
     """All connections to HTTP backends; idle ones are found by backend and by age.
 
@@ -768,7 +798,7 @@
 
     __slots__ = (
         "connection_log", "descriptor_count", "idle_by_age", "idle_by_backend", "idle_timeout",
-        "node", "pending_dials",
+        "node", "quiet_time", "response_history", "unsent",
     )  # fmt: skip
 
     def __init__(self, node: HttpNode) -> None:
@@ -777,7 +807,9 @@
         self.descriptor_count = 0  # open connections and dials
         self.idle_by_backend: dict[int, list[BackendConnection]] = {}
         self.idle_by_age: dict[BackendConnection, None] = {}
-        self.pending_dials: set[BackendConnection] = set()
+        self.unsent: set[BackendConnection] = set()
+        self.quiet_time = QuietTime()
+        self.response_history = ResponseHistory()
         self.idle_timeout = AdaptiveIdleTimeout(0)
         self.set_backend_idle_timeout(node.config.backend_idle_timeout)
 
@@ -797,15 +829,21 @@
         if address is None:
             self.node.conclude(attempt, Outcome.CONNECT_FAILED)
             return
-        while (conn := self.take_idle(backend, attempt.sent_at)) is not None:
-            if attempt.sent_at - conn.idle_since > self.idle_timeout.timeout_ns:
+        now = time.monotonic_ns()
+        while (conn := self.take_idle(backend, now)) is not None:
+            idle_ns = now - conn.idle_since
+            if idle_ns > self.idle_timeout.timeout_ns:
                 conn.abandon(CloseReason.IDLE_TOO_LONG)
             elif not conn.is_usable():
                 conn.abandon(CloseReason.ENDED_WHILE_IDLE)
             else:
                 self.connection_log.count_reuse()
                 attempt.connection = conn
-                conn.start_on_idle(attempt)
+                delay_ns = self.quiet_time.required_after(conn.is_recognisable) - idle_ns
+                if delay_ns <= 0:
+                    conn.start_on_idle(attempt)
+                else:
+                    conn.start_when_quiet(attempt, delay_ns)
                 return
         if not self.node.has_room_for_backend():
             # The node is short of descriptors; this is no failure of the backend.
@@ -817,25 +855,26 @@
         conn.dial(attempt)
 
     def take_idle(self, backend: int, now: int) -> BackendConnection | None:
-        """Take the newest connection idle for SETTLED_IDLE_NS, or else the newest of all.
+        """Take the newest connection that has been idle for the quiet time, else the first to be.
 
-        Some backends close a connection right behind a response. A request that is written
-        before that close arrives counts as one that may have run. If all idle connections have
-        only just received a response, the newest is used even so, because a dial costs the
-        backend work. Returns None if the backend has no idle connection.
+        Responses carry no request id: one is matched to its request by the order on the connection
+        alone, so a connection may carry the next request only once nothing more is to be expected
+        for the last one. Returns None if the backend has no idle connection that stays reusable for
+        as long as that.
         """
         conns = self.idle_by_backend.get(backend)
         if not conns:
             return None
-        index = len(conns) - 1
-        for i in range(index, -1, -1):
-            if now - conns[i].idle_since >= SETTLED_IDLE_NS:
-                index = i
-                break
-        conn = conns.pop(index)
-        if not conns:
-            del self.idle_by_backend[backend]
-        del self.idle_by_age[conn]
+
+        def quiet_at(conn: BackendConnection) -> int:
+            return conn.idle_since + self.quiet_time.required_after(conn.is_recognisable)
+
+        conn = next((conn for conn in reversed(conns) if quiet_at(conn) <= now), None)
+        if conn is None:
+            conn = min(conns, key=quiet_at)
+            if quiet_at(conn) - conn.idle_since > self.idle_timeout.timeout_ns:
+                return None
+        self.remove_idle(conn)
         return conn
 
     def release(self, conn: BackendConnection) -> None:
@@ -862,8 +901,8 @@
     def drain_backend(self, backend: int) -> None:
         """Close idle connections and end dials; attempts that wait for a dial never ran."""
         self.close_idle(backend)
-        for conn in [c for c in self.pending_dials if c.backend == backend]:
-            conn.cancel_dial()
+        for conn in [c for c in self.unsent if c.backend == backend]:
+            conn.cancel_unsent()
 
     def close_idle(self, backend: int) -> None:
         """Close all idle connections to a backend."""
@@ -883,6 +922,7 @@
         summary = self.connection_log.take_summary(now)
         if summary:
             self.node.log(f"connections: {summary}")
+        self.quiet_time.shrink_if_due(now)
         self.idle_timeout.grow_if_due(now)
         keep_since = now - self.idle_timeout.timeout_ns
         while (
