A connection with too many interim responses is closed

Cause: the ninth interim response counted as the final one. The attempt ended as an error and its connection was kept, though the final response was still to come: it would have met the next request.

Evidence: the test, without the change, hangs with the connection open (three kinds of status).

Change: such a response is not usable, so the connection is closed. Measured: the test passes.

--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -16,6 +16,7 @@
     QuietTime,
     ResponseHistory,
 )
+from windrelay.upstream import MAX_INTERIM_RESPONSE_COUNT
 
 from .harness import answer, request
 from .race_harness import RaceHarness, ScriptedPeer, race_harness, run_scenario
@@ -123,6 +124,22 @@
     assert quiet_time.required_ns == MIN_QUIET_TIME_NS
 
 
+@pytest.mark.parametrize("status", ["100 Continue", "102 Processing", "103 Early Hints"])
+def test_connection_is_closed_where_interim_responses_do_not_end(
+    tmp_path: Path, status: str
+) -> None:
+    async def scenario() -> None:
+        client = harness.connect_client(request("/credit/1", b"x", rid="first"))
+        backend = await harness.accept_backend()
+        await backend.message()
+        backend.send(f"HTTP/1.1 {status}\r\n\r\n".encode() * (MAX_INTERIM_RESPONSE_COUNT + 1))
+        assert await client.status() == 502
+        assert await backend.read_to_end() == b""
+
+    with race_harness(tmp_path) as harness:
+        run_scenario(harness, scenario())
+
+
 def differing_responses(history: ResponseHistory, count: int, first: int = 1) -> None:
     for checksum in range(first, first + count):
         history.record(checksum)
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -539,13 +539,12 @@
     def on_message_complete(self) -> None:
         if self._complete or self.parser is None:
             return
-        if (
-            100 <= self._status < 200
-            and self._status != 101
-            and self._interim_count < MAX_INTERIM_RESPONSE_COUNT
-        ):
-            self._interim_count += 1
-            self._reset_response()
+        if 100 <= self._status < 200 and self._status != 101:
+            if self._interim_count < MAX_INTERIM_RESPONSE_COUNT:
+                self._interim_count += 1
+                self._reset_response()
+            else:
+                self._invalid = True  # the final response may still come, so the connection ends
             return
         if self._is_second_copy():
             self._drop_second_copy()
