Trace numbers are unique for a server, not for a connection to it

Cause: each of the two connections to a server counted its trace numbers from 1. An answer on the other connection matched a request of the same terminal in the same second, as nothing else tells them apart.

Evidence: the test, over sockets: without the change a credit of 2.00 gets the answer made for one of 1.00.

Change: one Stans for each server; numbers of a connection that broke rest like others.

--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -75,7 +75,7 @@
         self.link = link
         self.backend = backend
         self.address = address
-        self.machine = Link(Stans(REST_MS), link.most, sign_on=link.sign_on)
+        self.machine = Link(link.trace_numbers(backend), link.most, sign_on=link.sign_on)
         self.framer = Framer(link.framing)
         self.transport: asyncio.Transport | None = None
         self.waiting: list[Carried] = []  # for the dial and the sign-on
@@ -347,6 +347,7 @@
             lambda _attempt, _stan, then: then(True)
         )
         self.conns: dict[int, list[ServerConnection]] = {}
+        self.stans: dict[int, Stans] = {}  # by backend
 
     @property
     def descriptor_count(self) -> int:
@@ -356,6 +357,12 @@
     def descriptor_count(self, value: int) -> None:
         raise AttributeError("it is counted")
 
+    def trace_numbers(self, backend: int) -> Stans:
+        """The trace numbers of all connections to a backend, one after the other too."""
+        if backend not in self.stans:
+            self.stans[backend] = Stans(REST_MS)
+        return self.stans[backend]
+
     def send(self, attempt: Attempt) -> None:
         backend = attempt.backend
         if attempt.request is None:
@@ -435,6 +442,9 @@
         return False
 
     def sweep(self, now: int) -> None:
+        for backend in [b for b in self.stans if b not in self.node.balancer.backends]:
+            if backend not in self.conns:
+                del self.stans[backend]
         for conns in list(self.conns.values()):
             for conn in list(conns):
                 conn.sweep()
--- a/tansywood/iso8583/machine.py
+++ b/tansywood/iso8583/machine.py
@@ -135,8 +135,9 @@
 
 
 class Stans:
-    """Trace numbers of our own for one link. A number that was given back rests until no
-    answer to its former request can come any more."""
+    """Trace numbers of our own for one server, on all links to it: an answer is known by its
+    number, whichever link it comes on. A number that was given back rests until no answer to its
+    former request can come any more."""
 
     def __init__(self, rest_ms: int, first: int = 1) -> None:
         self.rest_ms = rest_ms
@@ -271,6 +272,9 @@
         """The connection has ended, or has to. What is outstanding is told once."""
         self.state = State.BROKEN
         tokens = tuple(entry.token for entry in self.out.values())
+        for stan in (*self.out, self._waits):
+            if stan:
+                self.stans.give(int(stan), self.heard)
         self.out.clear()
         self._waits = ""
         return Broken(why, tokens)
--- a/tests/iso8583/test_sockets.py
+++ b/tests/iso8583/test_sockets.py
@@ -317,3 +317,29 @@
             assert not w.ledger.problems(breaks=False)
 
     run(main())
+
+
+@pytest.mark.parametrize("link", [{"most": 1}], ids=["a connection for each"])
+def test_answer_on_another_connection_of_its_server_serves_no_other_request(
+    link: dict[str, int],
+) -> None:
+    async def main() -> None:
+        async with world({Way.SILENT: 1.0}, link=link) as w:
+            server = w.servers[0]
+            terminal = await w.terminal()
+            first, second = terminal.message(amount=100), terminal.message(amount=200)
+            second.fields[7] = first.fields[7]  # in the same second
+            for message in (first, second):
+                w.ledger.asked(request_id(message), "credit", True)
+            waiting = [terminal.write(message) for message in (first, second)]
+            while len(server.seen) < 2:
+                await asyncio.sleep(0.001)
+            connections = list(server.conns)
+            assert len(connections) == 2
+            for message in server.seen:
+                for connection in connections:
+                    connection.write(connection.answer(message, "00"))
+            answers = await asyncio.wait_for(asyncio.gather(*waiting), 15)
+            assert [a.fields[4] for a in answers] == [first.fields[4], second.fields[4]]
+
+    run(main())
