--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -201,17 +201,7 @@
         # buffer anything. A connection that is not paused has handed every byte to the kernel.
         self.transport.set_write_buffer_limits(high=0)
         self.parser = httptools.HttpResponseParser(self)
-        attempt = self.attempt
-        if attempt is None:
-            return
-        if self.pool.node.may_begin(attempt):
-            self._write_request()
-            return
-        # The attempt may not begin any more. The connection has paid for its handshake, so
-        # the pool keeps it for another attempt.
-        self.attempt = None
-        self.pool.release(self)
-        self.pool.node.conclude(attempt, Outcome.NOT_SENT)
+        self._begin_attempt()
 
     # ---- the request --------------------------------------------------
 
@@ -239,7 +229,15 @@
             self._close(CloseReason.ENDED_WHILE_IDLE)
             self._send_elsewhere(attempt)
             return
-        self.attempt = attempt = self._detach_waiting_attempt()
+        self.attempt = self._detach_waiting_attempt()
+        self._begin_attempt()
+
+    def _begin_attempt(self) -> None:
+        """Send the attempt that waited for the connection, unless it may not begin any more.
+
+        The pool then keeps the connection, whose handshake has been paid for, for another one.
+        """
+        attempt = self.attempt
         if attempt is None:
             return
         if self.pool.node.may_begin(attempt):
