A connection whose copies are recognised rests for 3 ms, as long as before

Change: 3 ms, the time that idle connections had to settle before; what comes later is recognised by its checksum, of a connection's last 16 responses in place of 8.

--- a/flinthatch/connection_reuse.py
+++ b/flinthatch/connection_reuse.py
@@ -14,7 +14,7 @@
 # within this time after a response still belongs to that response.
 MIN_QUIET_TIME_NS = 50 * MS
 # The same where a second copy of the last response would be recognised by its content.
-SHORT_QUIET_TIME_NS = 10 * MS
+SHORT_QUIET_TIME_NS = 3 * MS
 # Responses in a row that must all differ until a second copy of one counts as recognisable.
 MIN_DISTINCT_RESPONSE_COUNT = 32
 REMEMBERED_RESPONSE_COUNT = 64
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -44,7 +44,7 @@
 LOCAL_RESOURCE_ERRNOS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 )
-REMEMBERED_CHECKSUM_COUNT = 8  # of a connection's last responses, to recognise second copies
+REMEMBERED_CHECKSUM_COUNT = 16  # of a connection's last responses, to recognise second copies
 MAX_INTERIM_RESPONSE_COUNT = 8  # 1xx responses that are skipped before the final response
 # Turns of the event loop between the expiry of a dial's time-out and the end of the dial. A
 # connection that the kernel has established by the expiry is found by the poll of that turn and
