Copies are recognised for a whole exchange, whatever is learned meanwhile

Cause: a connection that had rested for 3 ms, because copies are recognised, no longer recognised them where the pool learned in the meantime that responses may repeat. It learned that by mistake too: a connection that broke after a copy had been dropped counted as a response that had been dropped wrongly.

Change: whether copies are recognised is decided when the request is written; the rest is computed when the connection is taken; only an attempt that was given up counts as a mistake.

--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -205,3 +205,21 @@
 
     with race_harness(tmp_path) as harness:
         run_scenario(harness, scenario())
+
+
+def test_second_copy_is_recognised_where_responses_began_to_repeat_meanwhile(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        client, backend = await serve_one(harness)
+        await learn_that_responses_differ(harness, client, backend)
+        client.send(request("/credit/1", b"x", rid="next"))
+        await backend.message()
+        harness.node.upstream.response_history.record_mistake()
+        backend.send(answer(b"for learn-%d" % (MIN_DISTINCT_RESPONSE_COUNT - 1)))
+        await harness.settle()
+        backend.send(answer(b"for next"))
+        assert (await client.message())[2] == b"for next"
+
+    with race_harness(tmp_path) as harness:
+        run_scenario(harness, scenario())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,12 +12,14 @@
 
 from flinthatch.connection_reuse import (
     GROWTH_DELAY_NS,
+    MIN_DISTINCT_RESPONSE_COUNT,
     MIN_LEARNED_TIMEOUT_NS,
     MIN_QUIET_TIME_NS,
     MS,
     SHORT_QUIET_TIME_NS,
     AdaptiveIdleTimeout,
     QuietTime,
+    ResponseHistory,
 )
 from windrelay.upstream import HttpConnectionPool
 
@@ -149,7 +151,8 @@
 
 def test_a_connection_fresh_from_its_response_is_taken_after_settled_ones() -> None:
     pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
-    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(SECOND)
+    pool.quiet_time, pool.response_history = QuietTime(), ResponseHistory()
+    pool.idle_timeout = AdaptiveIdleTimeout(SECOND)
     old, settled, fresh, freshest = (
         IdleConnection(1),
         IdleConnection(SECOND - MIN_QUIET_TIME_NS),
@@ -165,12 +168,15 @@
 
 def test_a_connection_rests_less_where_a_second_copy_would_be_recognised() -> None:
     pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
-    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(SECOND)
+    pool.quiet_time, pool.response_history = QuietTime(), ResponseHistory()
+    pool.idle_timeout = AdaptiveIdleTimeout(SECOND)
     resting, ready = (
         IdleConnection(SECOND - MIN_QUIET_TIME_NS + 1),
         IdleConnection(SECOND - SHORT_QUIET_TIME_NS),
     )
     ready.is_recognisable = True
+    for checksum in range(MIN_DISTINCT_RESPONSE_COUNT):
+        pool.response_history.record(checksum)
     pool.idle_by_backend = {7: [resting, ready]}
     pool.idle_by_age = dict.fromkeys([resting, ready])
     assert [pool.take_idle(7, SECOND) for _ in range(3)] == [ready, resting, None]
@@ -178,7 +184,8 @@
 
 def test_no_connection_is_reused_where_none_survives_the_quiet_time() -> None:
     pool: Any = HttpConnectionPool.__new__(HttpConnectionPool)
-    pool.quiet_time, pool.idle_timeout = QuietTime(), AdaptiveIdleTimeout(MIN_QUIET_TIME_NS - 1)
+    pool.quiet_time, pool.response_history = QuietTime(), ResponseHistory()
+    pool.idle_timeout = AdaptiveIdleTimeout(MIN_QUIET_TIME_NS - 1)
     fresh = IdleConnection(SECOND - 1)
     pool.idle_by_backend, pool.idle_by_age = {7: [fresh]}, {fresh: None}
     assert pool.take_idle(7, SECOND) is None
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -82,10 +82,10 @@
         "_descriptor_released", "_dial_task", "_dial_timer", "_ends_at_close", "_has_dropped_copy",
         "_has_extra_data", "_headers_done", "_idle_ns", "_interim_count", "_invalid",
         "_keep_alive", "_last_checksums", "_last_received_at", "_last_request_id", "_load_report",
-        "_not_processed", "_quiet_timer", "_reading_paused", "_received_bytes", "_socket_view",
-        "_stall_timer", "_status", "_streaming_to", "_unsent_chunks", "_writing_paused", "address",
-        "attempt", "backend", "idle_since", "is_recognisable", "parser", "pool", "request_written",
-        "transport",
+        "_not_processed", "_quiet_timer", "_reading_paused", "_received_bytes",
+        "_recognises_copies", "_socket_view", "_stall_timer", "_status", "_streaming_to",
+        "_unsent_chunks", "_writing_paused", "address", "attempt", "backend", "idle_since",
+        "is_recognisable", "parser", "pool", "request_written", "transport",
     )  # fmt: skip
 
     def __init__(self, pool: HttpConnectionPool, backend: int, address: Address) -> None:
@@ -107,6 +107,7 @@
         self._quiet_timer: asyncio.TimerHandle | None = None  # set while an attempt waits for it
         self.is_recognisable = False  # a second copy of the last response would be recognised
         self._last_checksums: deque[int] = deque(maxlen=REMEMBERED_CHECKSUM_COUNT)
+        self._recognises_copies = False  # of earlier responses, within the present exchange
         self._has_dropped_copy = False  # and waits for the response that should follow it
         self._idle_ns = -1  # idle time before the request; negative on a new connection
         self._reset_exchange()
@@ -268,6 +269,8 @@
         assert attempt is not None
         request = attempt.request
         now = time.monotonic_ns()
+        # Decided now: the connection may have rested only for as long as this allows.
+        self._recognises_copies = self.pool.response_history.are_distinct
         self._idle_ns = now - self.idle_since if self.idle_since else -1
         self._last_request_id = b"" if request is None else request.client_request_id
         if request is None:
@@ -655,8 +658,8 @@
         """Whether the response is that to an earlier request on the connection once more."""
         return (
             self._status == 200
+            and self._recognises_copies
             and self._checksum in self._last_checksums
-            and self.pool.response_history.are_distinct
         )
 
     def _drop_second_copy(self) -> None:
@@ -746,7 +749,7 @@
             return
         self._closed = True
         self.pool.connection_log.count_close(reason)
-        if self._has_dropped_copy:
+        if self._has_dropped_copy and reason is CloseReason.ATTEMPT_GIVEN_UP:
             self.pool.response_history.record_mistake()
         self.pool.unsent.discard(self)
         self.pool.remove_idle(self)
@@ -836,7 +839,7 @@
             else:
                 self.connection_log.count_reuse()
                 attempt.connection = conn
-                delay_ns = self.quiet_time.required_after(conn.is_recognisable) - idle_ns
+                delay_ns = self.quiet_time_after(conn) - idle_ns
                 if delay_ns <= 0:
                     conn.start_on_idle(attempt)
                 else:
@@ -864,7 +867,7 @@
             return None
 
         def quiet_at(conn: BackendConnection) -> int:
-            return conn.idle_since + self.quiet_time.required_after(conn.is_recognisable)
+            return conn.idle_since + self.quiet_time_after(conn)
 
         conn = next((conn for conn in reversed(conns) if quiet_at(conn) <= now), None)
         if conn is None:
@@ -874,6 +877,12 @@
         self.remove_idle(conn)
         return conn
 
+    def quiet_time_after(self, conn: BackendConnection) -> int:
+        """Return how long a connection has to rest after its last response, in nanoseconds."""
+        return self.quiet_time.required_after(
+            conn.is_recognisable and self.response_history.are_distinct
+        )
+
     def release(self, conn: BackendConnection) -> None:
         """Keep an idle connection, unless its backend is banned, drains, or has moved or left."""
         node = self.node
