The relays of the distribution stand-in are closed on their event loop

Cause: the teardown closed the relays' asyncio servers in a thread while the loop detached their last connection; both wake the server's waiters. Evidence: the traceback (relay.stop from asyncio.to_thread).

Change: the thread ends processes only. Tests keep their assertions. Measured: the four cases of that test pass; the failure is rare and was not reproduced, and the whole suite was not run again.

--- a/standins/distributed.py
+++ b/standins/distributed.py
@@ -217,6 +217,9 @@
         machines = [*self.nodes.values(), *self.distributors.values(), self.publisher]
         for machine in machines:
             machine.kill()
+
+    def stop_relays(self) -> None:
+        """Must be called on the event loop: closing a server is not safe in another thread."""
         for relay in (*self.upward.values(), *self.ways.values()):
             relay.stop()
 
@@ -239,4 +242,5 @@
         yield made
     finally:
         await asyncio.to_thread(made.stop)
+        made.stop_relays()
         await asyncio.sleep(0)
