--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -92,6 +92,7 @@
         for node in nodes.values():
             await asyncio.to_thread(node.kill)
         await asyncio.to_thread(machines.stop)
+        machines.stop_relays()
 
 
 async def ask(node: FleetNode, tenants: range) -> None:
