--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,7 @@
 
 MEMORY_MB = 96
 CHUNK_BYTES = 16
-BODY_BYTES = 60_000_000
+BODY_BYTES = 60_000_000  # as it is sent, so with the framing of its chunks
 CHUNKS_PER_WRITE = 4096
 WATCH_S = 0.02
 LENGTH_S = 12.0  # of the day: what the bad client needs, and some seconds more
@@ -56,7 +56,7 @@
         while sent < BODY_BYTES and not answered.done():
             writer.write(piece)
             await writer.drain()
-            sent += CHUNK_BYTES * CHUNKS_PER_WRITE
+            sent += len(piece)
         writer.write(b"0\r\n\r\n")
         got = await answered
         record.line(f"bad client: sent {sent} bytes of its body, got {got[:40]!r}")
