Count what a message holds in memory, not only its body's bytes

Cause: each piece that the parser reported became an object of its own in IncomingRequest.body, some 57 bytes for 16, and the memory budget counted the 16. The same held for responses and for the backend list. On related paths nothing was counted at all: the fields of a head (an object each), and chunk lines and trailer fields, which httptools keeps until their line ends.

Change: small pieces are joined to blocks (windrelay/body_blocks.py) for requests, responses and lists; forwarded fields are joined as they come; a head over 4 KiB counts in the memory budget; framing beyond 16 bytes for each piece of the body is limited to 16 KiB (windrelay/chunked_framing.py).

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -17,6 +17,7 @@
 from tansywood.service.report import Report
 from tansywood.tenancy.limits import Bucket
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
+from windrelay.body_blocks import Block
 from windrelay.http_node import HttpNode
 from windrelay.interfaces import StreamSource
 from windrelay.node import Node
@@ -137,7 +138,7 @@
 
     # ---- what it got --------------------------------------------------------------------
 
-    def send_response(self, content_type: bytes, chunks: list[bytes], size: int) -> None:
+    def send_response(self, content_type: bytes, chunks: list[Block], size: int) -> None:
         request = self._request
         if request is not None:
             self._hosted.report.served(self._cls, self._hosted.node.now - request.arrived_at)
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -19,6 +19,7 @@
     MIN_AGENT_HOLD_MS,
     PollSchedule,
 )
+from windrelay.body_blocks import Block, append_piece
 from windrelay.config import Address, Config, parse_address
 
 MAX_ANSWER_BYTES = 2 << 20  # enough for some thousands of backends
@@ -282,7 +283,7 @@
         self._request_head = (
             f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
         )
-        self._body: list[bytes] = []
+        self._body: list[Block] = []
         self._received_bytes = 0
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -328,7 +329,7 @@
             self.finish(None)
 
     def on_body(self, body: bytes) -> None:
-        self._body.append(body)
+        append_piece(self._body, body)
 
     def on_message_complete(self) -> None:
         parser = self._parser
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -18,6 +18,8 @@
 import httptools
 
 from flinthatch import Effect, RequestClass
+from windrelay.body_blocks import Block, append_piece
+from windrelay.chunked_framing import ChunkedFraming
 from windrelay.guard import closes_connection_on_error
 
 if TYPE_CHECKING:
@@ -29,7 +31,7 @@
 MAX_HEAD_BYTES = 16 << 10
 MAX_BODY_BYTES = 32 << 20  # the platform's limit for a request body
 MAX_REQUEST_ID_BYTES = 128
-SMALL_BODY_BYTES = 4 << 10  # a body up to this size is never rejected for lack of memory
+SMALL_MESSAGE_BYTES = 4 << 10  # a head or a body up to this size needs no room in the budget
 # Memory for a body up to this Content-Length is reserved when the head is read; memory for a
 # longer body is reserved as the body arrives.
 MAX_UPFRONT_RESERVE_BYTES = 64 << 10
@@ -139,19 +141,21 @@
 
     __slots__ = (
         "body", "body_size", "chunked", "class_number", "classes_version", "content_length",
-        "cost_hint", "head", "header_lines", "headers", "is_http_1_0", "is_probe", "is_retry",
-        "keep_alive", "key", "method", "received_ns", "request_id", "reserved_bytes", "tenant",
-        "timeout_ns", "url",
+        "cost_hint", "framing", "head", "header_lines", "headers", "is_http_1_0", "is_probe",
+        "is_retry", "keep_alive", "key", "method", "received_ns", "request_id", "reserved_bytes",
+        "reserved_head_bytes", "tenant", "timeout_ns", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.url = b""
         self.method = b""
-        self.header_lines: list[bytes] = []
+        self.header_lines = bytearray()  # the fields that are forwarded
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body: list[Block] = []
         self.body_size = 0
-        self.reserved_bytes = 0  # taken from the node's memory budget for the body
+        self.framing: ChunkedFraming | None = None  # of a chunked body
+        self.reserved_bytes = 0  # taken from the node's memory budget for a long head and the body
+        self.reserved_head_bytes = 0  # the part of them that is for the head
         self.request_id = b""
         self.content_length = 0
         self.chunked = False
@@ -178,7 +182,7 @@
     __slots__ = (
         "_close_after_response", "_complete_request", "_delimited_by_close", "_discarded_bytes",
         "_half_closed", "_head_bytes", "_headers_done", "_incoming", "_is_http_1_0",
-        "_keep_alive", "_last_write_sweep", "_lingering", "_parser", "_request",
+        "_keep_alive", "_last_write_sweep", "_lingering", "_parser", "_piece_count", "_request",
         "_response_chunked", "_server", "_since_sweep", "_sock", "_source", "_transport",
         "_unsent_sizes", "is_counted",
     )  # fmt: skip
@@ -194,6 +198,7 @@
         self._request: Request | None = None
         self._headers_done = False
         self._head_bytes = 0
+        self._piece_count = 0  # of a body, in the data that is parsed at present
         self._keep_alive = True
         self._half_closed = False
         self._lingering = False
@@ -231,28 +236,54 @@
             if self._discarded_bytes > MAX_LINGER_BYTES:
                 self._pause_reading()
             return
+        if not self._parse(data):
+            return
+        incoming, self._complete_request = self._complete_request, None
+        if incoming is not None:
+            try:
+                self._start_request(incoming)
+            except Exception as err:
+                self.close_on_error("starting a request", err)
+
+    def _parse(self, data: bytes) -> bool:
+        """Feed the parser; returns False where the connection reads nothing more."""
+        parser, incoming = self._parser, self._incoming
+        assert parser is not None
+        framing = incoming.framing if incoming is not None else None
+        body_bytes_before = incoming.body_size if incoming is not None else 0
+        self._piece_count = 0
         if not self._headers_done:
             self._head_bytes += len(data)
         try:
             parser.feed_data(data)
+            if not self._headers_done:
+                self._check_unfinished_head()
+            elif framing is not None and incoming is not None:
+                framing_bytes = len(data) - (incoming.body_size - body_bytes_before)
+                if not framing.add(framing_bytes, self._piece_count):
+                    raise BadRequest(400, "chunk extensions or trailer fields too long")
+        except BadRequest as err:
+            self._reject(err.status, err)
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
             if isinstance(cause, BadRequest):
                 self._reject(cause.status, cause)
             else:
                 self.close_on_error("reading a request", cause or err)
-            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self._reject(400, err)
+        else:
+            return True
+        return False
+
+    def _check_unfinished_head(self) -> None:
+        """Raise BadRequest where a head of which the end has not come is too long."""
+        if self._complete_request is not None:
             return
-        incoming, self._complete_request = self._complete_request, None
-        if incoming is not None:
-            try:
-                self._start_request(incoming)
-            except Exception as err:
-                self.close_on_error("starting a request", err)
-        elif not self._headers_done and self._head_bytes > MAX_HEAD_BYTES:
-            self._reject(431)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise BadRequest(431)
+        if self._incoming is not None:
+            self._reserve_head_bytes(self._incoming, self._head_bytes)
 
     def on_message_begin(self) -> None:
         if self._request is not None or self._complete_request is not None:
@@ -286,7 +317,7 @@
                 raise BadRequest(400, f"{lower!r} header given twice")
             incoming.headers[lower] = value
         if lower not in NOT_FORWARDED_HEADERS:
-            incoming.header_lines.append(b"%s: %s\r\n" % (name, value))
+            incoming.header_lines += b"%s: %s\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         incoming, parser = self._incoming, self._parser
@@ -302,14 +333,17 @@
         if parser.should_upgrade():
             # The parser does not read the body of a request with an Upgrade header.
             raise BadRequest(400, "protocol upgrade is not supported")
-        head_bytes = len(incoming.url) + sum(map(len, incoming.header_lines))
+        head_bytes = len(incoming.url) + len(incoming.header_lines)
         if head_bytes > MAX_HEAD_BYTES:
             raise BadRequest(431)
         self._server.read_head(incoming)
+        if incoming.chunked:
+            incoming.framing = ChunkedFraming()
         if incoming.content_length > MAX_BODY_BYTES:
             raise BadRequest(413)
+        self._reserve_head_bytes(incoming, head_bytes)
         if incoming.content_length > MAX_UPFRONT_RESERVE_BYTES:
-            self._check_body_room(incoming.content_length)
+            self._check_room(incoming.content_length)
         else:
             self._reserve_body_bytes(incoming, incoming.content_length)
         if incoming.content_length or incoming.chunked:
@@ -320,25 +354,33 @@
             assert self._transport is not None
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _reserve_head_bytes(self, incoming: IncomingRequest, head_bytes: int) -> None:
+        """Raise the part of the memory budget that is held for a long head to `head_bytes`."""
+        if head_bytes > max(SMALL_MESSAGE_BYTES, incoming.reserved_head_bytes):
+            self._reserve(incoming, head_bytes - incoming.reserved_head_bytes)
+            incoming.reserved_head_bytes = head_bytes
+
     def _reserve_body_bytes(self, incoming: IncomingRequest, total_bytes: int) -> None:
-        """Raise the request's share of the node's memory budget to `total_bytes`.
+        """Raise the part of the memory budget that is held for the body to `total_bytes`.
 
-        Many bodies that fit one by one must not use up the node's memory together. A body that
-        does not fit is rejected with 503, because nothing of its request was sent to a backend.
-        Bodies up to SMALL_BODY_BYTES are always accepted.
+        Many messages that fit one by one must not use up the node's memory together. One that does
+        not fit is rejected with 503, because nothing of its request was sent to a backend. Heads
+        and bodies up to SMALL_MESSAGE_BYTES are always accepted.
         """
-        extra_bytes = total_bytes - incoming.reserved_bytes
-        if extra_bytes <= 0:
-            return
-        if total_bytes > SMALL_BODY_BYTES:
-            self._check_body_room(extra_bytes)
+        extra_bytes = total_bytes - (incoming.reserved_bytes - incoming.reserved_head_bytes)
+        if extra_bytes > 0:
+            self._reserve(incoming, extra_bytes, has_room=total_bytes <= SMALL_MESSAGE_BYTES)
+
+    def _reserve(self, incoming: IncomingRequest, extra_bytes: int, has_room: bool = False) -> None:
+        if not has_room:
+            self._check_room(extra_bytes)
         self._server.node.budget.reserve(extra_bytes)
-        incoming.reserved_bytes = total_bytes
+        incoming.reserved_bytes += extra_bytes
 
-    def _check_body_room(self, extra_bytes: int) -> None:
+    def _check_room(self, extra_bytes: int) -> None:
         """Raise BadRequest unless the node's memory budget has room for this many bytes."""
         if not self._server.node.budget.has_room(extra_bytes):
-            raise BadRequest(503, "no memory for its body")
+            raise BadRequest(503, "no memory for its message")
 
     def on_body(self, body: bytes) -> None:
         incoming = self._incoming
@@ -347,7 +389,8 @@
         if incoming.body_size > MAX_BODY_BYTES:
             raise BadRequest(413)
         self._reserve_body_bytes(incoming, incoming.body_size)
-        incoming.body.append(body)
+        append_piece(incoming.body, body)
+        self._piece_count += 1
 
     def on_message_complete(self) -> None:
         incoming = self._incoming
@@ -362,14 +405,13 @@
         incoming.received_ns = time.monotonic_ns() - unread_ms * NS_PER_MS
         if not incoming.is_probe:
             if incoming.method == b"POST" or incoming.body_size:
-                incoming.header_lines.append(b"Content-Length: %d\r\n" % incoming.body_size)
-            headers = b"".join(incoming.header_lines)
+                incoming.header_lines += b"Content-Length: %d\r\n" % incoming.body_size
             incoming.head = b"%s %s HTTP/1.1\r\n%sX-Timeout-Ms: " % (
                 incoming.method,
                 incoming.url,
-                headers,
+                incoming.header_lines,
             )
-        incoming.header_lines = []
+        incoming.header_lines = bytearray()
         # data_received starts the request once the parser has read all bytes that arrived with
         # it: further bytes would be a second request, and neither would be served.
         self._complete_request = incoming
@@ -429,7 +471,7 @@
 
     # ---- complete responses (interfaces.Caller) --------------------------
 
-    def send_response(self, content_type: bytes, chunks: list[bytes], size: int) -> None:
+    def send_response(self, content_type: bytes, chunks: list[Block], size: int) -> None:
         """Send the complete response of a backend; `size` is the length of the body in bytes."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % size
         if content_type:
@@ -521,7 +563,7 @@
             or server.evacuated
         )
 
-    def _write_response(self, head: bytes, chunks: list[bytes] | None = None) -> None:
+    def _write_response(self, head: bytes, chunks: list[Block] | None = None) -> None:
         """Write a complete response, then close the connection or keep it for the next request."""
         self._request = None
         transport = self._transport
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -20,6 +20,8 @@
 
 from flinthatch import Outcome
 from flinthatch.connection_reuse import AdaptiveIdleTimeout, QuietTime, ResponseHistory
+from windrelay.body_blocks import Block, append_piece
+from windrelay.chunked_framing import ChunkedFraming
 from windrelay.config import Address
 from windrelay.connection_log import CloseReason, ConnectionLog
 from windrelay.guard import closes_connection_on_error
@@ -79,10 +81,11 @@
     __slots__ = (
         "_announced_close", "_body_chunks", "_body_size", "_budgeted_bytes", "_checksum",
         "_chunked", "_closed", "_complete", "_content_length", "_content_type",
-        "_descriptor_released", "_dial_task", "_dial_timer", "_ends_at_close", "_has_dropped_copy",
-        "_has_extra_data", "_headers_done", "_idle_ns", "_interim_count", "_invalid",
-        "_keep_alive", "_last_checksums", "_last_received_at", "_last_request_id", "_load_report",
-        "_not_processed", "_quiet_timer", "_reading_paused", "_received_bytes",
+        "_descriptor_released", "_dial_task", "_dial_timer", "_ends_at_close", "_framing",
+        "_has_dropped_copy", "_has_extra_data", "_headers_done", "_idle_ns", "_interim_count",
+        "_invalid", "_keep_alive", "_last_checksums", "_last_received_at", "_last_request_id",
+        "_load_report",
+        "_not_processed", "_piece_count", "_quiet_timer", "_reading_paused", "_received_bytes",
         "_recognises_copies", "_socket_view", "_stall_timer", "_status", "_streaming_to",
         "_unsent_chunks", "_writing_paused", "address", "attempt", "backend", "idle_since",
         "is_recognisable", "parser", "pool", "request_written", "transport",
@@ -115,7 +118,7 @@
     def _reset_exchange(self) -> None:
         self.request_written = False
         self._writing_paused = False
-        self._unsent_chunks: deque[bytes] | None = None  # rest of a long request
+        self._unsent_chunks: deque[Block] | None = None  # rest of a long request
         self._streaming_to: StreamingCaller | None = None  # receives the response as it arrives
         self._reading_paused = False  # the caller takes the stream more slowly than it arrives
         self._last_received_at = 0
@@ -129,11 +132,13 @@
         self._headers_done = False
         self._content_length = -1
         self._chunked = False
+        self._framing: ChunkedFraming | None = None  # of a chunked body
         self._not_processed = False
         self._load_report = b""
         self._content_type = b""
-        self._body_chunks: list[bytes] = []
+        self._body_chunks: list[Block] = []
         self._body_size = 0
+        self._piece_count = 0  # of the body, in the data that is parsed at present
         self._checksum = 0  # of the body; 0 where it is empty or streamed
         self._complete = False
         self._announced_close = False
@@ -333,19 +338,12 @@
         if self.attempt is None or self._quiet_timer is not None:
             self._drop_unsolicited(data)
             return
-        self._received_bytes += len(data)
         self._last_received_at = time.monotonic_ns()
         if self._streaming_to is not None and self._content_length >= 0:
+            self._received_bytes += len(data)
             self._stream_raw(data)
             return
-        try:
-            parser.feed_data(data)
-        except httptools.HttpParserCallbackError as err:
-            self.pool.node.record_error("reading a response", err.__context__ or err)
-            self._invalid = True
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._has_extra_data = True
-            self._invalid = not self._complete
+        self._parse(parser, data)
         if self._complete and not self._invalid:
             self._finish_response()
         elif self._invalid or (not self._headers_done and self._received_bytes > MAX_HEAD_BYTES):
@@ -355,6 +353,23 @@
                 RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
             )
 
+    def _parse(self, parser: httptools.HttpResponseParser, data: bytes) -> None:
+        """Feed the parser, and count what it reports."""
+        self._received_bytes += len(data)
+        framing, body_bytes_before = self._framing, self._body_size
+        self._piece_count = 0
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserCallbackError as err:
+            self.pool.node.record_error("reading a response", err.__context__ or err)
+            self._invalid = True
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._has_extra_data = True
+            self._invalid = not self._complete
+        if framing is not None and framing is self._framing and not self._complete:
+            framing_bytes = len(data) - (self._body_size - body_bytes_before)
+            self._invalid |= not framing.add(framing_bytes, self._piece_count)
+
     def _drop_unsolicited(self, data: bytes) -> None:
         """Close an idle connection that got bytes which answer no request."""
         now = time.monotonic_ns()
@@ -444,6 +459,8 @@
             return
         self._status = self.parser.get_status_code()
         self._headers_done = True
+        if self._chunked:
+            self._framing = ChunkedFraming()
         self._keep_alive = self.parser.should_keep_alive()
         # The head alone shows that the body is too long, or that its length is ambiguous.
         self._invalid |= self._content_length > MAX_BODY_BYTES or (
@@ -462,6 +479,7 @@
             self._has_extra_data = True
             return
         self._body_size += len(body)
+        self._piece_count += 1
         if self._body_size > MAX_BODY_BYTES:
             self._invalid = True
         elif self._status != 200 or self._invalid:
@@ -469,7 +487,7 @@
         elif self._streaming_to is not None:
             self._streaming_to.send_data(body)
         else:
-            self._body_chunks.append(body)
+            append_piece(self._body_chunks, body)
             self._checksum = crc32(body, self._checksum)
             self._budgeted_bytes += len(body)
             self.pool.node.budget.reserve(len(body))
