Parse what a connection receives in turns of bounded cost

Cause: the loop hands a connection up to 256 kB at a time, and all of it was fed to the parser at once, each chunk a callback; libuv goes on reading from a fast sender, so a turn of the loop had no bound. Nothing ended such a body before its 32 MB. Also, patience grew with all bytes received: 1 MB bought 30 s.

Change: windrelay/paced_protocol.py parses slices of 1 KiB up to a cost of 128 slices and callbacks; what is left waits, counted in the memory budget and with reading stopped, for turns that all connections of the node share in order, eight in a turn of the loop. Clients, backends and the list service go through it. A chunked body beyond 64 Ki pieces needs 64 bytes a piece in the mean (413), so 64 KiB in single bytes is served as before. Streamed pieces go on as blocks.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -71,25 +71,37 @@
             self.pause()
 
     def data_received(self, data: bytes) -> None:
-        began = time.perf_counter_ns()
         if self._first:  # the loop began to read all the same
             data, self._first = self._first + data, b""
+        super().data_received(data)
+
+    def _take_turn(self, view: bytes | memoryview) -> None:
+        began = time.perf_counter_ns()
         try:
-            super().data_received(data)
+            super()._take_turn(view)
         finally:
             self._hosted.used += time.perf_counter_ns() - began
 
+    def _may_take_turn(self) -> bool:
+        return not self._hosted.held
+
+    def _set_reading(self, reading: bool) -> None:
+        if not (reading and self._hosted.held):
+            super()._set_reading(reading)
+
     def pause(self) -> None:
-        self._pause_reading()
+        """Read nothing more, and parse nothing more of what was read."""
+        self._set_reading(False)
 
     def go_on(self) -> None:
         """Read again, what came with the connection first."""
         first, self._first = self._first, b""
         if first:
             self.data_received(first)
-        transport = self._transport
-        if transport is not None and not transport.is_closing() and not self._lingering:
-            transport.resume_reading()
+        if self._unparsed is not None:
+            self._queue_turn()
+        elif not self._lingering:
+            self._set_reading(True)
 
     # ---- whose it is --------------------------------------------------------------------
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,7 +15,7 @@
 import pytest
 
 from flinthatch import Settings
-from windrelay.server import ClientConnection
+from windrelay.server import REQUEST_READ_TIMEOUT_SWEEPS, ClientConnection
 from windrelay.upstream import MAX_BUFFERED_BODY_BYTES
 
 from .fakes import MS, PURE, SECOND, UNSAFE, build_balancer
@@ -493,7 +493,8 @@
                 await in_process.wait_until(lambda n=n: incoming.body_size >= (n + 1) * (16 << 10))  # type: ignore[misc]
                 in_process.server.sweep()
             assert conn._incoming is incoming
-            for _ in range(60):  # the client sends nothing more
+            # The client sends nothing more. What it has sent before gives it no further time.
+            for _ in range(REQUEST_READ_TIMEOUT_SWEEPS + 1):
                 in_process.server.sweep()
             assert b" 408 " in await reader.readline()
             writer.close()
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -10,7 +10,12 @@
 import pytest
 
 from windrelay.body_blocks import MAX_JOINED_BLOCK_BYTES, Block, append_piece
-from windrelay.chunked_framing import MAX_EXCESS_FRAMING_BYTES, ChunkedFraming
+from windrelay.chunked_framing import (
+    MAX_EXCESS_FRAMING_BYTES,
+    SHORT_BODY_PIECES,
+    ChunkedFraming,
+    FramingTooLong,
+)
 from windrelay.config import Address
 from windrelay.discovery import RegistryCall
 
@@ -117,9 +122,11 @@
 
 def test_framing_that_belongs_to_its_chunks_is_not_counted_in_sum() -> None:
     framing = ChunkedFraming()
-    assert all(framing.add(framing_bytes=5, piece_count=1) for _ in range(100_000))
-    assert framing.add(MAX_EXCESS_FRAMING_BYTES, 0)
-    assert not framing.add(1, 0)
+    for _ in range(SHORT_BODY_PIECES):
+        framing.add(received_bytes=6, body_bytes=1, piece_count=1)
+    framing.add(MAX_EXCESS_FRAMING_BYTES, body_bytes=0, piece_count=0)
+    with pytest.raises(FramingTooLong):
+        framing.add(1, body_bytes=0, piece_count=0)
 
 
 def test_long_heads_are_counted_in_the_memory_budget(tmp_path: Path) -> None:
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -21,6 +21,7 @@
 )
 from windrelay.body_blocks import Block, append_piece
 from windrelay.config import Address, Config, parse_address
+from windrelay.paced_protocol import PacedProtocol, TurnQueue
 
 MAX_ANSWER_BYTES = 2 << 20  # enough for some thousands of backends
 # A registry that answers this often in a row with an older revision has lost its count: its list is
@@ -264,7 +265,7 @@
         )
 
 
-class RegistryCall(asyncio.Protocol):
+class RegistryCall(PacedProtocol):
     """One GET request on a connection of its own.
 
     `on_done` is called once with the body, or with None where the call failed.
@@ -279,6 +280,7 @@
         self, address: Address, target: str, timeout_s: float, on_done: Callable[..., None]
     ):
         loop = asyncio.get_running_loop()
+        super().__init__(TurnQueue(loop))
         self._on_done: Callable[..., None] | None = on_done
         self._request_head = (
             f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
@@ -316,20 +318,46 @@
         self._transport.write(self._request_head.encode())
 
     def data_received(self, data: bytes) -> None:
+        if self._parser is not None:
+            self._receive(data)
+
+    def _parse(self, data: bytes | memoryview) -> bool:
         if self._parser is None:
-            return
+            return False
         # All bytes count, not only the body's: a head without end would be held in memory too.
         self._received_bytes += len(data)
         if self._received_bytes > MAX_ANSWER_BYTES:
             self.finish(None)
-            return
+            return False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.finish(None)
+        return self._parser is not None
+
+    def _finish_turn(self, is_last: bool) -> None:
+        pass  # the parser reports the end of the answer
+
+    def _reject_unparsed(self) -> None:
+        self.finish(None)
+
+    def _set_reading(self, reading: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def close_on_error(self, where: str, error: BaseException) -> None:
+        """End the call without an answer; the loop's exception handler is told why."""
+        context = {"message": where, "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        self.finish(None)
 
     def on_body(self, body: bytes) -> None:
         append_piece(self._body, body)
+        self._turn_cost += 1
 
     def on_message_complete(self) -> None:
         parser = self._parser
@@ -354,6 +382,7 @@
         self._on_done = None
         self._parser = None
         self._body = []
+        self._drop_unparsed()
         self._timeout_handle.cancel()
         if self._transport is not None:
             self._transport.abort()
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import resource
 import sys
 import time
 import traceback
@@ -22,6 +21,8 @@
 from flinthatch.reconfigure import reconfigure
 from windrelay.config import Config
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
+from windrelay.memory_budget import MemoryBudget
+from windrelay.paced_protocol import TurnQueue
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -38,61 +39,10 @@
 # Of RESERVED_DESCRIPTORS, so many may replace connections that are being closed.
 REPLACEMENT_DESCRIPTORS = 8
 BACKEND_DESCRIPTOR_DIVISOR = 3  # one descriptor in three is kept for backends
-DEFAULT_BASE_MB = 26  # base memory of the program, where it can't be measured
-MIN_MESSAGE_BYTES = 2 << 20  # for bodies and answers, however small the node's memory limit
 # Finished timers are removed from the heap once there are more than this.
 MIN_STALE_TIMERS_TO_PURGE = 256
 
 
-def resident_bytes() -> int:
-    """Return this process's resident memory in bytes; DEFAULT_BASE_MB if it can't be read."""
-    try:
-        with open("/proc/self/statm") as file:
-            return int(file.read().split()[1]) * resource.getpagesize()
-    except (OSError, ValueError, IndexError):
-        return DEFAULT_BASE_MB << 20
-
-
-class MemoryBudget:
-    """The memory limit for the request bodies and answers of all connections of a node.
-
-    A body is accepted while it fits. Half of the memory above the base of the process is for bodies
-    and answers; the other half is for connections and for what the allocator does not return to the
-    system.
-    """
-
-    __slots__ = ("base_bytes", "held_bytes", "limit_bytes")
-
-    def __init__(self, memory_mb: int) -> None:
-        self.base_bytes = resident_bytes()
-        self.held_bytes = 0
-        self.resize(memory_mb)
-
-    def resize(self, memory_mb: int, process_count: int = 1) -> None:
-        """Recompute the limit from the memory limit of the node, which `process_count` processes
-        share."""
-        self.limit_bytes = max(
-            ((memory_mb << 20) // process_count - self.base_bytes) // 2, MIN_MESSAGE_BYTES
-        )
-
-    def set_limit(self, limit_bytes: int) -> None:
-        """Set the limit directly, whatever the process itself takes: for a process that hosts
-        several nodes."""
-        self.limit_bytes = limit_bytes
-
-    def has_room(self, size: int) -> bool:
-        """Return whether `size` more bytes fit within the limit."""
-        return self.held_bytes + size <= self.limit_bytes
-
-    def reserve(self, size: int) -> None:
-        """Count `size` more bytes as held."""
-        self.held_bytes += size
-
-    def release(self, size: int) -> None:
-        """Count `size` bytes as no longer held."""
-        self.held_bytes -= size
-
-
 class Request:
     """A client's request from its arrival until it has ended and its last attempt is concluded."""
 
@@ -167,6 +117,7 @@
         self.loop = loop
         self.now = time.monotonic_ns()
         self.budget = MemoryBudget(config.memory_mb)
+        self.turn_queue = TurnQueue(loop, self.budget)
         self.client_count = 0
         # Called when a descriptor has been closed; the server sets it once it listens.
         self.on_descriptor_freed: Callable[[], None] = lambda: None
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -19,8 +19,9 @@
 
 from flinthatch import Effect, RequestClass
 from windrelay.body_blocks import Block, append_piece
-from windrelay.chunked_framing import ChunkedFraming
+from windrelay.chunked_framing import ChunkedFraming, FramingTooLong, TooManyPieces
 from windrelay.guard import closes_connection_on_error
+from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
 
 if TYPE_CHECKING:
     from windrelay.config import Address
@@ -43,11 +44,11 @@
 SWEEP_INTERVAL_S = 0.25
 FIRST_BYTE_TIMEOUT_SWEEPS = 8  # longest wait from connecting to the first byte of a request
 # A head must be complete within this time, counted from connecting or, for a later request, from
-# the request's first byte. A body gets the same time again from the end of its head, and one more
-# sweep for each BODY_BYTES_PER_EXTRA_SWEEP bytes received beyond the first BODY_BASE_BYTES.
+# the request's first byte. A body gets the same time from the end of its head, and one more sweep
+# for each BODY_BYTES_PER_SWEEP received, but never more than this in advance: a client that stops
+# in the middle of a body of any length is rejected after this time.
 REQUEST_READ_TIMEOUT_SWEEPS = 9
-BODY_BYTES_PER_EXTRA_SWEEP = 8 << 10  # half of what the slowest client line carries in a sweep
-BODY_BASE_BYTES = 32 << 10
+BODY_BYTES_PER_SWEEP = 8 << 10  # half of what the slowest client line carries in a sweep
 IDLE_TIMEOUT_SWEEPS = 16  # a connection without a request is kept open this long
 SHORT_IDLE_TIMEOUT_SWEEPS = 8  # idle timeout while descriptors are short; 2 s is the least allowed
 # The node keeps at most one idle client connection per this many descriptors; beyond that a
@@ -173,21 +174,23 @@
         self.classes_version = 0  # version of Server's classes that the head was checked against
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(PacedProtocol):
     """A connection from a client, which carries one request at a time.
 
     Implements interfaces.StreamingCaller for the request under way.
     """
 
     __slots__ = (
-        "_close_after_response", "_complete_request", "_delimited_by_close", "_discarded_bytes",
+        "_bytes_since_sweep", "_close_after_response", "_complete_request", "_delimited_by_close",
+        "_discarded_bytes",
         "_half_closed", "_head_bytes", "_headers_done", "_incoming", "_is_http_1_0",
         "_keep_alive", "_last_write_sweep", "_lingering", "_parser", "_piece_count", "_request",
-        "_response_chunked", "_server", "_since_sweep", "_sock", "_source", "_transport",
-        "_unsent_sizes", "is_counted",
+        "_response_chunked", "_server", "_since_sweep", "_sock", "_source", "_sweeps_left",
+        "_transport", "_unsent_sizes", "is_counted",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
+        super().__init__(server.node.turn_queue)
         self._server = server
         self._sock = sock
         self.is_counted = True  # included in node.client_count until the connection is lost
@@ -202,6 +205,8 @@
         self._keep_alive = True
         self._half_closed = False
         self._lingering = False
+        self._bytes_since_sweep = 0
+        self._sweeps_left = 0  # until a body that is being received is overdue
         self._discarded_bytes = 0  # received during the lingering close
         # Number of the sweep at which the connection's present phase began: connecting, reading
         # a head or a body, idling or lingering.
@@ -234,21 +239,15 @@
             # body would cost more than a hundred requests.
             self._discarded_bytes += len(data)
             if self._discarded_bytes > MAX_LINGER_BYTES:
-                self._pause_reading()
+                self._set_reading(False)
             return
-        if not self._parse(data):
-            return
-        incoming, self._complete_request = self._complete_request, None
-        if incoming is not None:
-            try:
-                self._start_request(incoming)
-            except Exception as err:
-                self.close_on_error("starting a request", err)
+        self._bytes_since_sweep += len(data)
+        self._receive(data)
 
-    def _parse(self, data: bytes) -> bool:
-        """Feed the parser; returns False where the connection reads nothing more."""
+    def _parse(self, data: bytes | memoryview) -> bool:
         parser, incoming = self._parser, self._incoming
-        assert parser is not None
+        if parser is None:
+            return False
         framing = incoming.framing if incoming is not None else None
         body_bytes_before = incoming.body_size if incoming is not None else 0
         self._piece_count = 0
@@ -259,9 +258,11 @@
             if not self._headers_done:
                 self._check_unfinished_head()
             elif framing is not None and incoming is not None:
-                framing_bytes = len(data) - (incoming.body_size - body_bytes_before)
-                if not framing.add(framing_bytes, self._piece_count):
-                    raise BadRequest(400, "chunk extensions or trailer fields too long")
+                framing.add(len(data), incoming.body_size - body_bytes_before, self._piece_count)
+        except FramingTooLong as err:
+            self._reject(400, err)
+        except TooManyPieces as err:
+            self._reject(413, err)
         except BadRequest as err:
             self._reject(err.status, err)
         except httptools.HttpParserCallbackError as err:
@@ -276,6 +277,38 @@
             return True
         return False
 
+    def _slice_size(self) -> int:
+        incoming = self._incoming
+        if incoming is None or not self._headers_done or incoming.chunked:
+            return SLICE_BYTES
+        return max(incoming.content_length - incoming.body_size, SLICE_BYTES)
+
+    def _finish_turn(self, is_last: bool) -> None:
+        """Start a request that is complete, once nothing more of what came with it is unparsed.
+
+        Further bytes would be a second request, and neither would be served.
+        """
+        if not is_last:
+            return
+        incoming, self._complete_request = self._complete_request, None
+        if incoming is not None:
+            try:
+                self._start_request(incoming)
+            except Exception as err:
+                self.close_on_error("starting a request", err)
+
+    def _reject_unparsed(self) -> None:
+        self._reject(503, "no memory for what it sends")
+
+    def _set_reading(self, reading: bool) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
     def _check_unfinished_head(self) -> None:
         """Raise BadRequest where a head of which the end has not come is too long."""
         if self._complete_request is not None:
@@ -305,6 +338,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header field: those that are interpreted, and those that are forwarded."""
+        self._turn_cost += 1
         incoming = self._incoming
         if incoming is None or self._headers_done:
             return  # a trailer field of a chunked body
@@ -347,7 +381,7 @@
         else:
             self._reserve_body_bytes(incoming, incoming.content_length)
         if incoming.content_length or incoming.chunked:
-            self._since_sweep = self._server.sweep_count
+            self._sweeps_left = REQUEST_READ_TIMEOUT_SWEEPS
         if (incoming.content_length or incoming.chunked) and (
             incoming.headers.get(b"expect", b"").lower() == b"100-continue"
         ):
@@ -391,6 +425,7 @@
         self._reserve_body_bytes(incoming, incoming.body_size)
         append_piece(incoming.body, body)
         self._piece_count += 1
+        self._turn_cost += 1
 
     def on_message_complete(self) -> None:
         incoming = self._incoming
@@ -412,8 +447,6 @@
                 incoming.header_lines,
             )
         incoming.header_lines = bytearray()
-        # data_received starts the request once the parser has read all bytes that arrived with
-        # it: further bytes would be a second request, and neither would be served.
         self._complete_request = incoming
 
     def _revalidate_head(self, incoming: IncomingRequest) -> bool:
@@ -465,10 +498,6 @@
         elif not request.ended:
             self._request = request
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None:
-            self._transport.pause_reading()
-
     # ---- complete responses (interfaces.Caller) --------------------------
 
     def send_response(self, content_type: bytes, chunks: list[Block], size: int) -> None:
@@ -595,7 +624,7 @@
         """Answer a request that the node does not serve, and close the connection."""
         self._server.record_rejection(status, reason)
         self._discard_incoming()
-        self._parser = None
+        self._stop_parsing()
         if self._source is not None:
             # A status line can't be sent in the middle of another response's body.
             assert self._transport is not None
@@ -620,7 +649,7 @@
         assert transport is not None
         self._server.remove_evictable(self)
         self._discard_incoming()
-        self._parser = None
+        self._stop_parsing()
         if self._half_closed:
             transport.close()
             return
@@ -629,6 +658,13 @@
         self._since_sweep = self._server.sweep_count
         transport.write_eof()
 
+    def _stop_parsing(self) -> None:
+        """Parse nothing more, and let the lingering close read what still comes."""
+        self._parser = None
+        if self._unparsed is not None:
+            self._drop_unparsed()
+            self._set_reading(True)
+
     def _discard_incoming(self) -> None:
         """Drop requests that were not started, and release the memory of their bodies."""
         for incoming in (self._incoming, self._complete_request):
@@ -654,7 +690,7 @@
         self.is_counted = False
         server = self._server
         self._transport = None
-        self._parser = None
+        self._stop_parsing()
         try:
             server.connections.discard(self)
             server.remove_evictable(self)
@@ -676,6 +712,7 @@
             transport is None
             or self._request is not None
             or self._incoming is not None
+            or self._unparsed is not None
             or transport.get_write_buffer_size()
         ):
             return False
@@ -707,6 +744,15 @@
             else:
                 self._transport.close()
 
+    def _is_overdue(self, sweep: int) -> bool:
+        """Whether the client takes too long over its request; asked once in each sweep."""
+        received_bytes, self._bytes_since_sweep = self._bytes_since_sweep, 0
+        if not self._headers_done:
+            return self.is_silent_for(REQUEST_READ_TIMEOUT_SWEEPS + 1)
+        earned_sweeps = received_bytes // BODY_BYTES_PER_SWEEP
+        self._sweeps_left = min(self._sweeps_left - 1 + earned_sweeps, REQUEST_READ_TIMEOUT_SWEEPS)
+        return self._sweeps_left < 0
+
     def sweep(self, sweep: int) -> None:
         """Close the connection if its client is too slow; `sweep` is the number of this sweep."""
         transport = self._transport
@@ -716,14 +762,9 @@
         if self._lingering and not buffered and sweep - self._since_sweep > LINGER_TIMEOUT_SWEEPS:
             transport.abort()
             return
-        incoming = self._incoming
-        if incoming is not None and sweep - self._since_sweep > REQUEST_READ_TIMEOUT_SWEEPS:
-            extra_sweeps = (
-                max(incoming.body_size - BODY_BASE_BYTES, 0) // BODY_BYTES_PER_EXTRA_SWEEP
-            )
-            if sweep - self._since_sweep > REQUEST_READ_TIMEOUT_SWEEPS + extra_sweeps:
-                self._reject(408, "not whole in time")
-                return
+        if self._incoming is not None and self._is_overdue(sweep):
+            self._reject(408, "not whole in time")
+            return
         if not buffered:
             self._last_write_sweep = sweep
             return
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -21,11 +21,12 @@
 from flinthatch import Outcome
 from flinthatch.connection_reuse import AdaptiveIdleTimeout, QuietTime, ResponseHistory
 from windrelay.body_blocks import Block, append_piece
-from windrelay.chunked_framing import ChunkedFraming
+from windrelay.chunked_framing import ChunkedFraming, FramingTooLong, TooManyPieces
 from windrelay.config import Address
 from windrelay.connection_log import CloseReason, ConnectionLog
 from windrelay.guard import closes_connection_on_error
 from windrelay.interfaces import StreamingCaller
+from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
 from windrelay.socket_view import SocketView, has_unread_data
 
 if TYPE_CHECKING:
@@ -71,7 +72,7 @@
 }
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(PacedProtocol):
     """One connection to one backend; it carries one attempt at a time.
 
     The retry rules depend on `request_written`: the flag stays false while at least the last
@@ -92,6 +93,7 @@
     )  # fmt: skip
 
     def __init__(self, pool: HttpConnectionPool, backend: int, address: Address) -> None:
+        super().__init__(pool.node.turn_queue)
         self.pool = pool
         self.backend = backend
         self.address = address
@@ -339,36 +341,69 @@
             self._drop_unsolicited(data)
             return
         self._last_received_at = time.monotonic_ns()
-        if self._streaming_to is not None and self._content_length >= 0:
+        if self._streaming_to is not None and self._content_length >= 0 and self._unparsed is None:
             self._received_bytes += len(data)
             self._stream_raw(data)
             return
-        self._parse(parser, data)
-        if self._complete and not self._invalid:
-            self._finish_response()
-        elif self._invalid or (not self._headers_done and self._received_bytes > MAX_HEAD_BYTES):
-            self._reject_response()
-        elif self._stall_timer is None and self._received_bytes:
-            self._stall_timer = self.pool.node.loop.call_later(
-                RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
-            )
+        self._receive(data)
 
-    def _parse(self, parser: httptools.HttpResponseParser, data: bytes) -> None:
-        """Feed the parser, and count what it reports."""
+    def _parse(self, data: bytes | memoryview) -> bool:
+        parser = self.parser
+        if parser is None:
+            return False
         self._received_bytes += len(data)
+        if self._invalid or self._has_extra_data:
+            return True  # nothing that follows can be used
         framing, body_bytes_before = self._framing, self._body_size
         self._piece_count = 0
         try:
             parser.feed_data(data)
+            if framing is not None and framing is self._framing and not self._complete:
+                framing.add(len(data), self._body_size - body_bytes_before, self._piece_count)
         except httptools.HttpParserCallbackError as err:
             self.pool.node.record_error("reading a response", err.__context__ or err)
             self._invalid = True
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._has_extra_data = True
             self._invalid = not self._complete
-        if framing is not None and framing is self._framing and not self._complete:
-            framing_bytes = len(data) - (self._body_size - body_bytes_before)
-            self._invalid |= not framing.add(framing_bytes, self._piece_count)
+        except (FramingTooLong, TooManyPieces):
+            self._invalid = True
+        self._invalid |= not self._headers_done and self._received_bytes > MAX_HEAD_BYTES
+        return True
+
+    def _slice_size(self) -> int:
+        if not self._headers_done or self._content_length < 0:
+            return SLICE_BYTES
+        return max(self._content_length - self._body_size, SLICE_BYTES)
+
+    def _finish_turn(self, is_last: bool) -> None:
+        """Pass on, finish or reject the response, as far as it was parsed."""
+        if self._streaming_to is not None:
+            self._pass_on_body()
+        if self._complete and not self._invalid:
+            self._has_extra_data |= not is_last
+            self._finish_response()
+        elif self._invalid:
+            self._reject_response()
+        elif self._stall_timer is None and self._received_bytes:
+            self._stall_timer = self.pool.node.loop.call_later(
+                RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
+            )
+
+    def _reject_unparsed(self) -> None:
+        self._reject_response()
+
+    def _may_take_turn(self) -> bool:
+        return not self._reading_paused
+
+    def _set_reading(self, reading: bool) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing() or self._reading_paused:
+            return
+        if reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
 
     def _drop_unsolicited(self, data: bytes) -> None:
         """Close an idle connection that got bytes which answer no request."""
@@ -399,8 +434,9 @@
             RESPONSE_STALL_TIMEOUT_S if self._streaming_to is None else STREAM_STALL_TIMEOUT_S
         )
         silent_s = (time.monotonic_ns() - self._last_received_at) / 1e9
-        if self._reading_paused:
-            silent_s = 0.0  # the caller is slow, not the backend; its own time limits apply
+        if self._reading_paused or self._unparsed is not None:
+            # The caller is slow, whose own time limits apply, or this node has not parsed all yet.
+            silent_s = 0.0
         elif silent_s >= stall_timeout_s:
             if not self._has_unread_data():
                 self._reject_response()
@@ -434,6 +470,7 @@
             self._has_extra_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._turn_cost += 1
         if self._headers_done or self._complete:
             return  # a trailer, or a header of data behind the response
         name = name.lower()
@@ -480,12 +517,13 @@
             return
         self._body_size += len(body)
         self._piece_count += 1
+        self._turn_cost += 1
         if self._body_size > MAX_BODY_BYTES:
             self._invalid = True
         elif self._status != 200 or self._invalid:
             return  # the body of an error or of an invalid response is not used
         elif self._streaming_to is not None:
-            self._streaming_to.send_data(body)
+            append_piece(self._body_chunks, body)
         else:
             append_piece(self._body_chunks, body)
             self._checksum = crc32(body, self._checksum)
@@ -510,13 +548,18 @@
         else:
             self._streaming_to = cast(StreamingCaller, request.client)
             self._checksum = 0  # it is passed on before it is complete
-            chunks, self._body_chunks = self._body_chunks, []
             self.pool.node.begin_answer(attempt)
             self._streaming_to.begin_stream(self._content_type, self._content_length, self)
-            for chunk in chunks:
-                self._streaming_to.send_data(chunk)
+            self._pass_on_body()
             self._release_budget()
 
+    def _pass_on_body(self) -> None:
+        """Send the part of a streamed body that was received since the last call."""
+        chunks, self._body_chunks = self._body_chunks, []
+        for chunk in chunks:
+            if self._streaming_to is not None:
+                self._streaming_to.send_data(chunk)
+
     def _stream_raw(self, data: bytes) -> None:
         """Stream body data without the parser, which a body of known length does not need."""
         assert self._streaming_to is not None
@@ -542,8 +585,10 @@
         if self._reading_paused:
             self._reading_paused = False
             self._last_received_at = time.monotonic_ns()
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
+            if self._unparsed is not None:
+                self._queue_turn()
+            else:
+                self._set_reading(True)
 
     def cancel(self) -> None:
         self._streaming_to = None
@@ -772,6 +817,7 @@
         self.pool.unsent.discard(self)
         self.pool.remove_idle(self)
         self.parser = None
+        self._drop_unparsed()
         self._body_chunks = []
         self._unsent_chunks = None
         self._release_budget()
