Give up a silent poll at the same time however slow the list service is

Cause: towards a late service the hold time doubled up to 8 s and the time-out grew to 3.2 s, so a silent poll was given up after 11.2 s.

Looked for on related paths: hold, time-out, failed call, back-off and next call in sum, at every delay up to the 3 s after which a service turns calls away; the same after SIGHUP (a silent call to the new address took 3.4 s and the next one's 3 s more) and with an agent (a connection that did not come up took the whole grace; a reload kept the hold time of the start).

Change: a poll is given up 2.4 s after its start. The schedule measures how late the service answers and divides the 2.4 s into hold time and waiting accordingly, so polls follow each other at one rate whatever the delay, and none that the service answers within 2.4 s is given up. The call after a silent one still has 3.2 s, so an overloaded service is not called in vain. The longest back-off is 0.5 to 1.5 s, it was 0.8 to 2.4. A connection to an agent has a quarter of the grace to come up.

The test that the hold time grows to 8 s stated the fault. In its place: at 31 delays the sums of all pairs, outages, new addresses and agents, that no answered poll is given up, and that a slow service is called no more often than a quick one. On the code before 214 of these cases fail.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -116,7 +116,7 @@
 # half to one and a half of it. The node counts as informed of a change 6 s after the list
 # has it, whatever became of the calls, so the backoff has to stay short.
 LIST_BACKOFF_NS = 200 * MS
-MAX_LIST_BACKOFF_NS = 1600 * MS
+MAX_LIST_BACKOFF_NS = 1000 * MS
 # Health of backends.
 MAX_REJECTION_PAUSE_NS = SECOND // 3  # longest pause of a backend that rejected an attempt
 DIAL_FAILURE_PAUSE_NS = 50 * MS  # pause after a single failed connection attempt
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -12,12 +12,12 @@
 
 import httptools
 
-from flinthatch import Listing, State, Update
+from flinthatch import Listing, Settings, State, Update
 from flinthatch.list_polling import (
     CONNECT_TIMEOUT_S,
     FULL_LIST_TIMEOUT_S,
-    MIN_AGENT_HOLD_MS,
     PollSchedule,
+    agent_hold_ms,
 )
 from windrelay.body_blocks import Block, append_piece
 from windrelay.config import Address, Config, parse_address
@@ -272,12 +272,17 @@
     """
 
     __slots__ = (
-        "_body", "_connect_task", "_on_done", "_parser", "_received_bytes", "_request_head",
-        "_timeout_handle", "_timeout_s", "_transport", "sent_at", "timed_out",
+        "_body", "_connect_task", "_on_done", "_parser", "_received_bytes",
+        "_request_head", "_timeout_handle", "_timeout_s", "_transport", "sent_at", "timed_out",
     )  # fmt: skip
 
     def __init__(
-        self, address: Address, target: str, timeout_s: float, on_done: Callable[..., None]
+        self,
+        address: Address,
+        target: str,
+        timeout_s: float,
+        on_done: Callable[..., None],
+        connect_timeout_s: float | None = None,
     ):
         loop = asyncio.get_running_loop()
         super().__init__(TurnQueue(loop))
@@ -292,7 +297,8 @@
         self._timeout_s = timeout_s  # counted from the moment the connection is established
         self.sent_at = 0.0  # by the loop's clock; 0 until the connection is established
         self.timed_out = False  # ended because no answer came in time
-        self._timeout_handle = loop.call_later(min(CONNECT_TIMEOUT_S, timeout_s), self._on_timeout)
+        connect_timeout_s = min(connect_timeout_s or CONNECT_TIMEOUT_S, timeout_s)
+        self._timeout_handle = loop.call_later(connect_timeout_s, self._on_timeout)
         self._connect_task = loop.create_task(self._connect(address))
 
     async def _connect(self, address: Address) -> None:
@@ -409,16 +415,18 @@
         self._on_update = on_update
         self._stale_answer_count = 0
         self._is_watching = False
-        grace_ms = config.settings.drain_grace // 1_000_000
-        self._watch_state = PollSchedule(
-            0 if config.settings.ask else max(grace_ms // 4, MIN_AGENT_HOLD_MS)
-        )
+        self._watch_state = PollSchedule()
+        self.apply_settings(config.settings)
         self._asked_revision = 0  # current revision when the watch's last call was made
         self._retry_handle: asyncio.TimerHandle | None = None
         self._calls: set[RegistryCall] = set()
         self.log = log
         self.backend_list = BackendList(config)
 
+    def apply_settings(self, settings: Settings) -> None:
+        """Time later calls by these settings."""
+        self._watch_state.agent_hold_ms = 0 if settings.ask else agent_hold_ms(settings.drain_grace)
+
     def load_known_list(self, raw: Any) -> list[Listing]:
         """Apply the list of the configuration and return its rows. Raises ListError where it is
         malformed."""
@@ -491,7 +499,8 @@
             self._calls.discard(call)
             on_done(call, body)
 
-        call = RegistryCall(self._address, target, timeout_s, ended)
+        connect_timeout_s = self._watch_state.connect_timeout_s
+        call = RegistryCall(self._address, target, timeout_s, ended, connect_timeout_s)
         self._calls.add(call)
 
     def _send_watch(self) -> None:
--- a/windrelay/http_node.py
+++ b/windrelay/http_node.py
@@ -23,5 +23,6 @@
 
     def reload(self, config: Config) -> dict[str, int]:
         class_numbers = super().reload(config)
+        self.discovery.apply_settings(config.settings)
         self.upstream.set_backend_idle_timeout(config.backend_idle_timeout)
         return class_numbers
