Use a list that ends with its connection, and parse none of very many parts

Cause: RegistryCall had no eof_received; and the limit of an answer counted its bytes, not what JSON makes of them.

Change: an answer that names no length ends with its connection and is used if it is whole JSON; one that was reset or names a longer length is not.

Evidence: test_an_answer_without_a_length_is_used fails before (the node goes on asking from revision 1); the answers that break off are not used before or after.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,13 @@
 
 from flinthatch import State, Update
 from windrelay.config import load
-from windrelay.discovery import BackendList, ListError, backend_id
+from windrelay.discovery import (
+    MAX_ANSWER_BYTES,
+    BackendList,
+    ListError,
+    backend_id,
+    parse_answer,
+)
 
 from .harness import (
     Peer,
@@ -266,6 +272,48 @@
 # ---- reload -----------------------------------------------------------------
 
 
+def test_an_answer_without_a_length_is_used(tmp_path: Path) -> None:
+    """Guards against drains that are never heard of: HTTP/1.1 lets the close end an answer."""
+    with listen() as disco, node(tmp_path, roster(), port(disco)):
+        peer = accept(disco)
+        peer.message()
+        body = json.dumps(roster(target("s-1", 1), rev=7)).encode()
+        peer.send(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body)
+        peer.close()
+        assert "?from=7&" in accept(disco).message()[0]
+
+
+@pytest.mark.parametrize("end", ["reset", "half", "short"])
+def test_an_answer_that_breaks_off_is_not_used(tmp_path: Path, end: str) -> None:
+    with listen() as disco, node(tmp_path, roster(), port(disco)):
+        peer = accept(disco)
+        peer.message()
+        body = json.dumps(roster(target("s-1", 1), rev=7)).encode()
+        length = f"Content-Length: {len(body) + 10}\r\n" if end == "short" else ""
+        sent = body[: len(body) // 2] if end == "half" else body
+        peer.send(f"HTTP/1.1 200 OK\r\n{length}\r\n".encode() + sent)
+        if end == "reset":
+            peer.reset()
+        else:
+            peer.close()
+        assert "?from=1&" in accept(disco).message()[0]
+
+
+@pytest.mark.parametrize("part", [b"{},", b"[],", b"1,"])
+def test_an_answer_of_very_many_parts_is_not_parsed(part: bytes) -> None:
+    """Guards against 2 MB of JSON that take far more memory and time than any list."""
+    body = b'{"rev":1,"all":true,"targets":[' + part * (MAX_ANSWER_BYTES // len(part) - 99) + b"1]}"
+    assert len(body) < MAX_ANSWER_BYTES
+    with pytest.raises(ListError):
+        parse_answer(body)
+
+
+def test_a_list_of_the_largest_fleet_is_parsed_indented_too() -> None:
+    rows = [target(f"s-{i:08x}", i % 60000 + 1) for i in range(3200)]
+    whole = roster(*rows)
+    assert parse_answer(json.dumps(whole, indent=4).encode()) == whole
+
+
 def test_a_reload_moves_to_the_new_address_at_once_and_from_a_whole_list(tmp_path: Path) -> None:
     """The new address is adopted also where its revisions are lower. The end of the old watch is no
     failure, and comes too late to count."""
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -23,7 +23,11 @@
 from windrelay.config import Address, Config, parse_address
 from windrelay.paced_protocol import PacedProtocol, TurnQueue
 
+OK = 200  # the status of an answer that holds a list
 MAX_ANSWER_BYTES = 2 << 20  # enough for some thousands of backends
+# An object of a few bytes takes hundreds in memory, so the parts of an answer are limited too.
+MAX_ANSWER_CONTAINERS = 16 << 10  # objects and arrays; a backend is one object
+MAX_ANSWER_VALUES = 256 << 10
 # A registry that answers this often in a row with an older revision has lost its count: its list is
 # accepted.
 STALE_ANSWERS_BEFORE_ACCEPTANCE = 3
@@ -38,6 +42,18 @@
     """A list of backends that can't be used; the text says why."""
 
 
+def parse_answer(body: bytes) -> Any:
+    """Return the JSON value of an answer; raises ListError where it has too many parts.
+
+    Raises ValueError or RecursionError where it is no JSON. Brackets and commas within strings
+    count too, which do not occur in ids and addresses.
+    """
+    container_count = body.count(b"{") + body.count(b"[")
+    if container_count > MAX_ANSWER_CONTAINERS or body.count(b",") > MAX_ANSWER_VALUES:
+        raise ListError(f"more than {MAX_ANSWER_CONTAINERS} objects or {MAX_ANSWER_VALUES} values")
+    return json.loads(body)
+
+
 def backend_id(uid: str) -> int:
     """Return a uid's number, which is the same at every node.
 
@@ -272,7 +288,7 @@
     """
 
     __slots__ = (
-        "_body", "_connect_task", "_on_done", "_parser", "_received_bytes",
+        "_body", "_connect_task", "_has_length", "_on_done", "_parser", "_received_bytes",
         "_request_head", "_timeout_handle", "_timeout_s", "_transport", "sent_at", "timed_out",
     )  # fmt: skip
 
@@ -292,6 +308,7 @@
         )
         self._body: list[Block] = []
         self._received_bytes = 0
+        self._has_length = False  # the answer's head tells where its body ends
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._timeout_s = timeout_s  # counted from the moment the connection is established
@@ -361,6 +378,10 @@
         asyncio.get_running_loop().call_exception_handler(context)
         self.finish(None)
 
+    def on_header(self, name: bytes, _value: bytes) -> None:
+        self._turn_cost += 1
+        self._has_length |= name.lower() in (b"content-length", b"transfer-encoding")
+
     def on_body(self, body: bytes) -> None:
         append_piece(self._body, body)
         self._turn_cost += 1
@@ -370,7 +391,17 @@
         if parser is not None:
             status = parser.get_status_code()
             if status >= 200:  # 1xx responses precede the answer
-                self.finish(b"".join(self._body) if status == 200 else None)
+                self.finish(b"".join(self._body) if status == OK else None)
+
+    def eof_received(self) -> None:
+        """Take the end of the connection for that of an answer without a length.
+
+        An answer that broke off is no JSON object, which its reader finds out.
+        """
+        if self._parser is None or self._has_length or not self._body:
+            return
+        if self._parser.get_status_code() == OK:
+            self.finish(b"".join(self._body))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.finish(None)
@@ -544,7 +575,7 @@
         """Apply and report an answer; returns False where it can't be used and the list stays."""
         backend_list = self.backend_list
         try:
-            raw = None if body is None else json.loads(body)
+            raw = None if body is None else parse_answer(body)
             if raw is None:
                 raise ListError("the call failed")
             update, rows, endpoints, unreadable_count = backend_list.parse(raw)
