Evict clients that stop within a request when descriptors run out

Cause: Server.evict closes connections without a request alone, and half a head counts as one: each batch of such clients held every descriptor for its 2.25 s.

Change: where nothing else can be evicted, requests of which a part came, and then nothing for 0.5 s by the kernel's account, are rejected with 408, up to 32 at a time. A request whose last byte has not come was not taken yet; clients that write slowly are touched only while descriptors are short.

Evidence: the new test times out before the change. The existing test of idle clients left out the half requests in its last step; it plays them too now.

--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -86,15 +86,13 @@
         peer = accept(other)
         assert peer.message()[0].startswith("GET /registry/instances ")
         peer.send(answer(json.dumps(rows).encode()))
-        # Clients with an incomplete head hold their descriptors for 2.25 s each, batch after batch.
-        if client_state != "incomplete head":
-            client = running.connect()  # behind all idle clients
-            client.send(request())
-            server = accept(backend)
-            server.message()
-            server.send(answer(b"served"))
-            assert client.message()[2] == b"served"
-            client.close()
+        client = running.connect()  # behind all idle clients
+        client.send(request())
+        server = accept(backend)
+        server.message()
+        server.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+        client.close()
         assert running.stop() == 0  # while the idle clients are still connected
 
 
@@ -136,3 +134,24 @@
             client = running.connect()
             client.send(request())
             accept(new).message()
+
+
+def test_sound_clients_are_served_beside_many_that_stop_within_a_head(tmp_path: Path) -> None:
+    """Guards against half requests that hold every descriptor until their time is up."""
+    max_sockets = 128
+    with listen() as backend:
+        known_list = roster(target("s-1", port(backend)))
+        with node(tmp_path, known_list, limits={"sockets": max_sockets}) as running:
+            resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE, (max_sockets,) * 2)
+            half_requests = [running.connect() for _ in range(2 * max_sockets)]
+            for peer in half_requests:
+                peer.send(request("/credit/1", b"x")[:40])
+            client = running.connect()  # behind all of them
+            client.send(request(timeout=2000))
+            client.sock.settimeout(2.6)
+            server = accept(backend)
+            server.message()
+            server.send(answer(b"served"))
+            assert client.message()[2] == b"served"
+            for peer in half_requests:
+                peer.close()
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -81,6 +81,10 @@
 )  # fmt: skip
 MAX_EVICTIONS = 4  # connections closed at a time when a descriptor is needed
 MAX_EVICTION_CANDIDATES = 16  # connections examined at a time for eviction
+# A client that has sent a part of a request and then nothing for this long may be evicted, where no
+# other connection can be.
+STALLED_MS = 500
+MAX_STALLED_EVICTIONS = 32  # at a time: such clients come in great numbers
 
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close reset
 TCP_INFO_BYTES = 56  # the part of struct tcp_info that ends with tcpi_last_data_recv
@@ -435,8 +439,7 @@
         self._head_bytes = 0
         # The time that the last bytes waited in the kernel while the loop was busy counts
         # against the request's deadline.
-        tcp_info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        (unread_ms,) = TCP_INFO_LAST_DATA_RECV.unpack(tcp_info)
+        unread_ms = self._milliseconds_since_data()
         incoming.received_ns = time.monotonic_ns() - unread_ms * NS_PER_MS
         if not incoming.is_probe:
             if incoming.method == b"POST" or incoming.body_size:
@@ -724,6 +727,23 @@
             return True
         return False  # bytes of a request, or the client's close, are unread
 
+    def is_stalled(self) -> bool:
+        """Whether the client has sent a part of a request and then nothing for a while."""
+        if self._incoming is None or self._unparsed is not None or self._transport is None:
+            return False
+        return self._milliseconds_since_data() >= STALLED_MS
+
+    def reject_stalled(self) -> None:
+        """Reject the unfinished request and close the connection without waiting for the client."""
+        self._reject(408, "not whole while descriptors are short")
+        self.close()
+
+    def _milliseconds_since_data(self) -> int:
+        """Milliseconds since data last arrived in the kernel."""
+        tcp_info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (elapsed_ms,) = TCP_INFO_LAST_DATA_RECV.unpack(tcp_info)
+        return int(elapsed_ms)
+
     def is_silent_for(self, sweeps: int) -> bool:
         """Whether this many sweeps have passed since the connection's present phase began."""
         return self._server.sweep_count - self._since_sweep >= sweeps
@@ -1002,7 +1022,17 @@
                 closed_count += 1
                 if closed_count == MAX_EVICTIONS:
                     break
-        return closed_count > 0
+        return closed_count > 0 or self._evict_stalled()
+
+    def _evict_stalled(self) -> bool:
+        """Reject up to MAX_STALLED_EVICTIONS unfinished requests whose clients send nothing more.
+
+        Returns False if there are none. A request whose last byte has not come was not taken yet.
+        """
+        stalled = [conn for conn in self.connections if conn.is_stalled()]
+        for conn in stalled[:MAX_STALLED_EVICTIONS]:
+            conn.reject_stalled()
+        return bool(stalled)
 
     def remove_evictable(self, conn: ClientConnection) -> None:
         """Remove a connection from the dictionaries of those that may be evicted."""
