Collect what earlier tests left before a test counts descriptors

Cause: loops and sockets of the earlier tests are closed by the collector while the later test runs, so the count differs from that of its start. The check stays as it is; what is garbage at its start is collected before it.

--- a/tests/inside.py
+++ b/tests/inside.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
@@ -52,6 +53,7 @@
 ) -> Iterator[InProcessNode]:
     """Start a node that listens; at the end, check that every descriptor it opened is closed."""
     uvloop.new_event_loop().close()  # the first loop opens a pipe that the process keeps
+    gc.collect()  # descriptors that earlier tests left to the collector would be closed meanwhile
     before = len(os.listdir("/proc/self/fd"))
     one = InProcessNode(tmp_path, known, **over)
     try:
