Move a client's request and its headers out of the server module

IncomingRequest, BadRequest and the sets of headers that are read or forwarded stand in incoming_request.py; the switch of reading, which stood three times, in PacedProtocol. No behaviour changes.

--- a/tansywood/service/tenant.py
+++ b/tansywood/service/tenant.py
@@ -19,15 +19,10 @@
 from tansywood.tenancy.settings import ACTIVE, DELETED, DRAINING, TenantSettings, read
 from windrelay.body_blocks import Block
 from windrelay.http_node import HttpNode
+from windrelay.incoming_request import BadRequest, IncomingRequest
 from windrelay.interfaces import StreamSource
 from windrelay.node import Node
-from windrelay.server import (
-    EMPTY_RESPONSE_HEADS,
-    BadRequest,
-    ClientConnection,
-    IncomingRequest,
-    Server,
-)
+from windrelay.server import EMPTY_RESPONSE_HEADS, ClientConnection, Server
 
 SECOND = 1_000_000_000
 AWAY = 2 * SECOND  # told to callers of a tenant that is suspended or drains
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -364,13 +364,8 @@
     def _reject_unparsed(self) -> None:
         self.finish(None)
 
-    def _set_reading(self, reading: bool) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        if reading:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+    def _paced_transport(self) -> asyncio.Transport | None:
+        return self._transport
 
     def close_on_error(self, where: str, error: BaseException) -> None:
         """End the call without an answer; the loop's exception handler is told why."""
--- a/windrelay/paced_protocol.py
+++ b/windrelay/paced_protocol.py
@@ -79,8 +79,8 @@
         """Act on what was parsed in this turn; `is_last` says that no received data is left."""
 
     @abstractmethod
-    def _set_reading(self, reading: bool) -> None:
-        """Let the transport read, or stop it, for the protocol's own sake."""
+    def _paced_transport(self) -> asyncio.Transport | None:
+        """The transport to stop reading from, None while it does not read for other reasons."""
 
     @abstractmethod
     def _reject_unparsed(self) -> None:
@@ -133,6 +133,15 @@
             self._queue_turn()
         self._finish_turn(is_last)
 
+    def _set_reading(self, reading: bool) -> None:
+        transport = self._paced_transport()
+        if transport is None or transport.is_closing():
+            return
+        if reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
     def _queue_turn(self) -> None:
         if self._unparsed is not None and not self._is_queued:
             self._is_queued = True
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -396,14 +396,8 @@
     def _may_take_turn(self) -> bool:
         return not self._reading_paused
 
-    def _set_reading(self, reading: bool) -> None:
-        transport = self.transport
-        if transport is None or transport.is_closing() or self._reading_paused:
-            return
-        if reading:
-            transport.resume_reading()
-        else:
-            transport.pause_reading()
+    def _paced_transport(self) -> asyncio.Transport | None:
+        return None if self._reading_paused else self.transport
 
     def _drop_unsolicited(self, data: bytes) -> None:
         """Close an idle connection that got bytes which answer no request."""
