Let an evicted half request get its 408, and evict none whose bytes wait in the kernel

Read again before the landing: reject_stalled aborted the connection in the call that wrote the 408, so the client saw a reset; and where this node itself was late, the last byte could wait in the kernel, and the abort would have lost a request that was taken. Now the connection lingers and is evicted next, and a connection with unread bytes is left alone. The test asks for the 408 too.

--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -153,5 +153,6 @@
             server.message()
             server.send(answer(b"served"))
             assert client.message()[2] == b"served"
+            assert half_requests[0].message()[0].split()[1] == "408"
             for peer in half_requests:
                 peer.close()
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -29,6 +29,7 @@
     IncomingRequest,
 )
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
+from windrelay.socket_view import has_unread_data
 
 if TYPE_CHECKING:
     from windrelay.config import Address
@@ -665,12 +666,12 @@
         """Whether the client has sent a part of a request and then nothing for a while."""
         if self._incoming is None or self._unparsed is not None or self._transport is None:
             return False
-        return self._milliseconds_since_data() >= STALLED_MS
+        # Bytes that this node has not read yet may complete the request.
+        return self._milliseconds_since_data() >= STALLED_MS and not has_unread_data(self._sock)
 
     def reject_stalled(self) -> None:
-        """Reject the unfinished request and close the connection without waiting for the client."""
+        """Reject the unfinished request; the lingering connection is evicted next."""
         self._reject(408, "not whole while descriptors are short")
-        self.close()
 
     def _milliseconds_since_data(self) -> int:
         """Milliseconds since data last arrived in the kernel."""
@@ -698,7 +699,7 @@
             else:
                 self._transport.close()
 
-    def _is_overdue(self, sweep: int) -> bool:
+    def _is_overdue(self) -> bool:
         """Whether the client takes too long over its request; asked once in each sweep."""
         received_bytes, self._bytes_since_sweep = self._bytes_since_sweep, 0
         if not self._headers_done:
@@ -716,7 +717,7 @@
         if self._lingering and not buffered and sweep - self._since_sweep > LINGER_TIMEOUT_SWEEPS:
             transport.abort()
             return
-        if self._incoming is not None and self._is_overdue(sweep):
+        if self._incoming is not None and self._is_overdue():
             self._reject(408, "not whole in time")
             return
         if not buffered:
