--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -285,6 +285,7 @@
 
 @pytest.mark.parametrize("end", ["reset", "half", "short"])
 def test_an_answer_that_breaks_off_is_not_used(tmp_path: Path, end: str) -> None:
+    """Guards against half a list that is taken for one that ends with its connection."""
     with listen() as disco, node(tmp_path, roster(), port(disco)):
         peer = accept(disco)
         peer.message()
@@ -309,6 +310,7 @@
 
 
 def test_a_list_of_the_largest_fleet_is_parsed_indented_too() -> None:
+    """Guards against a limit on parts that turns the largest sound list down."""
     rows = [target(f"s-{i:08x}", i % 60000 + 1) for i in range(3200)]
     whole = roster(*rows)
     assert parse_answer(json.dumps(whole, indent=4).encode()) == whole
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -121,6 +121,7 @@
 
 
 def test_framing_that_belongs_to_its_chunks_is_not_counted_in_sum() -> None:
+    """Guards against a sound body in short chunks that is turned away for its framing."""
     framing = ChunkedFraming()
     for _ in range(SHORT_BODY_PIECES):
         framing.add(received_bytes=6, body_bytes=1, piece_count=1)
--- a/tests/test_paced_parsing.py
+++ b/tests/test_paced_parsing.py
@@ -206,6 +206,7 @@
 
 
 def test_long_body_may_come_in_short_chunks_of_usual_mean_length(tmp_path: Path) -> None:
+    """Guards against a limit on chunks that turns sound long bodies away."""
     body = SMALL_BODY * 16
     message = chunked_request() + chunks(body, MEAN_PIECE_BYTES) + LAST_CHUNK
     with listen() as backend, node(tmp_path, roster(target("s-1", port(backend)))) as running:
@@ -220,6 +221,7 @@
 
 
 def test_request_in_segments_of_one_byte_is_served(tmp_path: Path) -> None:
+    """Guards against turns that leave a sound request in small segments unserved."""
     message = chunked_request() + chunks(b"0123456789" * 20, 3) + LAST_CHUNK
     with listen() as backend, node(tmp_path, roster(target("s-1", port(backend)))) as running:
         client = running.connect()
@@ -252,6 +254,7 @@
 
 
 def test_client_that_leaves_with_unparsed_data_returns_its_memory(tmp_path: Path) -> None:
+    """Guards against unparsed data that stays counted after its connection has ended."""
     with in_process_node(tmp_path, roster(target("s-1", 1))) as in_process:
         budget = in_process.node.budget
         address = ("127.0.0.1", in_process.server.listen(in_process.config.listen))
@@ -271,6 +274,7 @@
 
 
 def test_turns_are_given_in_order_and_only_some_in_one_turn_of_the_loop() -> None:
+    """Guards against many connections whose turns together hold up the loop."""
     order: list[int] = []
     turns: list[int] = []
 
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -178,6 +178,7 @@
 
 @pytest.mark.parametrize("delay_s", DELAYS_S)
 def test_list_is_called_in_time_after_any_outage_however_slow_the_service(delay_s: float) -> None:
+    """Guards against a backoff that is too long behind a silent call to a slow service."""
     for seed in range(100):
         rng = Random(seed)
         simulated = SimulatedNode(seed)
@@ -209,6 +210,7 @@
 
 
 def test_slow_service_is_called_no_more_often_than_a_quick_one() -> None:
+    """Guards against an overload that feeds itself with shorter hold times."""
     periods_s = []
     for delay_s in DELAYS_S:
         simulated = SimulatedNode(seed=1)
@@ -221,6 +223,7 @@
 
 @pytest.mark.parametrize("delay_s", DELAYS_S)
 def test_silent_call_to_a_new_address_is_made_good_in_time(delay_s: float) -> None:
+    """Guards against a first call after SIGHUP that is waited for too long."""
     simulated = SimulatedNode(seed=1)
     simulated.settle(delay_s)
     simulated.watch.restart()
@@ -235,6 +238,7 @@
 @pytest.mark.parametrize("second", ["dial", "refused", "unusable"])
 @pytest.mark.parametrize("grace_ms", [150, 500, 2000, 10_000])
 def test_silent_agent_is_made_good_within_the_drain_grace(grace_ms: int, second: str) -> None:
+    """Guards against calls to a silent agent that take the whole grace of a drain."""
     watch = PollSchedule(agent_hold_ms(grace_ms * MS))
     spent_s = watch.next_poll(1, False).timeout_s
     delay_s = watch.delay_after_failure(timed_out=True)
