Log rejections by reason, and memory and connections while they are short

Change: rejections are counted by status and reason (at most 16 kinds a line; what a reason quotes of a client is left out). While memory, the message budget or the connections are three quarters used, one line in 10 s tells all three, one a second from nine tenths of the memory on. One test looked at the last reason in an attribute; it looks at the log now, for the exact reason.

--- a/tests/test_paced_parsing.py
+++ b/tests/test_paced_parsing.py
@@ -249,7 +249,8 @@
 
         run_beside(in_process, conversation)
         assert b" 503 " in answers[0]
-        assert "no memory" in in_process.server._last_rejection
+        in_process.server.sweep()
+        assert "no memory for what it sends" in in_process.log_lines[-1]
         in_process.run(in_process.wait_until(lambda: not budget.held_bytes))
 
 
--- a/windrelay/memory_budget.py
+++ b/windrelay/memory_budget.py
@@ -25,11 +25,12 @@
     system.
     """
 
-    __slots__ = ("base_bytes", "held_bytes", "limit_bytes")
+    __slots__ = ("_peak_held_bytes", "base_bytes", "held_bytes", "limit_bytes")
 
     def __init__(self, memory_mb: int) -> None:
         self.base_bytes = resident_bytes()
         self.held_bytes = 0
+        self._peak_held_bytes = 0
         self.resize(memory_mb)
 
     def resize(self, memory_mb: int, process_count: int = 1) -> None:
@@ -51,7 +52,14 @@
     def reserve(self, size: int) -> None:
         """Count `size` more bytes as held."""
         self.held_bytes += size
+        if self.held_bytes > self._peak_held_bytes:
+            self._peak_held_bytes = self.held_bytes
 
     def release(self, size: int) -> None:
         """Count `size` bytes as no longer held."""
         self.held_bytes -= size
+
+    def take_peak(self) -> int:
+        """Return the most that was held since the last call, in bytes."""
+        peak, self._peak_held_bytes = self._peak_held_bytes, self.held_bytes
+        return peak
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -21,8 +21,9 @@
 from flinthatch.reconfigure import reconfigure
 from windrelay.config import Config
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
-from windrelay.memory_budget import MemoryBudget
+from windrelay.memory_budget import MemoryBudget, resident_bytes
 from windrelay.paced_protocol import TurnQueue
+from windrelay.resource_log import ResourceLog, ResourceUse
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -118,6 +119,7 @@
         self.now = time.monotonic_ns()
         self.budget = MemoryBudget(config.memory_mb)
         self.turn_queue = TurnQueue(loop, self.budget)
+        self.resource_log = ResourceLog()
         self.client_count = 0
         # Called when a descriptor has been closed; the server sets it once it listens.
         self.on_descriptor_freed: Callable[[], None] = lambda: None
@@ -656,6 +658,9 @@
         """Do the periodic upkeep: idle connections, remembered request ids and stale timers."""
         now = time.monotonic_ns()
         self.upstream.sweep(now)
+        line = self.resource_log.take_line(now, self.resource_use())
+        if line:
+            self.log(line)
         if now - self.ids_rotated_at > SECOND:
             self.ids_rotated_at = now
             self.older_request_ids = self.recent_request_ids
@@ -667,6 +672,18 @@
             self.timers = [timer for timer in self.timers if not is_finished(timer[2])]
             heapify(self.timers)
 
+    def resource_use(self) -> ResourceUse:
+        """Return what the node uses now, and at most since the last call."""
+        return ResourceUse(
+            resident_bytes(),
+            self.config.memory_mb << 20,
+            self.budget.take_peak(),
+            self.budget.limit_bytes,
+            self.client_count,
+            self.upstream.descriptor_count,
+            self.max_connections,
+        )
+
     # ---- descriptors --------------------------------------------------
 
     def compute_max_connections(self) -> int:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -29,6 +29,7 @@
     IncomingRequest,
 )
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
+from windrelay.rejection_log import RejectionLog
 from windrelay.socket_view import has_unread_data
 
 if TYPE_CHECKING:
@@ -754,8 +755,7 @@
         self.handed_over = False  # a successor accepts clients from the same listening socket
         self._accept_paused = False
         self._accept_retry_timer: asyncio.TimerHandle | None = None
-        self._rejected_count = 0
-        self._last_rejection = ""
+        self._rejection_log = RejectionLog()
         self._accept_tasks: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         settings = node.config.settings
@@ -976,19 +976,16 @@
         self.lingering.pop(conn, None)
 
     def record_rejection(self, status: int, reason: object) -> None:
-        """Count a rejected request; the next sweep logs the count and the last reason."""
-        self._rejected_count += 1
-        self._last_rejection = f"{status} {reason}"
+        """Count a rejected request; the next sweep logs the counts by reason."""
+        self._rejection_log.record(status, reason)
 
     def sweep(self) -> None:
         """Close connections whose time is over; the owner calls this each SWEEP_INTERVAL_S."""
         self.sweep_count += 1
-        if self._rejected_count:
-            # One log line per sweep: some clients repeat a rejected request at once.
-            self.node.log(
-                f"{self._rejected_count} clients turned away, the last: {self._last_rejection}"
-            )
-            self._rejected_count = 0
+        # One log line per sweep: some clients repeat a rejected request at once.
+        line = self._rejection_log.take_line()
+        if line:
+            self.node.log(line)
         for conn in list(self.connections):
             try:
                 conn.sweep(self.sweep_count)
