--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,62 @@
+"""A node of 32 MB and 1,024 descriptors under crowds of clients that hold its memory."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from standins.crowds import ClientKind, Crowd, start_sized_servers
+from standins.platform import roster, target
+from standins.process import NodeProcess
+
+LIMITS = {"memory_mb": 32, "sockets": 1024}  # the least memory that the pages name
+SERVER_COUNT = 20
+CLIENT_COUNT = 600
+ROUND_S = 4.0
+MIXED_ROUNDS = 4
+SERVER_WORK_S = 0.1
+
+
+def peak_mb(node: NodeProcess) -> float:
+    """The most memory that the node's process has had resident."""
+    status = Path(f"/proc/{node.pid}/status").read_text()
+    return int(re.findall(r"VmHWM:\s+(\d+)", status)[0]) / 1024
+
+
+async def play_crowds(folder: Path, rounds: Sequence[Sequence[ClientKind]]) -> float:
+    """Play one crowd after another against a node; returns the peak of its memory in MB."""
+    servers = await start_sized_servers(SERVER_COUNT, SERVER_WORK_S)
+    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    known = roster(*(target(f"s-{i}", port) for i, port in enumerate(ports)))
+    node = NodeProcess(folder, known, 1, limits=LIMITS)
+    try:
+        await asyncio.to_thread(node.start)
+        for kinds in rounds:
+            await Crowd(node.port).run(kinds, CLIENT_COUNT // len(kinds), ROUND_S)
+            assert node.alive(), node.text()
+        return peak_mb(node)
+    finally:
+        node.kill()
+        for server in servers:
+            server.close()
+
+
+@pytest.mark.parametrize("kind", ClientKind, ids=lambda kind: kind.name)
+def test_hundreds_of_clients_of_one_kind_keep_the_node_under_its_memory_limit(
+    tmp_path: Path, kind: ClientKind
+) -> None:
+    assert asyncio.run(play_crowds(tmp_path, [[kind]])) < LIMITS["memory_mb"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_mixed_clients_over_rounds_keep_the_node_under_its_memory_limit(
+    tmp_path: Path, seed: int
+) -> None:
+    rng = Random(seed)
+    rounds = [rng.sample(tuple(ClientKind), 6) for _ in range(MIXED_ROUNDS)]
+    assert asyncio.run(play_crowds(tmp_path, rounds)) < LIMITS["memory_mb"]
