--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -58,5 +58,6 @@
     tmp_path: Path, seed: int
 ) -> None:
     rng = Random(seed)
-    rounds = [rng.sample(tuple(ClientKind), 6) for _ in range(MIXED_ROUNDS)]
+    kinds: list[ClientKind] = list(ClientKind)
+    rounds = [rng.sample(kinds, 6) for _ in range(MIXED_ROUNDS)]
     assert asyncio.run(play_crowds(tmp_path, rounds)) < LIMITS["memory_mb"]
