Test ids without spaces, so that KNOWN-RED.txt can name them

What was seen: KNOWN-RED.txt lists a test by its id, and tests/conftest.py reads an id up to the first space. No assertion, parameter or bound changes, and conftest.py stays as it is.

--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -103,7 +103,7 @@
         (RESPONSE_BYTES, (0.0, 0.4, 0.4, 0.4)),
         (1000, (0.0, 0.4, 0.4, 0.4)),
     ],
-    ids=["late body", "lumps", "short in lumps"],
+    ids=["late_body", "lumps", "short_lumps"],
 )
 def test_response_that_a_sound_server_writes_slowly_is_not_cut_off(
     tmp_path: Path, framing: str, name: str, size: int, pauses_s: Sequence[float]
