Free a rejected request at once, and not when the garbage collector runs

Cause: the parser's callbacks reject a request by an exception. ClientConnection._parse kept the exception in a local variable; the traceback refers to that frame, so the two formed a cycle, and what had been parsed (a read of up to 256 KB, the body so far) stayed until the garbage collector ran, some thousands of allocations later. The budget counted it as released. Class: reference cycles through exceptions that hold message data. Change: the exception is handled in a function of its own, whose frame is not in the traceback. Price: none; a call more for each rejection.

--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -134,12 +134,14 @@
 
     async def run(self, kinds: Sequence[ClientKind], clients_each: int, seconds: float) -> None:
         """Keep this many clients of each kind busy for so long, then drop them."""
-        lives = [self._live_on(kind) for kind in kinds for _ in range(clients_each)]
-        with contextlib.suppress(asyncio.TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*lives), seconds)
-
-    async def _live_on(self, kind: ClientKind) -> None:
-        while True:
+        until = asyncio.get_running_loop().time() + seconds
+        lives = (self._live_on(kind, until) for kind in kinds for _ in range(clients_each))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await asyncio.gather(*lives)
+
+    async def _live_on(self, kind: ClientKind, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
             with contextlib.suppress(OSError):
                 await self._live(kind)
             await asyncio.sleep(RECONNECT_S)
@@ -182,5 +184,7 @@
 
 
 async def _within_patience(action: Awaitable[None]) -> None:
-    with contextlib.suppress(asyncio.TimeoutError):
-        await asyncio.wait_for(action, PATIENCE_S)
+    # Not asyncio.wait_for, which may swallow a cancellation that crosses the end of the action.
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(PATIENCE_S):
+            await action
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -212,17 +212,24 @@
         except BadRequest as err:
             self._reject(err.status, err)
         except httptools.HttpParserCallbackError as err:
-            cause = err.__context__
-            if isinstance(cause, BadRequest):
-                self._reject(cause.status, cause)
-            else:
-                self.close_on_error("reading a request", cause or err)
+            self._reject_callback_error(err.__context__ or err)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self._reject(400, err)
         else:
             return True
         return False
 
+    def _reject_callback_error(self, cause: BaseException) -> None:
+        """Reject the request in whose callback this exception was raised.
+
+        A local variable of `_parse` must not hold the exception: its traceback refers to that
+        frame, and the cycle would keep the data that was parsed until the garbage collector runs.
+        """
+        if isinstance(cause, BadRequest):
+            self._reject(cause.status, cause)
+        else:
+            self.close_on_error("reading a request", cause)
+
     def _slice_size(self) -> int:
         incoming = self._incoming
         if incoming is None or not self._headers_done or incoming.chunked:
