Bound and count the bytes that wait for slow clients, and read less at a time

Cause: what waited in a client's transport was counted nowhere. A read from a server brought up to 256 KB, all of which went to the transport of a client that took none of it; and a client's next request was read, served and answered while the responses before it had not left. Change: connections read into one buffer of 64 KB that all of a node share (asyncio.BufferedProtocol), 4 KB of it while the budget is used up; client transports report the first byte that waits, which pauses the stream's source or, between requests, the reading of the client; what waits counts in the budget, the last piece as a whole, since the transport keeps it whole. uvloop reports a read that fails with ENOBUFS as an error of the buffer: it is logged as a failed read (tests/test_faults.py found it).

--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -23,6 +23,7 @@
 SMALL_RECEIVE_BUFFER_BYTES = 4096
 SLOW_READ_BYTES = 1000
 SLOW_READ_INTERVAL_S = 0.1
+UNREAD_INTERVAL_S = 0.2  # longer than a request takes here: the next one comes between requests
 CONTENT_LENGTH = re.compile(rb"ontent-Length: (\d+)")
 IDS = itertools.count()
 
@@ -43,6 +44,7 @@
     SOUND_BODY = "sends a body of 60 KB and waits"
     SOUND_HEAD = "sends a head and a body of 4 KB and waits"
     UNREAD = "does not read a response of 60 KB"
+    UNREAD_MANY = "sends requests and reads none of their responses of 60 KB"
     SLOW_READER = "reads a response of 300 KB slowly"
     SLOW_READER_LONG = "reads a response of 8 MB slowly"
     LEAVER = "resets within a response of 8 MB"
@@ -168,6 +170,10 @@
         elif kind == ClientKind.UNREAD:
             await loop.sock_sendall(sock, _request("/balance/60000"))
             await asyncio.sleep(PATIENCE_S)
+        elif kind == ClientKind.UNREAD_MANY:
+            while True:
+                await loop.sock_sendall(sock, _request("/balance/60000"))
+                await asyncio.sleep(UNREAD_INTERVAL_S)
         elif kind == ClientKind.LEAVER:
             await loop.sock_sendall(sock, _request("/balance/8000000"))
             await loop.sock_recv(sock, SLOW_READ_BYTES)
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -36,6 +36,12 @@
 RESERVED_DESCRIPTORS = 24  # descriptors for the listener, the event loop, discovery and the log
 # Further descriptors, for management calls and a successor, where the node accepts calls.
 RESERVED_MANAGEMENT_DESCRIPTORS = 10
+# How uvloop 0.23.0 reports a read into a protocol's buffer that failed with ENOBUFS. It closes the
+# connection, as after any other failed read.
+FAILED_READ_REPORTS = (
+    "unhandled error (or an empty buffer) in get_buffer()",
+    "XXX: an allocated buffer in transport._close()",
+)
 MIN_CONNECTIONS = 16  # for clients and backends, however many descriptors another process holds
 # Of RESERVED_DESCRIPTORS, so many may replace connections that are being closed.
 REPLACEMENT_DESCRIPTORS = 8
@@ -645,7 +651,9 @@
         concerns."""
         error = context.get("exception")
         transport = context.get("transport")
-        if isinstance(error, BaseException):
+        if str(error or context.get("message")) in FAILED_READ_REPORTS:
+            self.log("a read failed: no buffer space")
+        elif isinstance(error, BaseException):
             self.record_error(str(context.get("message", "a callback")), error)
         else:
             self.unexpected_error_count += 1
--- a/windrelay/paced_protocol.py
+++ b/windrelay/paced_protocol.py
@@ -1,8 +1,9 @@
-"""Parsing of received data in turns of bounded cost.
+"""Reading and parsing of received data in turns of bounded size and cost.
 
-The event loop hands a connection all that one read brought, up to a quarter of a megabyte. In
-pieces of a few bytes, each of which costs a callback, that takes tens of milliseconds, and a sender
-that is fast enough could keep the loop from everybody else. A connection therefore parses a bounded
+A connection reads into a buffer that all connections of the node share, so that one read brings
+only so much, and less while memory is short. In pieces of a few bytes, each of which costs a
+callback, parsing even that takes milliseconds, and a sender that is fast enough could keep the loop
+from everybody else. A connection therefore parses a bounded
 part in each turn of the loop. While a rest is left it does not read, and it takes its place in a
 queue that all connections of the node share. Messages of usual size are parsed at once.
 """
@@ -20,6 +21,8 @@
 SLICE_BYTES = 1 << 10  # fed to the parser at a time; holds at most some 250 pieces
 MAX_COST_PER_TURN = 128  # of one connection, in slices and reported pieces
 MAX_CONNECTIONS_PER_TURN = 8  # whose rest is parsed in one turn of the loop
+READ_BYTES = 64 << 10  # that one read brings at most
+SHORT_READ_BYTES = 4 << 10  # the same while the memory budget has no room for READ_BYTES
 
 
 class TurnQueue:
@@ -28,13 +31,22 @@
     `budget` is the memory for that data; None where its owner limits it by other means.
     """
 
-    __slots__ = ("_is_scheduled", "_loop", "_waiting", "budget")
+    __slots__ = ("_is_scheduled", "_loop", "_read_buffer", "_waiting", "budget")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, budget: MemoryBudget | None = None) -> None:
         self.budget = budget
         self._loop = loop
         self._waiting: deque[Callable[[], None]] = deque()
         self._is_scheduled = False
+        self._read_buffer: memoryview | None = None
+
+    def read_buffer(self) -> memoryview:
+        """Return the memory for the next read of any connection, emptied before the one after."""
+        if self._read_buffer is None:
+            self._read_buffer = memoryview(bytearray(READ_BYTES))
+        if self.budget is not None and not self.budget.has_room(READ_BYTES):
+            return self._read_buffer[:SHORT_READ_BYTES]
+        return self._read_buffer
 
     def add(self, take_turn: Callable[[], None]) -> None:
         """Call `take_turn`, which must not raise, in a later turn of the loop."""
@@ -53,23 +65,40 @@
         self._schedule()
 
 
-class PacedProtocol(asyncio.Protocol):
+class PacedProtocol(asyncio.BufferedProtocol):
     """A connection that parses what it receives in turns.
 
-    A subclass calls `_receive` with received data, and `_drop_unparsed` where it closes.
+    A subclass gets the data of each read in `data_received`; it calls `_receive` with data to be
+    parsed, and `_drop_unparsed` where it closes.
     """
 
-    __slots__ = ("_is_queued", "_kept_bytes", "_turn_cost", "_turn_queue", "_unparsed")
+    __slots__ = (
+        "_filled_buffer", "_is_queued", "_kept_bytes", "_turn_cost", "_turn_queue", "_unparsed",
+    )  # fmt: skip
 
     def __init__(self, turn_queue: TurnQueue) -> None:
         self._turn_queue = turn_queue
+        self._filled_buffer: memoryview
         self._turn_cost = 0  # so far in the present turn; the parser's callbacks raise it too
         self._unparsed: memoryview | None = None
         self._kept_bytes = 0  # of the budget, for the read that the unparsed data came with
         self._is_queued = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory into which the event loop reads."""
+        self._filled_buffer = self._turn_queue.read_buffer()
+        return self._filled_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that the event loop has read."""
+        self.data_received(bytes(self._filled_buffer[:nbytes]))
+
     # ---- implemented by subclasses ----------------------------------------
 
+    @abstractmethod
+    def data_received(self, data: bytes) -> None:
+        """Handle the data of one read."""
+
     @abstractmethod
     def _parse(self, data: bytes | memoryview) -> bool:
         """Parse a slice; returns False where nothing more must be parsed."""
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -130,9 +130,10 @@
         "_bytes_since_sweep", "_close_after_response", "_complete_request", "_delimited_by_close",
         "_discarded_bytes",
         "_half_closed", "_head_bytes", "_headers_done", "_incoming", "_is_http_1_0",
-        "_keep_alive", "_last_write_sweep", "_lingering", "_parser", "_piece_count", "_request",
-        "_response_chunked", "_server", "_since_sweep", "_sock", "_source", "_sweeps_left",
-        "_transport", "_unsent_sizes", "is_counted",
+        "_keep_alive", "_last_write_bytes", "_last_write_sweep", "_lingering", "_parser",
+        "_piece_count", "_reading_held", "_request", "_response_chunked",
+        "_server", "_since_sweep", "_sock", "_source", "_sweeps_left",
+        "_transport", "_unsent_bytes", "_unsent_sizes", "is_counted",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
@@ -158,6 +159,9 @@
         # a head or a body, idling or lingering.
         self._since_sweep = server.sweep_count
         self._last_write_sweep = 0  # last sweep that found nothing unsent, or progress
+        self._last_write_bytes = 0  # which the transport keeps whole until all of them have left
+        self._unsent_bytes = 0  # buffered by the transport, as counted in the memory budget
+        self._reading_held = False  # until the last response has left the transport
         self._unsent_sizes = (0, 0)  # bytes buffered by the transport, unacknowledged in the kernel
         self._source: StreamSource | None = None  # source of the response that is being streamed
         self._response_chunked = False  # the streamed response uses chunked encoding
@@ -174,6 +178,9 @@
             cast(asyncio.Transport, transport).abort()
             return
         self._transport = cast(asyncio.Transport, transport)
+        # With a high-water mark of 0 the transport calls pause_writing as soon as it buffers
+        # anything, and resume_writing once all has left.
+        self._transport.set_write_buffer_limits(high=0)
         self._parser = httptools.HttpRequestParser(self)
         self._server.connections.add(self)
         self._server.awaiting_first_request[self] = self._server.node.loop.time()
@@ -254,7 +261,7 @@
         self._reject(503, "no memory for what it sends")
 
     def _paced_transport(self) -> asyncio.Transport | None:
-        return self._transport
+        return None if self._reading_held else self._transport
 
     def _check_unfinished_head(self) -> None:
         """Raise BadRequest where a head of which the end has not come is too long."""
@@ -478,10 +485,13 @@
         transport = self._transport
         if self._source is None or transport is None or transport.is_closing():
             return
+        self._last_write_bytes = len(data)
         if self._response_chunked:
             transport.write(b"%x\r\n%s\r\n" % (len(data), data))
         else:
             transport.write(data)
+        if self._unsent_bytes:
+            self._count_unsent()
 
     def end_stream(self) -> None:
         transport = self._transport
@@ -505,13 +515,43 @@
             self._transport.abort()
 
     def pause_writing(self) -> None:
+        """Read no more while bytes wait for the client: the response, or further requests."""
+        self._count_unsent()
         if self._source is not None:
             self._source.pause_reading()
+        elif not self._lingering:
+            self._hold_reading(True)
 
     def resume_writing(self) -> None:
+        self._count_unsent()
+        self._hold_reading(False)
         if self._source is not None:
             self._source.resume_reading()
 
+    def _hold_reading(self, held: bool) -> None:
+        """Stop reading requests, or read on unless received data is still to be parsed."""
+        if held == self._reading_held:
+            return
+        if held:
+            self._set_reading(False)
+            self._reading_held = True
+        else:
+            self._reading_held = False
+            if self._unparsed is None:
+                self._set_reading(True)
+
+    def _count_unsent(self) -> None:
+        """Count what waits in the transport in the node's memory budget."""
+        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        if unsent:
+            unsent = max(unsent, self._last_write_bytes)
+        more = unsent - self._unsent_bytes
+        self._unsent_bytes = unsent
+        if more > 0:
+            self._server.node.budget.reserve(more)
+        elif more < 0:
+            self._server.node.budget.release(-more)
+
     def send_empty_response(self, status: int, retry_after: int) -> None:
         """Send a response without a body; `retry_after` is in nanoseconds, 0 for no such header."""
         head = EMPTY_RESPONSE_HEADS[status]
@@ -546,7 +586,9 @@
             return  # the connection is closing, or its request was already answered
         close = self._should_close()
         end = b"Connection: close\r\n\r\n" if close else b"\r\n"
-        transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
+        response = b"".join((head, end, *chunks)) if chunks else head + end
+        self._last_write_bytes = len(response)
+        transport.write(response)
         self._finish_response(close)
 
     def _finish_response(self, close: bool) -> None:
@@ -600,6 +642,7 @@
             transport.close()
             return
         self._lingering = True
+        self._hold_reading(False)
         self._server.lingering[self] = None
         self._since_sweep = self._server.sweep_count
         transport.write_eof()
@@ -637,6 +680,7 @@
         server = self._server
         self._transport = None
         self._stop_parsing()
+        self._count_unsent()
         try:
             server.connections.discard(self)
             server.remove_evictable(self)
@@ -722,6 +766,8 @@
         if transport is None:
             return
         buffered = transport.get_write_buffer_size()
+        if self._unsent_bytes:
+            self._count_unsent()
         if self._lingering and not buffered and sweep - self._since_sweep > LINGER_TIMEOUT_SWEEPS:
             transport.abort()
             return
