Count all of a message and of its connection against the memory limit

Cause: heads and bodies up to 4 KB were counted nowhere (and a head is kept twice), nor were the objects of a request and of a connection; the base was measured before the program had loaded all; 660 connections at 32 MB could take more than all that was left. Change: every byte of a message counts, and 4 KB for each request that has started; heads and bodies up to 1 KB still need no room. The base is measured anew once the node has started.

--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -96,6 +96,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(5_000, 10, 20)
+        self.node.measure_base_memory()
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         if signal.SIGHUP in _early_signals:
             self.reload()  # the file may have been replaced after it was read
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -695,11 +695,13 @@
     # ---- descriptors --------------------------------------------------
 
     def compute_max_connections(self) -> int:
-        """Return how many descriptors are available for clients and backends."""
+        """Return how many connections to clients and backends fit into the limits."""
         reserved = RESERVED_DESCRIPTORS + (
             RESERVED_MANAGEMENT_DESCRIPTORS if self.config.mgmt is not None else 0
         )
         available = self.config.max_descriptors - reserved
+        if self.budget.max_connections is not None:
+            available = min(available, self.budget.max_connections)
         return (
             max(available - self.other_process_descriptors, MIN_CONNECTIONS)
             if self.other_process_descriptors
@@ -712,8 +714,13 @@
         0 means that this process is alone.
         """
         self.other_process_descriptors = other_process_descriptors
-        self.max_connections = self.compute_max_connections()
         self.budget.resize(self.config.memory_mb, 2 if other_process_descriptors else 1)
+        self.max_connections = self.compute_max_connections()
+
+    def measure_base_memory(self) -> None:
+        """Take the memory that the process has now for its base, and share the limits anew."""
+        self.budget.measure_base()
+        self.share_limits(self.other_process_descriptors)
 
     def has_room_for_client(self) -> bool:
         """Return whether one more client fits while backends keep their part of the descriptors."""
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -41,7 +41,8 @@
 MAX_HEAD_BYTES = 16 << 10
 MAX_BODY_BYTES = 32 << 20  # the platform's limit for a request body
 MAX_REQUEST_ID_BYTES = 128
-SMALL_MESSAGE_BYTES = 4 << 10  # a head or a body up to this size needs no room in the budget
+SMALL_MESSAGE_BYTES = 1 << 10  # a head or a body up to this size needs no room in the budget
+REQUEST_BYTES = 4 << 10  # of the objects that a request takes from its start to its last outcome
 # Memory for a body up to this Content-Length is reserved when the head is read; memory for a
 # longer body is reserved as the body arrives.
 MAX_UPFRONT_RESERVE_BYTES = 64 << 10
@@ -343,9 +344,10 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _reserve_head_bytes(self, incoming: IncomingRequest, head_bytes: int) -> None:
-        """Raise the part of the memory budget that is held for a long head to `head_bytes`."""
-        if head_bytes > max(SMALL_MESSAGE_BYTES, incoming.reserved_head_bytes):
-            self._reserve(incoming, head_bytes - incoming.reserved_head_bytes)
+        """Raise the part of the memory budget that is held for the head to `head_bytes`."""
+        extra_bytes = head_bytes - incoming.reserved_head_bytes
+        if extra_bytes > 0:
+            self._reserve(incoming, extra_bytes, has_room=head_bytes <= SMALL_MESSAGE_BYTES)
             incoming.reserved_head_bytes = head_bytes
 
     def _reserve_body_bytes(self, incoming: IncomingRequest, total_bytes: int) -> None:
@@ -427,6 +429,7 @@
         node = self._server.node
         if incoming.is_probe:
             server = self._server
+            node.budget.release(incoming.reserved_bytes)
             self._write_response(
                 EMPTY_RESPONSE_HEADS[503]
                 if server.stopping or server.evacuated
@@ -441,6 +444,8 @@
             node.budget.release(incoming.reserved_bytes)
             self._reject(400, "X-Request-ID of an open or recently ended request")
             return
+        node.budget.reserve(REQUEST_BYTES)
+        incoming.reserved_bytes += REQUEST_BYTES
         incoming.headers = NO_HEADERS  # frees memory while the node keeps the request
         waited_ns = time.monotonic_ns() - incoming.received_ns
         # The request may have been answered before the call returns.
