Let an attempt go on while its backend writes or reads and the client waits

None applied to a stream, not even the client's time. Change: flinthatch/attempt_timeout.py decides. A silent backend is given up at the target, counted from the arrival, as before; one that has begun its response, or may still be reading a request of 16 KB or more, goes on to the client's time less 20 ms. A response that pauses for 0.25 s is reported: its slot is freed, the backend counts as failing as before, and a request that may be repeated is hedged while the attempt stays open; whichever answers first cancels the other. A stream is cut, visibly, when the client's time is over. The server is told the client's time, since the node may wait that long. The log names request, attempt, times and what happened for each of these. Found on the way: the last outcome at a backend that had gone could remove one that had returned under its id. Price: an attempt that stalls holds a connection, not a slot, until the client's time; a spoilt response of an unsafe request fails at the deadline instead of after 0.25 s.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -18,6 +18,7 @@
 from heapq import heappop, heappush
 from random import Random
 
+from flinthatch.attempt_timeout import Progress, further_time, silent_timeout
 from flinthatch.decision_log import DecisionLog, Reason, TransitionLog
 from flinthatch.interface import (
     MS,
@@ -104,12 +105,6 @@
 # An attempt that has not been sent within this time after its client's half-close is not sent
 # any more.
 HALF_CLOSE_GRACE_NS = 50 * MS
-# Part of the latency target by which an attempt is ended before the target.
-TARGET_MARGIN_FRACTION = 0.03
-# Time-out of an attempt that may be repeated: this many mean latencies of its class, and at
-# least this part of its latency target.
-ATTEMPT_TIMEOUT_LATENCY_RATIO = 5.0
-ATTEMPT_TIMEOUT_MIN_TARGET_FRACTION = 1.0
 RETRY_BUDGET_FRACTION = 0.1  # retries that each first attempt adds to the retry budget
 RETRY_BUDGET_BURST_COUNT = 10.0  # retries that the budget can hold
 # Backoff of calls for the backend list, doubled with each failure; the wait is drawn from
@@ -231,22 +226,24 @@
 class Attempt:
     """One attempt of a request at one backend."""
 
-    __slots__ = ("backend", "is_open", "response_started", "sent_at")
+    __slots__ = ("backend", "has_slot", "is_open", "response_started", "sent_at", "stalled")
 
     def __init__(self, backend: Backend, sent_at: int) -> None:
         self.backend = backend
         self.sent_at = sent_at
         self.is_open = True  # its outcome has not been reported yet
+        self.has_slot = True
         self.response_started = False
+        self.stalled = False  # its response has begun, and then nothing more came for a while
 
 
 class Request:
     """One client request, from its arrival to its answer and the outcome of its last attempt."""
 
     __slots__ = (
-        "arrived_at", "attempts", "attempts_in_flight", "cls", "deadline_at", "ended",
-        "first_maybe_run", "half_closed_at", "hint", "id", "low_priority", "queued", "target_at",
-        "tenant", "wait_until",
+        "answer_by", "arrived_at", "attempts", "attempts_in_flight", "cls", "deadline_at", "ended",
+        "first_maybe_run", "half_closed_at", "hint", "id", "low_priority", "queued",
+        "stalled_attempts", "target_at", "tenant", "wait_until",
     )  # fmt: skip
 
     def __init__(
@@ -257,10 +254,12 @@
         self.tenant = tenant
         self.arrived_at = now
         self.deadline_at = now + time_left  # when the client gives up
-        self.target_at = now + class_state.latency_target  # when the answer counts as late
+        self.answer_by = now + class_state.latency_target  # the target, counted from the arrival
+        self.target_at = self.answer_by  # the same, counted from the guessed first try
         self.wait_until = 0  # until when the request may stay queued
         self.attempts: list[Attempt] = []
         self.attempts_in_flight = 0
+        self.stalled_attempts = 0  # of those in flight
         self.first_maybe_run: Attempt | None = None  # the first attempt that may have run
         self.queued = False
         self.low_priority = False  # beyond its tenant's quota, or late already
@@ -598,7 +597,8 @@
         """
         if backend.state == State.GONE and not backend.in_flight:
             self.update_bucket(backend)
-            self.backends.pop(backend.id, None)
+            if self.backends.get(backend.id) is backend:
+                del self.backends[backend.id]
 
     def assign_slots(self) -> None:
         """Assign every backend's slots to the nodes in turn (the paper's equations 5 and 6).
@@ -758,7 +758,7 @@
         class_state = self.classes[cls]
         pending = Request(request, class_state, now, time_left, tenant)
         if class_state.spec.target_stretch and hint:
-            pending.target_at = now + min(
+            pending.answer_by = pending.target_at = now + min(
                 class_state.latency_target + int(class_state.spec.target_stretch * hint),
                 class_state.spec.deadline,
             )
@@ -1040,28 +1040,18 @@
     def start_attempt(self, now: int, request: Request, backend: Backend) -> None:
         """Send a request to a backend, with the time-out that its rules and budget allow."""
         class_state = request.cls
-        end = request.deadline_at
-        if class_state.spec.late_value <= 0:
-            end = min(
-                end, request.target_at - int(class_state.latency_target * TARGET_MARGIN_FRACTION)
-            )
-        timeout = max(end - now, MS)
         if not request.attempts:
             self.retry_budget = min(
                 self.retry_budget + RETRY_BUDGET_FRACTION, self.max_retry_budget
             )
-        if (
-            class_state.effect == Effect.PURE
-            and len(request.attempts) + 1 < self.settings.max_attempts
-        ):
-            retry_timeout = int(
-                max(
-                    ATTEMPT_TIMEOUT_LATENCY_RATIO * class_state.mean_latency,
-                    ATTEMPT_TIMEOUT_MIN_TARGET_FRACTION * class_state.latency_target,
-                )
-            )
-            if self.retry_budget >= 1.0:
-                timeout = min(timeout, retry_timeout)
+        timeout = silent_timeout(
+            class_state.spec,
+            class_state.mean_latency,
+            now,
+            request.answer_by,
+            request.deadline_at,
+            len(request.attempts) + 1 < self.settings.max_attempts and self.retry_budget >= 1.0,
+        )
         request.attempts.append(Attempt(backend, now))
         request.attempts_in_flight += 1
         class_state.in_flight += 1
@@ -1133,8 +1123,11 @@
             self.actions.set_timer(TIMER_WAKE, due)
 
     def refuse_or_fail(self, request: Request, reason: Reason) -> None:
-        """Answer a request without service: refuse it where a retry is harmless, else fail it."""
-        if request.ended:
+        """Answer a request without service: refuse it where a retry is harmless, else fail it.
+
+        While an attempt is in flight whose response has stalled, that attempt may still answer.
+        """
+        if request.ended or request.stalled_attempts:
             return
         request.ended = True
         if not request.low_priority and not request.half_closed_at:
@@ -1177,7 +1170,7 @@
     def may_retry(self, now: int, request: Request) -> bool:
         """Whether another attempt is allowed; `pick_in_dedup_scope` says where for keyed ones."""
         if (
-            request.attempts_in_flight
+            request.attempts_in_flight > request.stalled_attempts
             or request.half_closed_at
             or len(request.attempts) >= self.settings.max_attempts
         ):
@@ -1229,14 +1222,11 @@
         backend = ended_attempt.backend
         class_state = pending.cls
         pending.attempts_in_flight -= 1
-        if not ended_attempt.response_started:
-            self.release_slot(class_state, backend)
-            if self.granted_slots is not None and outcome in OUTCOMES_MAY_STILL_RUN:
-                # The backend may go on with an attempt that this node has abandoned: its slot
-                # is not free for another one yet.
-                until = ended_attempt.sent_at + class_state.spec.deadline
-                backend.abandoned_until = (*backend.abandoned_until, until)
-                self.schedule_wakeup(until, backend)
+        pending.stalled_attempts -= ended_attempt.stalled
+        if ended_attempt.has_slot:
+            self.release_slot(class_state, ended_attempt)
+            if outcome in OUTCOMES_MAY_STILL_RUN:
+                self.keep_slot_of_abandoned(class_state, ended_attempt)
         self.outcome_count += 1
         if outcome in (FULL, TIMEOUT):
             self.overloaded_until = now + OVERLOAD_HOLD_NS
@@ -1252,7 +1242,7 @@
             if not pending.ended:
                 class_state.response_time_sum += now - pending.arrived_at
                 class_state.response_count += 1
-        else:
+        elif not ended_attempt.stalled:
             self.record_failure(now, class_state, backend, outcome, duration)
         self.update_bucket(backend)
         self.forget_if_gone(backend)
@@ -1260,10 +1250,11 @@
             pending.first_maybe_run = ended_attempt
         if answered or outcome == OK:
             pending.ended = True
+            self.drop_other_attempts(pending)
         if pending.ended:
             if not pending.attempts_in_flight:
                 self.requests.pop(request, None)
-        elif not pending.attempts_in_flight:
+        elif pending.attempts_in_flight == pending.stalled_attempts and not pending.queued:
             self.retry_or_answer(
                 now,
                 pending,
@@ -1272,6 +1263,61 @@
             )
         self.dispatch(now)
 
+    def drop_other_attempts(self, request: Request) -> None:
+        """Drop what is queued or in flight for a request besides the attempt that answers it."""
+        if request.queued:
+            self.dequeue(request)
+        if request.attempts_in_flight:
+            for number, attempt in enumerate(request.attempts):
+                if attempt.is_open and not attempt.response_started:
+                    self.actions.cancel(request.id, number)
+
+    def further_time(self, now: int, request: int, attempt: int, progress: Progress) -> int:
+        """Nanoseconds that an attempt whose time-out has passed goes on; 0: it is given up."""
+        pending = self.requests.get(request)
+        if pending is None or pending.ended or attempt >= len(pending.attempts):
+            return 0
+        return further_time(progress, now, pending.deadline_at)
+
+    def on_response_stalled(self, now: int, request: int, attempt: int, duration: int) -> None:
+        """Hedge a request whose response has begun and then stalled, `duration` after its send.
+
+        The attempt stays open, for the backend may be slow and sound. Its slot is free, the backend
+        counts as failing, and another attempt starts where the rules for retries allow one.
+        """
+        self.now = now
+        pending = self.requests.get(request)
+        if pending is None or attempt >= len(pending.attempts):
+            return
+        stalled = pending.attempts[attempt]
+        if not stalled.is_open or stalled.stalled or stalled.response_started:
+            return
+        stalled.stalled = True
+        pending.stalled_attempts += 1
+        if pending.first_maybe_run is None:
+            pending.first_maybe_run = stalled
+        class_state, backend = pending.cls, stalled.backend
+        self.outcome_count += 1
+        self.release_slot(class_state, stalled)
+        self.keep_slot_of_abandoned(class_state, stalled)
+        self.record_failure(now, class_state, backend, ERROR, duration)
+        self.update_bucket(backend)
+        if (
+            not pending.ended
+            and not pending.queued
+            and pending.attempts_in_flight == pending.stalled_attempts
+        ):
+            self.retry_or_answer(now, pending, ERROR, min(duration / class_state.mean_latency, 1.0))
+        self.dispatch(now)
+
+    def keep_slot_of_abandoned(self, class_state: ClassState, attempt: Attempt) -> None:
+        """Keep a granted slot occupied while the backend may go on with an abandoned attempt."""
+        if self.granted_slots is not None:
+            backend = attempt.backend
+            until = attempt.sent_at + class_state.spec.deadline
+            backend.abandoned_until = (*backend.abandoned_until, until)
+            self.schedule_wakeup(until, backend)
+
     def retry_or_answer(self, now: int, request: Request, outcome: int, price: float) -> None:
         """After this outcome, queue a further attempt ahead of other requests, or answer without
         service.
@@ -1471,15 +1517,19 @@
             and not started.response_started
         ):
             started.response_started = True
-            self.release_slot(pending.cls, started.backend)
+            self.release_slot(pending.cls, started)
+            self.drop_other_attempts(pending)
             self.record_answer(now, pending.cls, started.backend, duration, ())
             self.update_bucket(started.backend)
             self.dispatch(now)
 
-    def release_slot(self, class_state: ClassState, backend: Backend) -> None:
-        class_state.in_flight -= 1
-        self.in_flight -= 1
-        backend.in_flight -= 1
+    def release_slot(self, class_state: ClassState, attempt: Attempt) -> None:
+        """Free the slot of an attempt, if it still holds one."""
+        if attempt.has_slot:
+            attempt.has_slot = False
+            class_state.in_flight -= 1
+            self.in_flight -= 1
+            attempt.backend.in_flight -= 1
 
     def on_client_gone(self, now: int, request: int) -> None:
         """Drop a request whose client has gone; its attempts go on to their outcomes."""
--- a/flinthatch/interface.py
+++ b/flinthatch/interface.py
@@ -86,7 +86,7 @@
     scope: Scope = Scope.ALL  # where backends recognize the key of a TOKEN request
     retry_window: int = 0  # time in which backends recognize the key
     value: float = 1.0  # worth of an answer within the target, relative to other classes
-    late_value: float = 0.0  # worth of a late answer; with 0, attempts end at the target
+    late_value: float = 0.0  # worth of a late answer; with 0, silent attempts end at the target
     stream: bool = False
     target_stretch: float = 0.0  # nanoseconds added to the target per unit of a cost hint
 
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -17,6 +17,7 @@
 
 from flinthatch import Outcome
 from flinthatch import State as ListState
+from flinthatch.attempt_timeout import Progress
 from tansywood.iso8583.codec import Codec, IsoError, Message
 from tansywood.iso8583.framing import Framer, Framing, FramingError, frame
 from tansywood.iso8583.machine import Answer, Broken, Event, Link, Reply, Stans, State
@@ -50,6 +51,10 @@
     def abandon(self) -> bool:
         return self.conn.abandon(self)
 
+    def progress(self) -> Progress:
+        """A response is one message: until it has come, nothing tells of progress."""
+        return Progress.SILENT
+
 
 class Advice:
     """A message that is no attempt: a reversal that is owed. `done` gets the answer, or None
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -13,6 +13,7 @@
 import pytest
 
 from flinthatch import Balancer
+from flinthatch.attempt_timeout import Progress
 from windrelay.guard import closes_connection_on_error
 from windrelay.node import Attempt, Node
 from windrelay.server import ClientConnection
@@ -191,6 +192,9 @@
             def abandon(self) -> bool:
                 raise InjectedError("abandon")
 
+            def progress(self) -> Progress:
+                return Progress.SILENT
+
         now = time.monotonic_ns()
         attempts = [Attempt(None, 0, 1, now) for _ in range(2)]
         attempts[0].connection = Broken()
--- a/windrelay/interfaces.py
+++ b/windrelay/interfaces.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from flinthatch import Listing
+from flinthatch.attempt_timeout import Progress
 
 if TYPE_CHECKING:
     from windrelay.node import Attempt
@@ -94,6 +95,9 @@
         Returns false if the last byte of the request was certainly never written.
         """
 
+    def progress(self) -> Progress:
+        """Return what the backend is seen to do for the attempt."""
+
 
 class ConnectionPool(Protocol):
     """The connections to backends for one protocol; reports one outcome for each attempt."""
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from flinthatch import Balancer, Listing, Outcome, Settings, Update
+from flinthatch.attempt_timeout import Progress
 from flinthatch.reconfigure import reconfigure
 from windrelay.config import Config
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
@@ -79,8 +80,8 @@
     """One send of a request to a backend, or a health probe where `request` is None.
 
     An attempt has exactly one outcome. Once `answer_started_at` is set, the answer is streamed to
-    the client: it is the request's only answer, no time-out ends the attempt any more, and the
-    latency reported for it is the time to the start of the answer.
+    the client: it is the request's only answer, only the end of the client's time ends the attempt,
+    and the latency reported for it is the time to the start of the answer.
     """
 
     __slots__ = (
@@ -605,10 +606,63 @@
         if isinstance(item, int):
             self.balancer.on_timer(now, item)
         elif isinstance(item, Attempt):
-            if not item.concluded and not item.answer_started_at:
-                self.give_up(item, Outcome.TIMEOUT)
+            self.handle_attempt_timeout(now, item)
         elif not item.ended and not item.answer_started:
             self.fail_overdue(item)
+        elif not item.ended:
+            self.cut_overdue_stream(item)
+
+    def handle_attempt_timeout(self, now: int, attempt: Attempt) -> None:
+        """Give an attempt up, unless the Balancer lets it go on for its backend's progress."""
+        if attempt.concluded or attempt.answer_started_at:
+            return
+        request, connection = attempt.request, attempt.connection
+        progress = Progress.SILENT
+        if request is not None and connection is not None:
+            progress = connection.progress()
+        if request is not None and progress != Progress.SILENT:
+            more = self.balancer.further_time(now, request.id, attempt.number, progress)
+            if more > 0:
+                self.schedule(now + more, attempt)
+                return
+            self.log_attempt(now, attempt, f"given up while {progress.name.lower()}")
+        self.give_up(attempt, Outcome.TIMEOUT)
+
+    def report_stall(self, attempt: Attempt) -> None:
+        """Tell the Balancer that a response has begun and that nothing more came for a while."""
+        request = attempt.request
+        assert request is not None
+        now = self.begin_event()
+        try:
+            self.log_attempt(now, attempt, "has a response that stalled")
+            self.balancer.on_response_stalled(
+                now, request.id, attempt.number, now - attempt.sent_at
+            )
+        except Exception:
+            self.record_event_error()
+        finally:
+            self.end_event()
+
+    def log_attempt(self, now: int, attempt: Attempt, event: str) -> None:
+        """Log what became of an attempt of a request."""
+        request = attempt.request
+        assert request is not None
+        self.log(
+            f"request {request.client_request_id.decode('latin-1')}: attempt {attempt.number} at "
+            f"backend {attempt.backend} {event}, {(now - attempt.sent_at) // MS} ms after the send"
+            f", {(request.deadline - now) // MS} ms before the deadline"
+        )
+
+    def cut_overdue_stream(self, request: Request) -> None:
+        """End a response that is still being passed on when the time of its client is over.
+
+        It can't arrive in time any more, and nothing may follow later: its end shows that it is
+        incomplete.
+        """
+        for attempt in list(request.attempts):
+            if not attempt.concluded:
+                self.log_attempt(self.now, attempt, "cut at the deadline")
+                self.give_up(attempt, Outcome.TIMEOUT)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop waiting for an attempt.
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -19,6 +19,7 @@
 import httptools
 
 from flinthatch import Outcome
+from flinthatch.attempt_timeout import Progress
 from flinthatch.connection_reuse import AdaptiveIdleTimeout, QuietTime, ResponseHistory
 from windrelay.body_blocks import Block, append_piece
 from windrelay.chunked_framing import ChunkedFraming, FramingTooLong, TooManyPieces
@@ -37,11 +38,12 @@
 MAX_BUFFERED_BODY_BYTES = 64 << 10
 MAX_BODY_BYTES = 32 << 20  # the platform's limit for a response body
 MAX_HEAD_BYTES = 16 << 10  # limit for a response head, interim responses before it included
-# A response that has begun keeps sending, if only in small pieces. Without this limit a response
-# shorter than its Content-Length would use up the attempt's whole time-out.
+# A response that has begun usually keeps sending, if only in small pieces. One that pauses longer
+# may be shorter than its Content-Length, so its request may be hedged; the attempt goes on.
 RESPONSE_STALL_TIMEOUT_S = 0.25
-# A streamed response can't be retried any more, so its backend may pause longer.
-STREAM_STALL_TIMEOUT_S = 3.0
+# A request from this size on may take its backend a while to read. How much of it was read can't be
+# seen, since the buffers of both kernels hold that much.
+LONG_REQUEST_BYTES = 16 << 10
 WRITE_CHUNK_BYTES = 64 << 10  # longest request that is given to the transport in one write
 # Connect errors that come from this host's own limits and say nothing about the backend.
 LOCAL_RESOURCE_ERRNOS = frozenset(
@@ -83,9 +85,9 @@
         "_announced_close", "_body_chunks", "_body_size", "_budgeted_bytes", "_checksum",
         "_chunked", "_closed", "_complete", "_content_length", "_content_type",
         "_descriptor_released", "_dial_task", "_dial_timer", "_ends_at_close", "_framing",
-        "_has_dropped_copy", "_has_extra_data", "_headers_done", "_idle_ns", "_interim_count",
-        "_invalid", "_keep_alive", "_last_checksums", "_last_received_at", "_last_request_id",
-        "_load_report",
+        "_has_dropped_copy", "_has_extra_data", "_has_stalled", "_headers_done", "_idle_ns",
+        "_interim_count", "_invalid", "_keep_alive", "_last_checksums", "_last_received_at",
+        "_last_request_id", "_load_report",
         "_not_processed", "_piece_count", "_quiet_timer", "_reading_paused", "_received_bytes",
         "_recognises_copies", "_socket_view", "_stall_timer", "_status", "_streaming_to",
         "_unsent_chunks", "_writing_paused", "address", "attempt", "backend", "idle_since",
@@ -124,6 +126,7 @@
         self._streaming_to: StreamingCaller | None = None  # receives the response as it arrives
         self._reading_paused = False  # the caller takes the stream more slowly than it arrives
         self._last_received_at = 0
+        self._has_stalled = False  # the response paused, which was reported
         self._interim_count = 0
         self._received_bytes = 0  # all response bytes: heads, framing and bodies
         self._invalid = False
@@ -283,7 +286,7 @@
         if request is None:
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
         else:
-            time_left = attempt.sent_at + attempt.timeout - now
+            time_left = request.deadline - now
             parsed = request.incoming
             head = b"%s%d\r\n\r\n" % (parsed.head, max(time_left // MS, 1))
             if parsed.body_size <= WRITE_CHUNK_BYTES:
@@ -385,11 +388,15 @@
             self._finish_response()
         elif self._invalid:
             self._reject_response()
-        elif self._stall_timer is None and self._received_bytes:
+        elif self._received_bytes and self._may_stall():
             self._stall_timer = self.pool.node.loop.call_later(
                 RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
             )
 
+    def _may_stall(self) -> bool:
+        """Whether a pause of the response is to be noticed, and no timer is set for that yet."""
+        return self._stall_timer is None and not self._has_stalled and self._streaming_to is None
+
     def _reject_unparsed(self) -> None:
         self._reject_response()
 
@@ -422,23 +429,36 @@
     @closes_connection_on_error
     def _on_stall_timer(self) -> None:
         self._stall_timer = None
-        if self.attempt is None:
-            return
-        stall_timeout_s = (
-            RESPONSE_STALL_TIMEOUT_S if self._streaming_to is None else STREAM_STALL_TIMEOUT_S
-        )
-        silent_s = (time.monotonic_ns() - self._last_received_at) / 1e9
-        if self._reading_paused or self._unparsed is not None:
-            # The caller is slow, whose own time limits apply, or this node has not parsed all yet.
-            silent_s = 0.0
-        elif silent_s >= stall_timeout_s:
-            if not self._has_unread_data():
-                self._reject_response()
-                return
-            silent_s = 0.0  # data waits in the kernel: this event loop was late, not the backend
-        self._stall_timer = self.pool.node.loop.call_later(
-            stall_timeout_s - silent_s, self._on_stall_timer
-        )
+        attempt = self.attempt
+        if attempt is None or self._streaming_to is not None:
+            return  # a response that is passed on can't be hedged
+        silent_s = (time.monotonic_ns() - self._last_received_at) / SECOND
+        if self._unparsed is not None or self._has_unread_data():
+            silent_s = 0.0  # this event loop is late, not the backend
+        if silent_s < RESPONSE_STALL_TIMEOUT_S:
+            self._stall_timer = self.pool.node.loop.call_later(
+                RESPONSE_STALL_TIMEOUT_S - silent_s, self._on_stall_timer
+            )
+        elif attempt.request is None or not self.request_written:
+            self._reject_response()
+        else:
+            self._has_stalled = True
+            self.pool.node.report_stall(attempt)
+
+    def progress(self) -> Progress:
+        """Return what the backend is seen to do for the attempt; see interfaces.AttemptHandle."""
+        attempt = self.attempt
+        if attempt is None or attempt.request is None or self.transport is None:
+            return Progress.SILENT
+        if self._received_bytes and self.request_written:
+            return Progress.RESPONDING
+        if attempt.request.incoming.body_size >= LONG_REQUEST_BYTES and not self._is_waiting():
+            return Progress.READING
+        return Progress.SILENT
+
+    def _is_waiting(self) -> bool:
+        """Whether the attempt waits for a quiet connection and has written nothing yet."""
+        return self._quiet_timer is not None
 
     def _reject_response(self) -> None:
         """End the attempt because its response can't be used: a failure that may have run.
@@ -537,8 +557,8 @@
             self._invalid = True  # the response of a probe has no caller
         elif not self.request_written:
             self._invalid = True  # the request is not written yet, see _outcome
-        elif request.ended or request.client is None:
-            self._invalid = True  # the request has ended or its caller has left
+        elif request.ended or request.client is None or request.answer_started:
+            self._invalid = True  # the request has its answer, or its caller has left
         else:
             self._streaming_to = cast(StreamingCaller, request.client)
             self._checksum = 0  # it is passed on before it is complete
