Send nothing on for clients that have left, and remember unsafe request ids for long

Cause: (1) a close behind unread data is seen only once all is read: a node that was held up, or read a long body late, started the request first; a queued one could leave before the loop looked at the socket. (2) Ids were remembered for one to two seconds after their request, in one process. Change: (1) a request that took over 50 ms from its first bytes to its start, and an attempt that begins over 50 ms after its request, first ask the kernel for the state of the client's connection; where the client has closed nothing is sent, and whoever only half-closed gets 503. The arrival of data is taken before each read, since the kernel's time moves on once a read has made room. Who half-closes after a request of over 50 ms gets 503.

--- a/tansywood/iso8583/front.py
+++ b/tansywood/iso8583/front.py
@@ -102,6 +102,10 @@
         answer = reply_to(self.message, server.mapping.failed)
         server.settle(self, server.codec.encode(answer), Fate.IN_DOUBT)
 
+    def has_left(self) -> bool:
+        """A terminal may come back for its answer: it has never left for good."""
+        return False
+
 
 class TerminalConnection(asyncio.Protocol):
     """One terminal's connection; many of its requests may be open."""
--- a/windrelay/controls.py
+++ b/windrelay/controls.py
@@ -104,6 +104,7 @@
             "held": self._descriptors_in_use(),
             "bans": list(node.balancer.banned),
             "evacuated": self.server.evacuated,
+            "unsafe_requests": node.request_ids.unsafe_digests(),
             "list": backend_list.export(),
             "learnt": export_learned_state(
                 node.balancer, now, now + backend_list.wall_clock_offset_ns
@@ -120,6 +121,7 @@
             if isinstance(backend, int):
                 node.balancer.banned.add(backend)
         self._apply_peer_descriptors(state.get("held"))
+        self._remember_unsafe_requests(state.get("unsafe_requests"))
 
         def initial_listings() -> list[Listing]:
             try:
@@ -139,7 +141,8 @@
         """Take the place of the process that handed over, if any; then wait for a successor."""
         node = self.node
         if handover is not None:
-            self.peer = peer = PeerConnection(self._on_peer_message, self._on_peer_closed)
+            peer = PeerConnection(self._on_peer_message, self._on_peer_closed)
+            self._set_peer(peer)
             await node.loop.connect_accepted_socket(lambda: peer, handover.connection)
             if handover.trailing_bytes:
                 peer.data_received(handover.trailing_bytes)
@@ -163,7 +166,7 @@
             self.node.log(f"no successor can take over, listening for one failed: {err}")
 
     def _on_successor_connected(self, peer: PeerConnection) -> None:
-        self.peer = peer
+        self._set_peer(peer)
         self.peer_is_successor = True
 
     def _on_peer_message(self, message: dict[str, Any]) -> None:
@@ -174,12 +177,13 @@
             self._shrink_limits()
         if "held" in message and not self.peer_is_successor:
             self._apply_peer_descriptors(message["held"])
+        self._remember_unsafe_requests(message.get("unsafe_requests"))
         if "call" in message:
             self._apply_forwarded_call(message["call"])
 
     def _on_peer_closed(self) -> None:
         """Continue alone: the other process has ended."""
-        self.peer = None
+        self._set_peer(None)
         self.node.share_limits(0)
         if self.peer_is_successor:
             self.peer_is_successor = False
@@ -188,6 +192,24 @@
                 self.server.undo_hand_over()
                 self._listen_for_successor()
 
+    def _set_peer(self, peer: PeerConnection | None) -> None:
+        """Exchange state with another process from now on, or with none.
+
+        A client that leaves one process may come to the other with the same request.
+        """
+        self.peer = peer
+        self.node.on_unsafe_request = (
+            (lambda digest: peer.send({"unsafe_requests": [digest]}))
+            if peer is not None
+            else lambda _digest: None
+        )
+
+    def _remember_unsafe_requests(self, digests: Any) -> None:
+        """Remember requests that the other process has taken and that may not be repeated."""
+        if isinstance(digests, list):
+            known = (digest for digest in digests if isinstance(digest, int))
+            self.node.request_ids.add_unsafe(time.monotonic_ns(), known)
+
     def _descriptors_in_use(self) -> int:
         """Return how many descriptors this process needs, with a reserve."""
         node = self.node
--- a/windrelay/incoming_request.py
+++ b/windrelay/incoming_request.py
@@ -36,14 +36,14 @@
     """A client's request while the node reads it, and for as long as the node keeps the request.
 
     `head` is the start of the message that each attempt sends, up to the value of X-Timeout-Ms.
-    `received_ns` is on the monotonic clock.
+    `began_ns` and `received_ns` are on the monotonic clock.
     """
 
     __slots__ = (
-        "body", "body_size", "chunked", "class_number", "classes_version", "content_length",
-        "cost_hint", "framing", "head", "header_lines", "headers", "is_http_1_0", "is_probe",
-        "is_retry", "keep_alive", "key", "method", "received_ns", "request_id", "reserved_bytes",
-        "reserved_head_bytes", "tenant", "timeout_ns", "url",
+        "began_ns", "body", "body_size", "chunked", "class_number", "classes_version",
+        "content_length", "cost_hint", "framing", "head", "header_lines", "headers", "is_http_1_0",
+        "is_probe", "is_retry", "keep_alive", "key", "method", "received_ns", "request_id",
+        "reserved_bytes", "reserved_head_bytes", "tenant", "timeout_ns", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -69,5 +69,6 @@
         self.cost_hint = 0
         self.is_retry = False
         self.timeout_ns = 0
-        self.received_ns = 0
+        self.began_ns = 0  # when its first bytes were there, at the latest
+        self.received_ns = 0  # when its last bytes were there
         self.classes_version = 0  # version of Server's classes that the head was checked against
--- a/windrelay/interfaces.py
+++ b/windrelay/interfaces.py
@@ -39,6 +39,9 @@
         `late` tells that its deadline has passed.
         """
 
+    def has_left(self) -> bool:
+        """Return whether the caller has closed, as far as the system knows by now."""
+
 
 class StreamingCaller(Caller, Protocol):
     """A caller that can receive a response while it still arrives from the backend.
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -17,13 +17,14 @@
 from heapq import heapify, heappop, heappush
 from typing import Any
 
-from flinthatch import Balancer, Listing, Outcome, Settings, Update
+from flinthatch import Balancer, Effect, Listing, Outcome, Settings, Update
 from flinthatch.attempt_timeout import Progress
 from flinthatch.reconfigure import reconfigure
 from windrelay.config import Config
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
 from windrelay.memory_budget import MemoryBudget, resident_bytes
 from windrelay.paced_protocol import TurnQueue
+from windrelay.request_ids import RequestIds, digest_of
 from windrelay.resource_log import ResourceLog, ResourceUse
 
 MS = 1_000_000
@@ -31,6 +32,8 @@
 
 # A request that the Balancer left unanswered is failed this long after its deadline.
 OVERDUE_GRACE_NS = 10 * MS
+# An attempt may begin up to 0.1 s after its client's close, of which so much may go unnoticed.
+UNNOTICED_CLOSE_NS = 50 * MS
 TIMER_RETRY_NS = 100 * MS  # a Balancer timer whose event raised is called again after this time
 NO_TIMER = 1 << 63
 MAX_LOG_LINES_PER_S = 20
@@ -137,11 +140,10 @@
         self.other_process_descriptors = 0  # descriptors that another process of this node holds
         self.max_connections = self.compute_max_connections()
         self.requests: dict[int, Request] = {}
-        # The client's ids of open requests, and of those that ended in the last one or two seconds.
-        self.open_request_ids: set[bytes] = set()
-        self.recent_request_ids: set[bytes] = set()
-        self.older_request_ids: set[bytes] = set()
-        self.ids_rotated_at = 0
+        self.request_ids = RequestIds()
+        # Called with the digest of each request that may not be repeated; the controls set it while
+        # another process of this node runs.
+        self.on_unsafe_request: Callable[[int], None] = lambda _digest: None
         self.open_request_count = 0
         self.last_request_id = 0
         self.in_event = False
@@ -228,7 +230,7 @@
         remaining = incoming.timeout_ns - waited
         request = Request(request_id, client, incoming, now, remaining)
         self.requests[request_id] = request
-        self.open_request_ids.add(request.client_request_id)
+        self.remember_request(now, request, incoming)
         self.open_request_count += 1
         self.schedule(request.deadline + OVERDUE_GRACE_NS, request)
         try:
@@ -251,20 +253,13 @@
             self.end_event()
         return request
 
-    def is_repeated(self, request_id: bytes) -> bool:
-        """Return whether a request with this id is open, or was open one or two seconds ago.
-
-        Every request has a new id, a client's retry too. A second request with the same id is a
-        copy, or comes from another client: serving it could run a side effect twice. Ids are
-        remembered for a second or two after the end of a request because the copy may cross the
-        answer to the first. The rule may harm a client that repeats a request under its old id
-        after its connection broke within an answer.
-        """
-        return (
-            request_id in self.open_request_ids
-            or request_id in self.recent_request_ids
-            or request_id in self.older_request_ids
-        )
+    def remember_request(self, now: int, request: Request, incoming: ParsedRequest) -> None:
+        """Remember the id of a request that starts; see `request_ids`."""
+        self.request_ids.open(request.client_request_id)
+        if self.balancer.classes[incoming.class_number].effect == Effect.SIDE_EFFECT:
+            digest = digest_of(request.client_request_id)
+            self.request_ids.add_unsafe(now, (digest,))
+            self.on_unsafe_request(digest)
 
     # ---- an operator's calls about a backend --------------------------
 
@@ -328,8 +323,22 @@
         request = attempt.request
         if request is None:
             return True
-        return not request.ended and self.balancer.may_start_attempt(
-            time.monotonic_ns(), request.id, attempt.number
+        now = time.monotonic_ns()
+        return (
+            not request.ended
+            and not self.has_client_left(now, request)
+            and self.balancer.may_start_attempt(now, request.id, attempt.number)
+        )
+
+    def has_client_left(self, now: int, request: Request) -> bool:
+        """Return whether the client has closed, where the event loop may not have noticed yet.
+
+        A close can't be older than the request, so a young request needs no look.
+        """
+        return (
+            now - request.arrived_at > UNNOTICED_CLOSE_NS
+            and request.client is not None
+            and request.client.has_left()
         )
 
     def apply_member_update(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
@@ -429,8 +438,7 @@
             and not request.unfinished_attempts
             and self.requests.pop(request.id, None) is not None
         ):
-            self.open_request_ids.discard(request.client_request_id)
-            self.recent_request_ids.add(request.client_request_id)
+            self.request_ids.close(request.client_request_id)
             self.stale_timer_count += 1 + len(request.attempts)
             # The timers refer to the request until its deadline and the request to its attempts:
             # clearing them breaks the reference cycle and frees the message at once.
@@ -473,6 +481,7 @@
         if (
             open_request.ended
             or remaining <= 0
+            or self.has_client_left(time.monotonic_ns(), open_request)
             or len(open_request.attempts) > self.config.settings.max_attempts
         ):
             self.conclude(attempt, Outcome.NOT_SENT)
@@ -723,10 +732,7 @@
         line = self.resource_log.take_line(now, self.resource_use())
         if line:
             self.log(line)
-        if now - self.ids_rotated_at > SECOND:
-            self.ids_rotated_at = now
-            self.older_request_ids = self.recent_request_ids
-            self.recent_request_ids = set()
+        self.request_ids.expire(now)
         if self.stale_timer_count > MIN_STALE_TIMERS_TO_PURGE and 2 * self.stale_timer_count > len(
             self.timers
         ):
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -28,6 +28,7 @@
     BadRequest,
     IncomingRequest,
 )
+from windrelay.node import UNNOTICED_CLOSE_NS
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
 from windrelay.rejection_log import RejectionLog
 from windrelay.socket_view import has_unread_data
@@ -99,6 +100,7 @@
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close reset
 TCP_INFO_BYTES = 56  # the part of struct tcp_info that ends with tcpi_last_data_recv
 TCP_INFO_LAST_DATA_RECV = struct.Struct("=52xI")  # milliseconds since data last arrived
+TCP_ESTABLISHED = 1  # the value of tcpi_state, the first byte of struct tcp_info
 SEND_QUEUE_BYTES = struct.Struct("i")  # result of ioctl(TIOCOUTQ): unacknowledged bytes
 
 REASON_PHRASES = {
@@ -128,8 +130,8 @@
     """
 
     __slots__ = (
-        "_bytes_since_sweep", "_close_after_response", "_complete_request", "_delimited_by_close",
-        "_discarded_bytes",
+        "_bytes_since_sweep", "_close_after_response", "_complete_request", "_data_arrived_ns",
+        "_delimited_by_close", "_discarded_bytes",
         "_half_closed", "_head_bytes", "_headers_done", "_incoming", "_is_http_1_0",
         "_keep_alive", "_last_write_bytes", "_last_write_sweep", "_lingering", "_parser",
         "_piece_count", "_reading_held", "_request", "_response_chunked",
@@ -153,6 +155,7 @@
         self._keep_alive = True
         self._half_closed = False
         self._lingering = False
+        self._data_arrived_ns = 0  # when the data of the last read had come, on the monotonic clock
         self._bytes_since_sweep = 0
         self._sweeps_left = 0  # until a body that is being received is overdue
         self._discarded_bytes = 0  # received during the lingering close
@@ -182,10 +185,19 @@
         # With a high-water mark of 0 the transport calls pause_writing as soon as it buffers
         # anything, and resume_writing once all has left.
         self._transport.set_write_buffer_limits(high=0)
+        self._note_data_arrival()
         self._parser = httptools.HttpRequestParser(self)
         self._server.connections.add(self)
         self._server.awaiting_first_request[self] = self._server.node.loop.time()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        self._note_data_arrival()
+        return super().get_buffer(sizehint)
+
+    def _note_data_arrival(self) -> None:
+        """Take the time at which the data that waits in the kernel had come."""
+        self._data_arrived_ns = time.monotonic_ns() - self._milliseconds_since_data() * NS_PER_MS
+
     def data_received(self, data: bytes) -> None:
         parser = self._parser
         if parser is None:
@@ -281,6 +293,7 @@
             # pipeline, which the platform's protocol does not provide for.
             raise BadRequest(400, "next request sent before the response to the first")
         self._incoming = IncomingRequest()
+        self._incoming.began_ns = self._data_arrived_ns
         self._headers_done = False
         if self._server.awaiting_first_request.pop(self, None) is None:
             # A later request's time-out starts here, the first one's when the client connected.
@@ -389,10 +402,9 @@
         self._incoming = None
         self._headers_done = False
         self._head_bytes = 0
-        # The time that the last bytes waited in the kernel while the loop was busy counts
-        # against the request's deadline.
-        unread_ms = self._milliseconds_since_data()
-        incoming.received_ns = time.monotonic_ns() - unread_ms * NS_PER_MS
+        # The time that the last bytes waited in the kernel and here counts against the request's
+        # deadline.
+        incoming.received_ns = self._data_arrived_ns
         if not incoming.is_probe:
             if incoming.method == b"POST" or incoming.body_size:
                 incoming.header_lines += b"Content-Length: %d\r\n" % incoming.body_size
@@ -440,14 +452,22 @@
             node.budget.release(incoming.reserved_bytes)
             self.send_empty_response(503, 0)
             return
-        if node.is_repeated(incoming.request_id):
+        now = time.monotonic_ns()
+        waited_ns = now - incoming.received_ns
+        if now - incoming.began_ns > UNNOTICED_CLOSE_NS and self.has_left():
+            # It may have closed before its last bytes came: its system goes on sending what it had
+            # written. It may also wait for the answer, so it gets one.
+            node.budget.release(incoming.reserved_bytes)
+            self._server.record_rejection(503, "its client has ended its sending")
+            self.send_empty_response(503, 0)
+            return
+        if node.request_ids.contains(incoming.request_id):
             node.budget.release(incoming.reserved_bytes)
             self._reject(400, "X-Request-ID of an open or recently ended request")
             return
         node.budget.reserve(REQUEST_BYTES)
         incoming.reserved_bytes += REQUEST_BYTES
         incoming.headers = NO_HEADERS  # frees memory while the node keeps the request
-        waited_ns = time.monotonic_ns() - incoming.received_ns
         # The request may have been answered before the call returns.
         request = node.start_request(self, incoming, waited_ns)
         if request is None:
@@ -572,6 +592,14 @@
         """Send 504 if the request's time is over, else 502."""
         self.send_empty_response(504 if late else 502, 0)
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its sending, closed or reset the connection."""
+        try:
+            tcp_info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return True  # the descriptor is gone
+        return tcp_info[0] != TCP_ESTABLISHED
+
     def _should_close(self) -> bool:
         """Whether the connection closes after the response that is about to be sent."""
         server = self._server
