Take the later of two backends that a list names at one address, and only that

Cause: of two ids at one address only one that the latest message did not name was taken for gone. One list with both kept both, and a message about the old one alone took the new one out. Change: flinthatch/shared_addresses.py: the one with the later start is there; where the starts don't tell, one of the message before one that was known, and both stay where one message names both. The list of the configuration is read the same way. Price: as before, one pass over the known addresses for each change.

--- a/benchmarks/scale/discovery.py
+++ b/benchmarks/scale/discovery.py
@@ -60,7 +60,7 @@
     """What the node does with an answer."""
     raw = json.loads(body)
     update, rows, endpoints, _ = held.parse(raw)
-    rows += held.find_displaced(rows, endpoints)
+    rows = held.without_displaced(rows, endpoints, update)
     held.apply(raw["rev"], update, rows, endpoints)
     return rows
 
@@ -105,7 +105,7 @@
         body = json.dumps({"rev": 3 + n, "all": False, "targets": [changed]}).encode()
         raw = json.loads(body)
         update, rows, endpoints, _ = held.parse(raw)
-        rows += held.find_displaced(rows, endpoints)
+        rows = held.without_displaced(rows, endpoints, update)
         held.apply(raw["rev"], update, rows, endpoints)
         decisions.on_backend_list(2 + n, update, rows)
     return 1000 * (time.process_time() - began) / DELTAS
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -19,6 +19,7 @@
     PollSchedule,
     agent_hold_ms,
 )
+from flinthatch.shared_addresses import find_displaced
 from windrelay.body_blocks import Block, append_piece
 from windrelay.config import Address, Config, parse_address
 from windrelay.paced_protocol import PacedProtocol, TurnQueue
@@ -258,20 +259,31 @@
         self.rows.pop(backend, None)
         self._starts.pop(backend, None)
 
-    def find_displaced(self, rows: list[Listing], endpoints: dict[int, Address]) -> list[Listing]:
-        """Return, with state GONE, the backends at whose addresses these rows list other ids.
+    def without_displaced(
+        self, rows: list[Listing], endpoints: dict[int, Address], update: Update
+    ) -> list[Listing]:
+        """Return the rows of an update with state GONE for displaced backends, also for those that
+        only an earlier list named, and take the addresses of these out of `endpoints`.
 
-        Only one process listens at an address. Where a new id is ready at an address that an older
-        id still holds, the message that the older backend has left is late or lost: requests for
-        the older backend would reach the new one, in addition to its own share.
+        See `flinthatch.shared_addresses`.
         """
-        listed_ids = {row.backend for row in rows}
-        ready_addresses = {endpoints[row.backend] for row in rows if row.state == State.READY}
+        others: dict[int, Address] = {}
+        if update != Update.FULL:
+            listed_ids = {row.backend for row in rows}
+            named = set(endpoints.values())
+            others = {
+                backend: address
+                for backend, address in self.endpoints.items()
+                if address in named and backend not in listed_ids
+            }
+        displaced = find_displaced(
+            rows, [self.rows[backend] for backend in others], endpoints | others
+        )
+        for backend in displaced:
+            endpoints.pop(backend, None)
         return [
-            self.rows[b]._replace(state=State.GONE)
-            for b, address in self.endpoints.items()
-            if b not in listed_ids and address in ready_addresses
-        ]
+            row._replace(state=State.GONE) if row.backend in displaced else row for row in rows
+        ] + [self.rows[b]._replace(state=State.GONE) for b in others if b in displaced]
 
     def is_ready(self, backend: int, address: Address) -> bool:
         """Return whether a connection to this address may carry a new attempt for the backend."""
@@ -459,6 +471,7 @@
         update, rows, endpoints, unreadable_count = self.backend_list.parse(raw)
         if unreadable_count:
             self.log(f"{unreadable_count} rows of the configured list are unreadable and ignored")
+        rows = self.backend_list.without_displaced(rows, endpoints, update)
         self.backend_list.apply(raw["rev"], update, rows, endpoints)
         return rows
 
@@ -468,7 +481,7 @@
         update, rows, endpoints, unreadable_count = self.backend_list.parse(raw)
         if unreadable_count:
             self.log(f"{unreadable_count} rows of a list are unreadable and ignored")
-        rows += self.backend_list.find_displaced(rows, endpoints)
+        rows = self.backend_list.without_displaced(rows, endpoints, update)
         stale = self.backend_list.apply(raw["rev"], update, rows, endpoints)
         self._on_update(update, rows, stale)
 
@@ -596,7 +609,7 @@
             self.log(f"{unreadable_count} rows of a discovery answer are unreadable and ignored")
         self._stale_answer_count = 0
         self._watch_state.address_changed = False
-        rows += backend_list.find_displaced(rows, endpoints)
+        rows = backend_list.without_displaced(rows, endpoints, update)
         stale = backend_list.apply(revision, update, rows, endpoints)
         self._on_update(update, rows, stale)
         return True
