Retry a keyed request only where the process is the one that may know its key

Cause: the retry of a request of a zone's or a cell's keys looks for a ready backend of that group, and the list tells of a new process seconds late. Change: a backend is left out where a connection to it has broken or failed since the first attempt was sent, or where the list tells that it has started since. With none left the request fails. Evidence: tests/test_shared_addresses.py, 2 of the 3 new tests fail before; the third holds that another backend of the group is still used. Price: a keyed request of a group with no other ready backend fails after a reset, also where the network and not the process broke the connection.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -173,9 +173,9 @@
     """State of one backend: what the list says, what is in flight there, and its health."""
 
     __slots__ = (
-        "abandoned_until", "bucket", "cell", "consecutive_failures", "consecutive_rejections",
-        "cost", "ejected_until", "ejection_backoff", "error_fraction", "half_open",
-        "hardware_kind", "id", "in_flight", "index", "is_local", "last_outcome_at",
+        "abandoned_until", "broken_at", "bucket", "cell", "consecutive_failures",
+        "consecutive_rejections", "cost", "ejected_until", "ejection_backoff", "error_fraction",
+        "half_open", "hardware_kind", "id", "in_flight", "index", "is_local", "last_outcome_at",
         "latency_ratio", "listed_state", "paused_until", "rounding_offset", "silent_since",
         "slot_limit", "slot_offset", "slow_start_is_new", "slow_start_send_count",
         "slow_start_sender_count", "slow_start_until", "stalled", "started_at", "state", "weight",
@@ -201,6 +201,7 @@
         self.bucket: list[Backend] | None = None
         self.index = 0  # position in the bucket
         self.latency_ratio = 1.0  # latency relative to the fleet, slowly averaged
+        self.broken_at = 0  # when a connection to it last broke or failed
         self.cost = 1.0  # load estimate from the last outcome
         self.last_outcome_at = 0
         self.silent_since = 0  # time of the last answer, or of the first send after idleness
@@ -1023,9 +1024,11 @@
 
         None where no ready backend of that zone or cell is left: the first one may be draining
         by now and must not get the retry either, nor may one in slow start before its pause ends.
+        Where a connection has broken since the first attempt, or the list tells of a start since,
+        another process may be at the backend's address, which does not know the key.
         """
         assert request.first_maybe_run is not None
-        first = request.first_maybe_run.backend
+        first, known_since = request.first_maybe_run.backend, request.first_maybe_run.sent_at
         by_zone = request.cls.spec.scope == Scope.ZONE
         free = [
             b
@@ -1033,6 +1036,7 @@
             if b.state == State.READY
             and not b.ejected_until
             and not (b.slow_start_until > self.now and b.paused_until > self.now)
+            and max(b.broken_at, b.started_at) < known_since
             and (b.zone == first.zone if by_zone else b.cell == first.cell)
         ]
         return min(free, key=lambda b: (b is first, b.in_flight, b.id)) if free else None
@@ -1387,6 +1391,8 @@
         self, now: int, class_state: ClassState, backend: Backend, outcome: int, duration: int
     ) -> None:
         """Learn from an attempt that brought no good answer; pause or eject its backend."""
+        if outcome in (RESET, CONNECT_FAILED):
+            backend.broken_at = now
         if outcome == FULL:
             self.rejection_count += 1
             backend.cost = 4.0
--- a/tests/test_shared_addresses.py
+++ b/tests/test_shared_addresses.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
-from flinthatch import Listing, State
+from flinthatch import Balancer, Listing, Outcome, Scope, Settings, State, Update
 from flinthatch.shared_addresses import find_displaced
 from windrelay.config import load
 from windrelay.discovery import BackendList, backend_id
 
+from .fakes import KEYED, MS, SECOND, RecordingHost, build_balancer
 from .harness import config, roster, target
 
 OLD, NEW = backend_id("old"), backend_id("new")
@@ -53,3 +55,33 @@
     assert find_displaced(rows, [], addresses) == set()
     assert find_displaced(rows, [Listing(3, State.READY)], addresses) == {3}
     assert find_displaced([Listing(1, State.DRAINING)], rows[1:], addresses) == set()
+
+
+def keyed_balancer(count: int) -> tuple[Balancer, RecordingHost, int]:
+    """A keyed request whose first attempt has been sent; returns its backend too."""
+    keyed = replace(KEYED, scope=Scope.CELL, retry_window=SECOND)
+    balancer, host = build_balancer(Settings(classes=(keyed,), max_attempts=4), count)
+    balancer.on_request(SECOND, 1, 0, SECOND)
+    return balancer, host, balancer.requests[1].attempts[0].backend.id
+
+
+def test_keyed_retry_does_not_go_to_an_address_where_the_process_may_be_another() -> None:
+    balancer, host, _ = keyed_balancer(1)
+    balancer.on_outcome(SECOND + 20 * MS, 1, 0, Outcome.RESET, 20 * MS, False)
+    assert len(host.calls_named("send")) == 1
+    assert host.calls_named("fail") == [("fail", 1)]
+
+
+def test_keyed_retry_goes_to_another_backend_of_the_group_after_a_reset() -> None:
+    balancer, host, first = keyed_balancer(3)
+    balancer.on_outcome(SECOND + 20 * MS, 1, 0, Outcome.RESET, 20 * MS, False)
+    assert [call[2] == first for call in host.calls_named("send")] == [True, False]
+
+
+def test_keyed_retry_does_not_go_to_a_backend_that_has_started_since() -> None:
+    balancer, host, first = keyed_balancer(1)
+    row = Listing(first, State.READY, started_at=SECOND + 5 * MS)
+    balancer.on_backend_list(SECOND + 10 * MS, Update.DELTA, [row])
+    balancer.on_outcome(SECOND + 20 * MS, 1, 0, Outcome.ERROR, 20 * MS, False)
+    assert len(host.calls_named("send")) == 1
+    assert host.calls_named("fail") == [("fail", 1)]
