Hedge a stalled response only where the settings allow a second copy

Change: there the attempt is waited for until it ends, and another one starts only then. Tests: tests/test_attempt_timeout.py for both; the tests that hedge say so in their settings.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -1177,6 +1177,7 @@
             request.attempts_in_flight > request.stalled_attempts
             or request.half_closed_at
             or len(request.attempts) >= self.settings.max_attempts
+            or (request.stalled_attempts and not self.settings.allow_hedging)
         ):
             return False
         if request.first_maybe_run is None or request.cls.effect == Effect.PURE:
@@ -1287,7 +1288,8 @@
         """Hedge a request whose response has begun and then stalled, `duration` after its send.
 
         The attempt stays open, for the backend may be slow and sound. Its slot is free, the backend
-        counts as failing, and another attempt starts where the rules for retries allow one.
+        counts as failing, and another attempt starts where the settings allow hedging, and the
+        rules for retries one more.
         """
         self.now = now
         pending = self.requests.get(request)
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -26,6 +26,7 @@
 UNREAD_INTERVAL_S = 0.2  # longer than a request takes here: the next one comes between requests
 CONTENT_LENGTH = re.compile(rb"ontent-Length: (\d+)")
 IDS = itertools.count()
+CROWD_ID_PREFIX = "crowd-"  # of the request ids that a crowd sends
 
 
 class ClientKind(StrEnum):
@@ -88,7 +89,9 @@
 
 
 def _request(path: str, body: bytes | None = None, **headers: str) -> bytes:
-    return request(path, body, timeout=2000, rid=f"crowd-{os.getpid()}-{next(IDS)}", more=headers)
+    return request(
+        path, body, timeout=2000, rid=f"{CROWD_ID_PREFIX}{os.getpid()}-{next(IDS)}", more=headers
+    )
 
 
 def _open_head() -> bytes:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -38,6 +38,7 @@
 
     ANSWER = "answer"
     LATE = "late"  # the same, after `late_s`
+    LUMPS = "lumps"  # the same, with a pause of `late_s` within it
     ERROR = "error"  # ran, and says 500
     FULL = "full"  # did not run, and says so
     RESET_UNRUN = "reset_unrun"
@@ -146,6 +147,10 @@
         good = answer(served_body(rid))
         if reply in (Reply.ANSWER, Reply.LATE, Reply.COPY_LATE):
             self.write_reply(good, reply)
+        elif reply == Reply.LUMPS:
+            self.write(good[:-1])
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.server.behaviour.late_s, self.write, good[-1:])
         elif reply == Reply.ERROR:
             self.write(answer(b"", "500 Internal Server Error"))
         elif reply == Reply.RESET_RUN:
--- a/tests/test_attempt_timeout.py
+++ b/tests/test_attempt_timeout.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from flinthatch import Outcome, State, Update
+from flinthatch import Balancer, Outcome, Settings, State, Update
 from flinthatch.attempt_timeout import ANSWER_MARGIN_NS, Progress, further_time, silent_timeout
 
 from .fakes import MS, PURE, SECOND, UNSAFE, RecordingHost, build_balancer, ready_listings
@@ -14,6 +14,11 @@
 PURE_CLASS, UNSAFE_CLASS = 0, 1
 
 
+def build_hedging_balancer(count: int = 4) -> tuple[Balancer, RecordingHost]:
+    settings = Settings(classes=(PURE, UNSAFE), max_attempts=4, allow_hedging=True)
+    return build_balancer(settings, count)
+
+
 def sent_to(host: RecordingHost) -> list[int]:
     """The backends of the attempts, in order."""
     return [int(str(call[2])) for call in host.calls_named("send")]
@@ -36,7 +41,7 @@
 
 @pytest.mark.parametrize("winner", [0, 1])
 def test_safe_request_with_a_stalled_response_is_hedged_and_answered_once(winner: int) -> None:
-    balancer, host = build_balancer()
+    balancer, host = build_hedging_balancer()
     balancer.on_request(0, 1, PURE_CLASS, SECOND)
     balancer.on_response_stalled(25 * MS, 1, 0, 25 * MS)
     assert len(set(sent_to(host))) == 2
@@ -48,7 +53,7 @@
 
 
 def test_request_whose_hedge_fails_waits_for_the_response_that_stalled() -> None:
-    balancer, host = build_balancer()
+    balancer, host = build_hedging_balancer()
     balancer.on_request(0, 1, PURE_CLASS, SECOND)
     balancer.on_response_stalled(25 * MS, 1, 0, 25 * MS)
     balancer.on_outcome(190 * MS, 1, 1, Outcome.ERROR, 160 * MS, False)  # too late for a third
@@ -57,8 +62,17 @@
     assert len(host.calls_named("refuse")) == 1 and not balancer.requests
 
 
-def test_unsafe_request_with_a_stalled_response_is_neither_hedged_nor_answered() -> None:
+def test_stalled_response_is_waited_for_where_the_settings_allow_no_hedging() -> None:
     balancer, host = build_balancer()
+    balancer.on_request(0, 1, PURE_CLASS, SECOND)
+    balancer.on_response_stalled(25 * MS, 1, 0, 25 * MS)
+    assert len(sent_to(host)) == 1 and not host.calls_named("refuse")
+    balancer.on_outcome(60 * MS, 1, 0, Outcome.ERROR, 60 * MS, False)  # over: nothing is open
+    assert len(sent_to(host)) == 2
+
+
+def test_unsafe_request_with_a_stalled_response_is_neither_hedged_nor_answered() -> None:
+    balancer, host = build_hedging_balancer()
     balancer.on_request(0, 1, UNSAFE_CLASS, SECOND)
     balancer.on_response_stalled(250 * MS, 1, 0, 250 * MS)
     assert len(sent_to(host)) == 1
@@ -68,7 +82,7 @@
 
 
 def test_stalled_attempts_count_against_the_most_attempts_and_hold_no_slots() -> None:
-    balancer, host = build_balancer(count=8)
+    balancer, host = build_hedging_balancer(count=8)
     balancer.on_request(0, 1, PURE_CLASS, SECOND)
     for number in range(8):
         balancer.on_response_stalled((number + 1) * 5 * MS, 1, number, 5 * MS)
@@ -78,7 +92,7 @@
 
 
 def test_backends_whose_responses_stall_are_ejected() -> None:
-    balancer, host = build_balancer(count=4)
+    balancer, host = build_hedging_balancer(count=4)
     for request in range(40):
         now = request * 300 * MS
         balancer.on_request(now, request, UNSAFE_CLASS, SECOND)
@@ -91,7 +105,7 @@
 
 
 def test_outcome_at_a_backend_that_has_gone_leaves_one_that_returned_under_its_id() -> None:
-    balancer, _ = build_balancer(count=2)
+    balancer, _ = build_hedging_balancer(count=2)
     balancer.on_request(0, 1, UNSAFE_CLASS, SECOND)
     gone = balancer.requests[1].attempts[0].backend
     balancer.on_response_stalled(25 * MS, 1, 0, 25 * MS)
--- a/tests/test_response_desync.py
+++ b/tests/test_response_desync.py
@@ -13,6 +13,7 @@
 from multiprocessing import Pool
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -37,14 +38,21 @@
 
 
 def play(
-    folder: Path, behaviour: Behaviour, seed: int, disturb: Disturbance | None = None
+    folder: Path, behaviour: Behaviour, seed: int, disturb: Disturbance | None = None, **over: Any
 ) -> list[str]:
-    """Keep nodes and servers busy for a while; returns the broken promises."""
-    return asyncio.run(play_busy_fleet(folder, behaviour, seed, disturb))
+    """Keep nodes and servers busy for a while; returns the broken promises.
+
+    `over` goes into the configuration of the nodes.
+    """
+    return asyncio.run(play_busy_fleet(folder, behaviour, seed, disturb, over))
 
 
 async def play_busy_fleet(
-    folder: Path, behaviour: Behaviour, seed: int, disturb: Disturbance | None
+    folder: Path,
+    behaviour: Behaviour,
+    seed: int,
+    disturb: Disturbance | None,
+    over: dict[str, Any],
 ) -> list[str]:
     ledger = Ledger()
     registry = Registry(Random(seed))
@@ -58,7 +66,7 @@
     nodes: list[NodeProcess] = []
     try:
         for number in range(NODE_COUNT):
-            nodes.append(await start_node(folder / f"n{number}", number, registry))
+            nodes.append(await start_node(folder / f"n{number}", number, registry, over))
         ended = asyncio.Event()
         callers = [
             Caller(f"{seed}.{node.port}.{i}", node.port, ledger, Random(f"{seed}.{i}"))
@@ -83,10 +91,12 @@
     return ledger.problems()
 
 
-async def start_node(folder: Path, number: int, registry: Registry) -> NodeProcess:
+async def start_node(
+    folder: Path, number: int, registry: Registry, over: dict[str, Any]
+) -> NodeProcess:
     folder.mkdir()
     settings = {"balancers": NODE_COUNT, "me": number, "areas": ["east"]}
-    node = NodeProcess(folder, registry.whole(), registry.port, settings=settings)
+    node = NodeProcess(folder, registry.whole(), registry.port, settings=settings, **over)
     await asyncio.to_thread(node.start)
     return node
 
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -42,7 +42,9 @@
     with contextlib.ExitStack() as stack:
         backends = [stack.enter_context(listen()) for _ in range(count)]
         known = roster(*(target(f"s-{i}", b.getsockname()[1]) for i, b in enumerate(backends)))
-        running = stack.enter_context(node(tmp_path, known, settings={"classes": CLASSES}))
+        limits = SETTINGS["limits"] | {"second_copies": True}
+        settings = {"classes": CLASSES, "limits": limits}
+        running = stack.enter_context(node(tmp_path, known, settings=settings))
         yield running, backends[0] if count == 1 else backends
 
 
