--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Two commands for a newcomer, on a fresh machine with Python 3.11 and a C compiler:
-#   make test    all checks and tests, some twelve minutes
+#   make test    all checks and tests, some fifteen minutes
 #   make fleet   several instances of the service and faults between them, five minutes
 #   make demo    a node, then the hosted service, over stand-ins: a minute, with live tables
 .PHONY: test demo fleet lint setup sites
