Start no attempt beside a stalled response that is passed on after all

What was seen, reading the whole change before the landing: a safe request whose response stalled was hedged; when the first response went on and was passed on, the hedge was cancelled, and the outcome of that cancellation started another attempt, whose response could have been written into the stream. Cause: with nothing but stalled attempts in flight a request counted as one that needs an attempt, also while one of them answers. Change: a request whose answer has started needs none; a complete response is not delivered to a client that is being streamed to. Evidence: tests/test_attempt_timeout.py, the new test fails before; the hedged request on a node process is played with a long response too.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -242,9 +242,9 @@
     """One client request, from its arrival to its answer and the outcome of its last attempt."""
 
     __slots__ = (
-        "answer_by", "arrived_at", "attempts", "attempts_in_flight", "cls", "deadline_at", "ended",
-        "first_maybe_run", "half_closed_at", "hint", "id", "low_priority", "queued",
-        "stalled_attempts", "target_at", "tenant", "wait_until",
+        "answer_by", "answer_started", "arrived_at", "attempts", "attempts_in_flight", "cls",
+        "deadline_at", "ended", "first_maybe_run", "half_closed_at", "hint", "id", "low_priority",
+        "queued", "stalled_attempts", "target_at", "tenant", "wait_until",
     )  # fmt: skip
 
     def __init__(
@@ -264,10 +264,20 @@
         self.first_maybe_run: Attempt | None = None  # the first attempt that may have run
         self.queued = False
         self.low_priority = False  # beyond its tenant's quota, or late already
+        self.answer_started = False  # an attempt's response is passed on to the client
         self.ended = False  # answered, or its client has gone
         self.half_closed_at = 0  # when its client ended its sending, 0 if it has not
         self.hint = 0
 
+    def needs_attempt(self) -> bool:
+        """Whether nothing is queued or in flight that is expected to answer the request."""
+        return (
+            not self.ended
+            and not self.answer_started
+            and not self.queued
+            and self.attempts_in_flight == self.stalled_attempts
+        )
+
 
 class ClassState:
     """Queues, counts and learnt latencies of one request class."""
@@ -1259,7 +1269,7 @@
         if pending.ended:
             if not pending.attempts_in_flight:
                 self.requests.pop(request, None)
-        elif pending.attempts_in_flight == pending.stalled_attempts and not pending.queued:
+        elif pending.needs_attempt():
             self.retry_or_answer(
                 now,
                 pending,
@@ -1296,7 +1306,7 @@
         if pending is None or attempt >= len(pending.attempts):
             return
         stalled = pending.attempts[attempt]
-        if not stalled.is_open or stalled.stalled or stalled.response_started:
+        if not stalled.is_open or stalled.stalled or pending.answer_started:
             return
         stalled.stalled = True
         pending.stalled_attempts += 1
@@ -1308,11 +1318,7 @@
         self.keep_slot_of_abandoned(class_state, stalled)
         self.record_failure(now, class_state, backend, ERROR, duration)
         self.update_bucket(backend)
-        if (
-            not pending.ended
-            and not pending.queued
-            and pending.attempts_in_flight == pending.stalled_attempts
-        ):
+        if pending.needs_attempt():
             self.retry_or_answer(now, pending, ERROR, min(duration / class_state.mean_latency, 1.0))
         self.dispatch(now)
 
@@ -1524,7 +1530,7 @@
             and started.is_open
             and not started.response_started
         ):
-            started.response_started = True
+            started.response_started = pending.answer_started = True
             self.release_slot(pending.cls, started)
             self.drop_other_attempts(pending)
             self.record_answer(now, pending.cls, started.backend, duration, ())
--- a/tests/test_attempt_timeout.py
+++ b/tests/test_attempt_timeout.py
@@ -71,6 +71,18 @@
     assert len(sent_to(host)) == 2
 
 
+def test_no_attempt_starts_beside_a_stalled_response_that_is_passed_on_after_all() -> None:
+    balancer, host = build_hedging_balancer()
+    balancer.on_request(0, 1, PURE_CLASS, SECOND)
+    balancer.on_response_stalled(25 * MS, 1, 0, 25 * MS)
+    balancer.on_response_started(60 * MS, 1, 0, 60 * MS)
+    assert host.calls_named("cancel") == [("cancel", 1, 1)]
+    balancer.on_outcome(60 * MS, 1, 1, Outcome.CANCELLED, 35 * MS, False)
+    assert len(sent_to(host)) == 2 and not host.calls_named("refuse")
+    balancer.on_outcome(90 * MS, 1, 0, Outcome.OK, 60 * MS, True)
+    assert not balancer.requests and balancer.in_flight == 0
+
+
 def test_unsafe_request_with_a_stalled_response_is_neither_hedged_nor_answered() -> None:
     balancer, host = build_hedging_balancer()
     balancer.on_request(0, 1, UNSAFE_CLASS, SECOND)
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -203,7 +203,10 @@
         reader.join()
 
 
-def test_stalled_response_to_a_safe_request_is_hedged_and_not_given_up(tmp_path: Path) -> None:
+@pytest.mark.parametrize("size", [1000, RESPONSE_BYTES], ids=["held", "passed_on"])
+def test_stalled_response_to_a_safe_request_is_hedged_and_not_given_up(
+    tmp_path: Path, size: int
+) -> None:
     with node_with_backends(tmp_path, count=2) as (running, backends):
         client = ask(running, "balance", 2000)
         for backend in backends:
@@ -215,10 +218,10 @@
         assert first is not None
         peer, used = first
         peer.message()
-        peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+        peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
         other = next(backend for backend in backends if backend is not used)
         hedge = accept(other)
         hedge.message()
-        peer.send(body(1000))  # the first attempt is still open, and is served
-        assert client.message()[2] == body(1000)
+        peer.send(body(size))  # the first attempt is still open, and is served
+        assert client.message()[2] == body(size)
         assert hedge.read_to_end() == b""  # the other one is cancelled
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -707,6 +707,7 @@
                 request is not None
                 and outcome == Outcome.OK
                 and not request.ended
+                and not request.answer_started
                 and request.client is not None
             ):
                 request.client.send_response(self._content_type, chunks, self._body_size)
