--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -225,3 +225,21 @@
         peer.send(body(size))  # the first attempt is still open, and is served
         assert client.message()[2] == body(size)
         assert hedge.read_to_end() == b""  # the other one is cancelled
+
+
+def test_stalled_response_is_waited_for_in_time_where_no_second_copy_is_allowed(
+    tmp_path: Path,
+) -> None:
+    with listen() as backend:
+        known = roster(target("s-0", backend.getsockname()[1]))
+        with node(tmp_path, known, settings={"classes": CLASSES}) as running:
+            client = ask(running, "balance", 1000)
+            asked_at = time.monotonic()
+            peer = accept(backend)
+            peer.message()
+            peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nnever more than this"[:-1])
+            assert client.message()[0].split()[1] == "503"
+            assert 0.9 < time.monotonic() - asked_at < 1.0 + LATE_S
+            backend.settimeout(0.1)
+            with pytest.raises(TimeoutError):
+                backend.accept()
