--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -48,10 +48,10 @@
         yield running, backends[0] if count == 1 else backends
 
 
-def ask(running: RunningNode, name: str, timeout_ms: int, data: bytes = b"x") -> Peer:
+def ask(running: RunningNode, name: str, timeout_ms: int) -> Peer:
     """Send one request of a class."""
     client = running.connect()
-    content = data if name == "credit" else None
+    content = b"x" if name == "credit" else None
     client.send(request(PATHS[name], content, timeout=timeout_ms))
     return client
 
@@ -122,6 +122,92 @@
         writer.join()
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("name", ["balance", "credit"])
+@pytest.mark.parametrize("size", [100_000, 300_000])
+def test_slow_response_is_served_where_the_client_has_less_time_than_its_class(
+    tmp_path: Path, framing: str, name: str, size: int
+) -> None:
+    """The client's time is the shorter one, and passes the class's target all the same."""
+    data = body(size)
+    head, pieces = framed(data, framing)
+    with node_with_backends(tmp_path) as (running, backend):
+        client = ask(running, name, 1500)
+        peer = accept(backend)
+        peer.message()
+        peer.send(head)
+        pauses_s = (0.3, 0.3, 0.3, 0.3)
+        writer = in_background(write_slowly, peer, pieces, pauses_s, framing == "close")
+        assert read_response(client, size) == data
+        writer.join()
+
+
+def test_learned_latency_does_not_end_an_attempt_whose_response_has_begun(tmp_path: Path) -> None:
+    """Where late answers have a worth, a safe attempt's time-out follows the latency learned."""
+    classes = [row | {"late_worth": 0.5, "target": 100 * MS} for row in CLASSES]
+    with (
+        listen() as backend,
+        node(
+            tmp_path,
+            roster(target("s-0", backend.getsockname()[1])),
+            settings={"classes": classes},
+        ) as running,
+    ):
+        client = running.connect()
+        peer = None
+        for _ in range(12):  # from which the node learns a latency of some milliseconds
+            client.send(request())
+            peer = peer or accept(backend)
+            peer.message()
+            peer.send(answer(b"ok"))
+            client.message()
+        assert peer is not None
+        client.send(request(timeout=2000))
+        peer.message()
+        data = body(1000)
+        head, pieces = framed(data, "length")
+        write_slowly(peer, [head, *pieces], (0.0, 0.2, 0.2, 0.2, 0.2), end=False)
+        assert client.message()[2] == data
+
+
+def trickle(peer: Peer, beginning: bytes, piece: bytes) -> None:
+    """Send a piece every 20 ms until the node closes the connection."""
+    with contextlib.suppress(OSError):
+        peer.send(beginning)
+        for _ in range(500):
+            peer.send(piece)
+            time.sleep(0.02)
+
+
+@pytest.mark.parametrize("name", ["balance", "credit"])
+@pytest.mark.parametrize(
+    "beginning,piece",
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-Pad: p\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + bytes(100_000), b"x"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x"),
+    ],
+    ids=["head", "short_chunks", "long_body", "chunk_line"],
+)
+def test_request_whose_response_never_ends_is_answered_or_cut_in_the_time_of_its_client(
+    tmp_path: Path, name: str, beginning: bytes, piece: bytes
+) -> None:
+    with node_with_backends(tmp_path) as (running, backend):
+        client = ask(running, name, 1000)
+        asked_at = time.monotonic()
+        peer = accept(backend)
+        peer.message()
+        sender = in_background(trickle, peer, beginning, piece)
+        status = read_head(client).split()[1]
+        if status == "200":
+            assert len(client.read_to_end()) < 30_000_000
+        else:
+            assert status in ("502", "503", "504")
+        assert time.monotonic() - asked_at < 1.0 + LATE_S
+        sender.join()
+
+
 def test_guessed_age_of_a_request_does_not_end_its_attempt(tmp_path: Path) -> None:
     with node_with_backends(tmp_path) as (running, backend):
         client = running.connect()
