--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -225,15 +225,17 @@
 
 
 class Attempt:
-    """One attempt of a request at one backend."""
+    """One attempt of a request at one backend.
 
-    __slots__ = ("backend", "has_slot", "is_open", "response_started", "sent_at", "stalled")
+    It holds a slot there until its outcome, or until its response starts or stalls.
+    """
+
+    __slots__ = ("backend", "is_open", "response_started", "sent_at", "stalled")
 
     def __init__(self, backend: Backend, sent_at: int) -> None:
         self.backend = backend
         self.sent_at = sent_at
         self.is_open = True  # its outcome has not been reported yet
-        self.has_slot = True
         self.response_started = False
         self.stalled = False  # its response has begun, and then nothing more came for a while
 
@@ -1238,8 +1240,8 @@
         class_state = pending.cls
         pending.attempts_in_flight -= 1
         pending.stalled_attempts -= ended_attempt.stalled
-        if ended_attempt.has_slot:
-            self.release_slot(class_state, ended_attempt)
+        if not (ended_attempt.response_started or ended_attempt.stalled):
+            self.release_slot(class_state, backend)
             if outcome in OUTCOMES_MAY_STILL_RUN:
                 self.keep_slot_of_abandoned(class_state, ended_attempt)
         self.outcome_count += 1
@@ -1314,7 +1316,7 @@
             pending.first_maybe_run = stalled
         class_state, backend = pending.cls, stalled.backend
         self.outcome_count += 1
-        self.release_slot(class_state, stalled)
+        self.release_slot(class_state, backend)
         self.keep_slot_of_abandoned(class_state, stalled)
         self.record_failure(now, class_state, backend, ERROR, duration)
         self.update_bucket(backend)
@@ -1531,19 +1533,17 @@
             and not started.response_started
         ):
             started.response_started = pending.answer_started = True
-            self.release_slot(pending.cls, started)
+            if not started.stalled:
+                self.release_slot(pending.cls, started.backend)
             self.drop_other_attempts(pending)
             self.record_answer(now, pending.cls, started.backend, duration, ())
             self.update_bucket(started.backend)
             self.dispatch(now)
 
-    def release_slot(self, class_state: ClassState, attempt: Attempt) -> None:
-        """Free the slot of an attempt, if it still holds one."""
-        if attempt.has_slot:
-            attempt.has_slot = False
-            class_state.in_flight -= 1
-            self.in_flight -= 1
-            attempt.backend.in_flight -= 1
+    def release_slot(self, class_state: ClassState, backend: Backend) -> None:
+        class_state.in_flight -= 1
+        self.in_flight -= 1
+        backend.in_flight -= 1
 
     def on_client_gone(self, now: int, request: int) -> None:
         """Drop a request whose client has gone; its attempts go on to their outcomes."""
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -17,6 +17,7 @@
 from enum import StrEnum
 
 from standins.platform import request
+from standins.servers import RESET
 
 PATIENCE_S = 4.0  # a node owes an error or a close within 3 s
 RECONNECT_S = 0.05
@@ -181,7 +182,7 @@
             await loop.sock_sendall(sock, _request("/balance/8000000"))
             await loop.sock_recv(sock, SLOW_READ_BYTES)
             await asyncio.sleep(SLOW_READ_INTERVAL_S)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             return
         else:
             await loop.sock_sendall(sock, _request(f"/balance/{_READ_SLOWLY[kind]}"))
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 
@@ -15,6 +16,12 @@
     return sum(_kibibytes(pid, "Pss:")) * 1024
 
 
+def resident_mb(pid: int | str = "self", field: str = "VmRSS") -> float:
+    """Resident memory now ("VmRSS"), or at its peak ("VmHWM"); see proc(5), status."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.findall(rf"{field}:\s+(\d+)", status)[0]) / 1024
+
+
 def _kibibytes(pid: int | str, field: str) -> list[int]:
     rows = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
     return [int(row.split()[1]) for row in rows if row.startswith(field)]
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,7 +9,6 @@
 import contextlib
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
@@ -19,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.memory import resident_mb
 from standins.platform import SETTINGS, answer, config, parts, request, roster, target
 
 __all__ = [
@@ -125,8 +125,7 @@
 
     def resident_mb(self, field: str = "VmRSS") -> float:
         """Return the resident memory now ("VmRSS"), or at its peak ("VmHWM")."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.findall(rf"{field}:\s+(\d+)", status)[0]) / 1024
+        return resident_mb(self.process.pid, field)
 
 
 def launch(environ: dict[str, str]) -> subprocess.Popen[str]:
--- a/tests/test_crowd_soak.py
+++ b/tests/test_crowd_soak.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import sys
-import tempfile
-from multiprocessing import Pool
 from pathlib import Path
 from random import Random
 
@@ -19,7 +17,7 @@
 from standins.servers import Behaviour, Reply
 
 from .test_memory_limit import LIMITS, peak_mb
-from .test_response_desync import SOAK_PROCESS_COUNT, play, signal_in_series
+from .test_response_desync import play, run_soak, signal_in_series
 
 KINDS_AT_ONCE = 5
 CLIENTS_EACH = 80
@@ -65,11 +63,6 @@
     return [found for found in problems if not found.startswith(CROWD_ID_PREFIX)] + over_limit
 
 
-def soak_in_temporary_folder(seed: int) -> tuple[int, list[str]]:
-    with tempfile.TemporaryDirectory() as folder:
-        return seed, soak(Path(folder), seed)
-
-
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 def test_no_promise_breaks_in_a_soak_of_crowds_slow_servers_and_signals(
     tmp_path: Path, seed: int
@@ -78,7 +71,4 @@
 
 
 if __name__ == "__main__":
-    with Pool(SOAK_PROCESS_COUNT) as pool:
-        seeds = range(1, int(sys.argv[1]) + 1)
-        for played, problems in pool.imap_unordered(soak_in_temporary_folder, seeds):
-            print(played, len(problems), problems[:5], flush=True)
+    run_soak(soak, int(sys.argv[1]))
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
@@ -11,6 +10,7 @@
 import pytest
 
 from standins.crowds import ClientKind, Crowd, start_sized_servers
+from standins.memory import resident_mb
 from standins.platform import roster, target
 from standins.process import NodeProcess
 
@@ -24,8 +24,7 @@
 
 def peak_mb(node: NodeProcess) -> float:
     """The most memory that the node's process has had resident."""
-    status = Path(f"/proc/{node.pid}/status").read_text()
-    return int(re.findall(r"VmHWM:\s+(\d+)", status)[0]) / 1024
+    return resident_mb(node.pid, "VmHWM")
 
 
 async def play_crowds(folder: Path, rounds: Sequence[Sequence[ClientKind]]) -> float:
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -22,19 +22,10 @@
 REMEMBERED_S = 3.0  # longer than any deadline: whoever comes again then has given up before
 
 
-def close(sock: socket.socket) -> None:
-    sock.close()
-
-
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-    sock.close()
-
-
-@pytest.mark.parametrize("leave", [close, reset])
+@pytest.mark.parametrize("leave", [Peer.close, Peer.reset])
 @pytest.mark.parametrize("body_bytes", [1, 150_000], ids=["short", "long"])
 def test_request_of_a_client_that_left_while_the_node_was_held_up_is_not_sent_on(
-    tmp_path: Path, leave: Callable[[socket.socket], None], body_bytes: int
+    tmp_path: Path, leave: Callable[[Peer], None], body_bytes: int
 ) -> None:
     with (
         listen() as backend,
@@ -44,9 +35,9 @@
 
         async def scenario() -> None:
             port = in_process.server.listen(in_process.config.listen)
-            client = socket.create_connection(("127.0.0.1", port))
+            client = Peer(socket.create_connection(("127.0.0.1", port)))
             await in_process.wait_until(lambda: in_process.server.connections)
-            client.sendall(request("/credit/1", bytes(body_bytes)))
+            client.send(request("/credit/1", bytes(body_bytes)))
             leave(client)
             time.sleep(HELD_UP_S)  # the event loop is held up with all of it unread
             await in_process.wait_until(lambda: not in_process.server.connections)
@@ -68,10 +59,10 @@
             server, node = in_process.server, in_process.node
             port = server.listen(in_process.config.listen)
             node.balancer.total_slots = 0  # whatever comes has to wait
-            client = socket.create_connection(("127.0.0.1", port))
-            client.sendall(request("/credit/1", b"x"))
+            client = Peer(socket.create_connection(("127.0.0.1", port)))
+            client.send(request("/credit/1", b"x"))
             await in_process.wait_until(lambda: node.requests)
-            reset(client)
+            client.reset()
             time.sleep(HELD_UP_S)
             node.balancer.total_slots = 4
             node.begin_event()
@@ -83,8 +74,8 @@
         in_process.run(scenario())
 
 
-def serve_one(backend: socket.socket) -> Peer:
-    """Accept a connection, read its request and answer it."""
+def accept_request(backend: socket.socket) -> Peer:
+    """Accept a connection and read its request."""
     peer = accept(backend)
     peer.message()
     return peer
@@ -96,7 +87,7 @@
     with listen() as backend, node(tmp_path, roster(target("s-1", port(backend)))) as running:
         client = running.connect()
         client.send(request("/credit/1", b"x", rid="again"))
-        peer = serve_one(backend)
+        peer = accept_request(backend)
         client.reset()
         with contextlib.suppress(OSError):
             peer.send(answer(b"ran"))
@@ -114,7 +105,7 @@
         old = versions.start()
         kept = old.connect()  # stays at the old process
         kept.send(request("/credit/1", b"x", rid="before"))
-        peer = serve_one(backend)
+        peer = accept_request(backend)
         peer.send(answer(b"ran"))
         kept.message()
         new = versions.start()
@@ -128,7 +119,7 @@
         if first == "old":
             peer.message()
         else:
-            serve_one(backend)
+            accept_request(backend)
         taker.reset()
         other.send(request("/credit/1", b"x", rid="during"))
         assert other.message()[0].split()[1] == "400"
--- a/tests/test_response_desync.py
+++ b/tests/test_response_desync.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
+from functools import partial
 from multiprocessing import Pool
 from pathlib import Path
 from random import Random
@@ -168,9 +169,19 @@
     return play(folder, behaviour, seed, signal_in_series)
 
 
-def soak_in_temporary_folder(seed: int) -> tuple[int, list[str]]:
+def soak_in_temporary_folder(
+    play_seed: Callable[[Path, int], list[str]], seed: int
+) -> tuple[int, list[str]]:
     with tempfile.TemporaryDirectory() as folder:
-        return seed, soak(Path(folder), seed)
+        return seed, play_seed(Path(folder), seed)
+
+
+def run_soak(play_seed: Callable[[Path, int], list[str]], seed_count: int) -> None:
+    """Play this many seeds, some at a time, and print the broken promises of each."""
+    with Pool(SOAK_PROCESS_COUNT) as pool:
+        plays = partial(soak_in_temporary_folder, play_seed)
+        for seed, problems in pool.imap_unordered(plays, range(1, seed_count + 1)):
+            print(seed, len(problems), problems[:5], flush=True)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -181,7 +192,4 @@
 
 
 if __name__ == "__main__":
-    with Pool(SOAK_PROCESS_COUNT) as pool:
-        seeds = range(1, int(sys.argv[1]) + 1)
-        for played, problems in pool.imap_unordered(soak_in_temporary_folder, seeds):
-            print(played, len(problems), problems[:5], flush=True)
+    run_soak(soak, int(sys.argv[1]))
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -70,7 +70,7 @@
     with in_process_node(tmp_path, roster(target("s-1", 1))) as in_process:
         budget = in_process.node.budget
         queue: TurnQueue = in_process.node.turn_queue
-        assert len(queue.read_buffer()) == READ_BYTES
+        assert queue.read_size() == READ_BYTES
         budget.reserve(budget.limit_bytes)
-        assert len(queue.read_buffer()) == SHORT_READ_BYTES
+        assert queue.read_size() == SHORT_READ_BYTES
         budget.release(budget.limit_bytes)
--- a/windrelay/memory_budget.py
+++ b/windrelay/memory_budget.py
@@ -7,7 +7,7 @@
 DEFAULT_BASE_MB = 26  # base memory of the program, where it can't be measured
 MIN_MESSAGE_BYTES = 1 << 20  # for messages, however small the node's memory limit
 CONNECTION_BYTES = 7 << 10  # of one connection's objects, without its messages
-MIN_CONNECTIONS = 64  # to clients and backends, however small the node's memory limit
+MIN_MEMORY_CONNECTIONS = 64  # to clients and backends, however small the node's memory limit
 # Memory that the allocator does not return, and that one turn of the event loop needs.
 SLACK_FRACTION = 1 / 4
 MAX_SLACK_BYTES = 2 << 20
@@ -50,7 +50,7 @@
         slack_bytes = min(int(free_bytes * SLACK_FRACTION), MAX_SLACK_BYTES)
         self.limit_bytes = max(free_bytes // 2 - slack_bytes, MIN_MESSAGE_BYTES)
         if memory_mb:
-            self.max_connections = max(free_bytes // 2 // CONNECTION_BYTES, MIN_CONNECTIONS)
+            self.max_connections = max(free_bytes // 2 // CONNECTION_BYTES, MIN_MEMORY_CONNECTIONS)
 
     def set_limit(self, limit_bytes: int) -> None:
         """Set the limit directly, whatever the process itself takes: for a process that hosts
--- a/windrelay/paced_protocol.py
+++ b/windrelay/paced_protocol.py
@@ -1,11 +1,11 @@
 """Reading and parsing of received data in turns of bounded size and cost.
 
-A connection reads into a buffer that all connections of the node share, so that one read brings
+A connection reads into a buffer that all connections of the process share, so that one read brings
 only so much, and less while memory is short. In pieces of a few bytes, each of which costs a
 callback, parsing even that takes milliseconds, and a sender that is fast enough could keep the loop
-from everybody else. A connection therefore parses a bounded
-part in each turn of the loop. While a rest is left it does not read, and it takes its place in a
-queue that all connections of the node share. Messages of usual size are parsed at once.
+from everybody else. A connection therefore parses a bounded part in each turn of the loop. While a
+rest is left it does not read, and it takes its place in a queue that all connections of the node
+share. Messages of usual size are parsed at once.
 """
 
 from __future__ import annotations
@@ -24,6 +24,9 @@
 READ_BYTES = 64 << 10  # that one read brings at most
 SHORT_READ_BYTES = 4 << 10  # the same while the memory budget has no room for READ_BYTES
 
+# Filled by one read and copied before the next one: a process has one event loop, in one thread.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
 
 class TurnQueue:
     """The connections with unparsed data, in the order in which their next turns come.
@@ -31,22 +34,19 @@
     `budget` is the memory for that data; None where its owner limits it by other means.
     """
 
-    __slots__ = ("_is_scheduled", "_loop", "_read_buffer", "_waiting", "budget")
+    __slots__ = ("_is_scheduled", "_loop", "_waiting", "budget")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, budget: MemoryBudget | None = None) -> None:
         self.budget = budget
         self._loop = loop
         self._waiting: deque[Callable[[], None]] = deque()
         self._is_scheduled = False
-        self._read_buffer: memoryview | None = None
 
-    def read_buffer(self) -> memoryview:
-        """Return the memory for the next read of any connection, emptied before the one after."""
-        if self._read_buffer is None:
-            self._read_buffer = memoryview(bytearray(READ_BYTES))
+    def read_size(self) -> int:
+        """Return how many bytes the next read may bring."""
         if self.budget is not None and not self.budget.has_room(READ_BYTES):
-            return self._read_buffer[:SHORT_READ_BYTES]
-        return self._read_buffer
+            return SHORT_READ_BYTES
+        return READ_BYTES
 
     def add(self, take_turn: Callable[[], None]) -> None:
         """Call `take_turn`, which must not raise, in a later turn of the loop."""
@@ -72,13 +72,10 @@
     parsed, and `_drop_unparsed` where it closes.
     """
 
-    __slots__ = (
-        "_filled_buffer", "_is_queued", "_kept_bytes", "_turn_cost", "_turn_queue", "_unparsed",
-    )  # fmt: skip
+    __slots__ = ("_is_queued", "_kept_bytes", "_turn_cost", "_turn_queue", "_unparsed")
 
     def __init__(self, turn_queue: TurnQueue) -> None:
         self._turn_queue = turn_queue
-        self._filled_buffer: memoryview
         self._turn_cost = 0  # so far in the present turn; the parser's callbacks raise it too
         self._unparsed: memoryview | None = None
         self._kept_bytes = 0  # of the budget, for the read that the unparsed data came with
@@ -86,12 +83,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory into which the event loop reads."""
-        self._filled_buffer = self._turn_queue.read_buffer()
-        return self._filled_buffer
+        return _read_buffer[: self._turn_queue.read_size()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the bytes that the event loop has read."""
-        self.data_received(bytes(self._filled_buffer[:nbytes]))
+        self.data_received(_read_buffer[:nbytes].tobytes())
 
     # ---- implemented by subclasses ----------------------------------------
 
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -452,14 +452,11 @@
             return Progress.SILENT
         if self._received_bytes and self.request_written:
             return Progress.RESPONDING
-        if attempt.request.incoming.body_size >= LONG_REQUEST_BYTES and not self._is_waiting():
+        is_begun = self._quiet_timer is None
+        if is_begun and attempt.request.incoming.body_size >= LONG_REQUEST_BYTES:
             return Progress.READING
         return Progress.SILENT
 
-    def _is_waiting(self) -> bool:
-        """Whether the attempt waits for a quiet connection and has written nothing yet."""
-        return self._quiet_timer is not None
-
     def _reject_response(self) -> None:
         """End the attempt because its response can't be used: a failure that may have run.
 
