Remember unsafe request ids by themselves, not by a digest that every request pays for

A digest was taken of every request's id, to look it up, and again of each unsafe one's. Change: an id of up to 32 bytes is its own key, a longer one is remembered by its digest. The processes of an upgrade tell each other the keys in hexadecimal; a list that holds anything else is ignored. What is remembered, how long and how many, is as before.

--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from windrelay.request_ids import MAX_UNSAFE_IDS, UNSAFE_MEMORY_NS, RequestIds, digest_of
+from windrelay.request_ids import MAX_UNSAFE_IDS, UNSAFE_MEMORY_NS, RequestIds, key_of
 
 from .harness import Peer, accept, answer, listen, node, port, request, roster, target
 from .inside import in_process_node
@@ -127,10 +127,10 @@
 
 def test_remembered_ids_are_bounded_in_number_and_in_time() -> None:
     ids = RequestIds()
-    ids.add_unsafe(0, (digest_of(b"%d" % i) for i in range(2 * MAX_UNSAFE_IDS)))
-    assert len(ids.unsafe_digests()) == MAX_UNSAFE_IDS
+    ids.add_unsafe(0, (key_of(b"%d" % i) for i in range(2 * MAX_UNSAFE_IDS)))
+    assert len(ids.unsafe_keys()) == MAX_UNSAFE_IDS
     assert ids.contains(b"%d" % (2 * MAX_UNSAFE_IDS - 1)) and not ids.contains(b"0")
     ids.expire(UNSAFE_MEMORY_NS)
-    assert ids.unsafe_digests()
+    assert ids.unsafe_keys()
     ids.expire(UNSAFE_MEMORY_NS + 1)
-    assert not ids.unsafe_digests()
+    assert not ids.unsafe_keys()
--- a/windrelay/controls.py
+++ b/windrelay/controls.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from typing import Any
@@ -104,7 +105,7 @@
             "held": self._descriptors_in_use(),
             "bans": list(node.balancer.banned),
             "evacuated": self.server.evacuated,
-            "unsafe_requests": node.request_ids.unsafe_digests(),
+            "unsafe_requests": [key.hex() for key in node.request_ids.unsafe_keys()],
             "list": backend_list.export(),
             "learnt": export_learned_state(
                 node.balancer, now, now + backend_list.wall_clock_offset_ns
@@ -199,16 +200,18 @@
         """
         self.peer = peer
         self.node.on_unsafe_request = (
-            (lambda digest: peer.send({"unsafe_requests": [digest]}))
+            (lambda key: peer.send({"unsafe_requests": [key.hex()]}))
             if peer is not None
-            else lambda _digest: None
+            else lambda _key: None
         )
 
-    def _remember_unsafe_requests(self, digests: Any) -> None:
+    def _remember_unsafe_requests(self, keys: Any) -> None:
         """Remember requests that the other process has taken and that may not be repeated."""
-        if isinstance(digests, list):
-            known = (digest for digest in digests if isinstance(digest, int))
-            self.node.request_ids.add_unsafe(time.monotonic_ns(), known)
+        if isinstance(keys, list):
+            # A list that holds anything else comes from a version that this one does not know.
+            with contextlib.suppress(ValueError, TypeError):
+                known = [bytes.fromhex(key) for key in keys]
+                self.node.request_ids.add_unsafe(time.monotonic_ns(), known)
 
     def _descriptors_in_use(self) -> int:
         """Return how many descriptors this process needs, with a reserve."""
--- a/windrelay/handover.py
+++ b/windrelay/handover.py
@@ -9,7 +9,7 @@
   still wait in the queue of the old process when it closes are reset. A listener each remains
   the fall-back where no running process answers;
 - the operators' calls that are in force (bans, evacuation), which outlast an upgrade;
-- the requests that may not be repeated, by digests of their ids, as does the other one later;
+- the requests that may not be repeated, by the keys of their ids, as does the other one later;
 - the current list of backends and what the decision module has learnt.
 
 The connection then stays open while both processes live. A management call at either process
@@ -22,7 +22,7 @@
     old   {"held": 61}                                 at each sweep
     new   {"serving": true}                            once it accepts clients
     both  {"call": ["exclude", "7b1c..."]}             after a management call at this process
-    both  {"unsafe_requests": [1234...]}               when such a request starts at this process
+    both  {"unsafe_requests": ["6161..."]}             when such a request starts at this process
 """
 
 from __future__ import annotations
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -24,7 +24,7 @@
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
 from windrelay.memory_budget import MemoryBudget, resident_bytes
 from windrelay.paced_protocol import TurnQueue
-from windrelay.request_ids import RequestIds, digest_of
+from windrelay.request_ids import RequestIds, key_of
 from windrelay.resource_log import ResourceLog, ResourceUse
 
 MS = 1_000_000
@@ -141,9 +141,9 @@
         self.max_connections = self.compute_max_connections()
         self.requests: dict[int, Request] = {}
         self.request_ids = RequestIds()
-        # Called with the digest of each request that may not be repeated; the controls set it while
+        # Called with the key of each request that may not be repeated; the controls set it while
         # another process of this node runs.
-        self.on_unsafe_request: Callable[[int], None] = lambda _digest: None
+        self.on_unsafe_request: Callable[[bytes], None] = lambda _key: None
         self.open_request_count = 0
         self.last_request_id = 0
         self.in_event = False
@@ -257,9 +257,9 @@
         """Remember the id of a request that starts; see `request_ids`."""
         self.request_ids.open(request.client_request_id)
         if self.balancer.classes[incoming.class_number].effect == Effect.SIDE_EFFECT:
-            digest = digest_of(request.client_request_id)
-            self.request_ids.add_unsafe(now, (digest,))
-            self.on_unsafe_request(digest)
+            key = key_of(request.client_request_id)
+            self.request_ids.add_unsafe(now, (key,))
+            self.on_unsafe_request(key)
 
     # ---- an operator's calls about a backend --------------------------
 
--- a/windrelay/request_ids.py
+++ b/windrelay/request_ids.py
@@ -16,12 +16,14 @@
 ROTATION_NS = SECOND_NS  # any id is remembered for one or two of these after its request
 UNSAFE_MEMORY_NS = 60 * SECOND_NS  # the id of a request that may not be repeated, from its start
 MAX_UNSAFE_IDS = 8192  # remembered at a time; the oldest is forgotten first
-DIGEST_BYTES = 8
+KEY_BYTES = 32  # an id up to this length is its own key
 
 
-def digest_of(request_id: bytes) -> int:
-    """Return the number by which an id is remembered, the same in every process."""
-    return int.from_bytes(blake2b(request_id, digest_size=DIGEST_BYTES).digest(), "big")
+def key_of(request_id: bytes) -> bytes:
+    """Return the key by which an id is remembered for long, the same in every process."""
+    if len(request_id) <= KEY_BYTES:
+        return request_id
+    return blake2b(request_id, digest_size=KEY_BYTES).digest()
 
 
 class RequestIds:
@@ -34,7 +36,7 @@
         self._recent: set[bytes] = set()
         self._older: set[bytes] = set()
         self._rotated_at = 0
-        self._unsafe: dict[int, int] = {}  # digests, the oldest first, with the time of their start
+        self._unsafe: dict[bytes, int] = {}  # keys, the oldest first, with the time of their start
 
     def contains(self, request_id: bytes) -> bool:
         """Return whether a request with this id is open, or was so a while ago."""
@@ -42,8 +44,7 @@
             request_id in self._open
             or request_id in self._recent
             or request_id in self._older
-            or bool(self._unsafe)
-            and digest_of(request_id) in self._unsafe
+            or key_of(request_id) in self._unsafe
         )
 
     def open(self, request_id: bytes) -> None:
@@ -55,15 +56,15 @@
         self._open.discard(request_id)
         self._recent.add(request_id)
 
-    def add_unsafe(self, now: int, digests: Iterable[int]) -> None:
+    def add_unsafe(self, now: int, keys: Iterable[bytes]) -> None:
         """Remember requests that may not be repeated, of this process or of another one."""
-        for digest in digests:
-            self._unsafe.pop(digest, None)
-            self._unsafe[digest] = now
+        for key in keys:
+            self._unsafe.pop(key, None)
+            self._unsafe[key] = now
             if len(self._unsafe) > MAX_UNSAFE_IDS:
                 del self._unsafe[next(iter(self._unsafe))]
 
-    def unsafe_digests(self) -> list[int]:
+    def unsafe_keys(self) -> list[bytes]:
         """Return the remembered requests that may not be repeated."""
         return list(self._unsafe)
 
