Count attempts that were never sent apart from the attempts of a request

Callers saw a balance refused (503) while most servers were free: the known red test tests/service/test_service.py::test_changes_under_load_break_no_promise, 959 of 960 served.

Cause: an attempt that ends before it is sent, because its server drains or leaves while the connection is still being made, was counted like one that a server has got. Four servers that drain one after the other used up the four attempts of a request that no server had seen.

Change: Balancer and node count attempts that were not sent (NOT_SENT) apart; the limit of the settings holds for the others, and at most 8 further ones may end unsent, so that a node which can send nothing still refuses at once.

No cost on the path of a request but one comparison at the outcome.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -105,6 +105,9 @@
 # An attempt that has not been sent within this time after its client's half-close is not sent
 # any more.
 HALF_CLOSE_GRACE_NS = 50 * MS
+# An attempt that ended before it was sent is none that a backend counts. So many more than
+# the settings' attempts may end like that: servers may drain one after the other.
+MAX_EXTRA_UNSENT_ATTEMPTS = 8
 RETRY_BUDGET_FRACTION = 0.1  # retries that each first attempt adds to the retry budget
 RETRY_BUDGET_BURST_COUNT = 10.0  # retries that the budget can hold
 # Backoff of calls for the backend list, doubled with each failure; the wait is drawn from
@@ -164,7 +167,7 @@
 
 # Rejected, connection failed, moot: the backend did not run the request.
 OUTCOMES_NEVER_RAN = (3, 5, 8)
-OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET = 1, 2, 3, 4, 5, 6
+OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, NOT_SENT = 1, 2, 3, 4, 5, 6, 8
 # Timed out, reset, cancelled: no answer came, and the backend may still be working.
 OUTCOMES_MAY_STILL_RUN = (4, 6, 7)
 
@@ -246,7 +249,7 @@
     __slots__ = (
         "answer_by", "answer_started", "arrived_at", "attempts", "attempts_in_flight", "cls",
         "deadline_at", "ended", "first_maybe_run", "half_closed_at", "hint", "id", "low_priority",
-        "queued", "stalled_attempts", "target_at", "tenant", "wait_until",
+        "queued", "stalled_attempts", "target_at", "tenant", "unsent_attempts", "wait_until",
     )  # fmt: skip
 
     def __init__(
@@ -263,6 +266,7 @@
         self.attempts: list[Attempt] = []
         self.attempts_in_flight = 0
         self.stalled_attempts = 0  # of those in flight
+        self.unsent_attempts = 0  # that ended before their last byte was written
         self.first_maybe_run: Attempt | None = None  # the first attempt that may have run
         self.queued = False
         self.low_priority = False  # beyond its tenant's quota, or late already
@@ -271,6 +275,13 @@
         self.half_closed_at = 0  # when its client ended its sending, 0 if it has not
         self.hint = 0
 
+    def has_attempt_left(self, max_attempts: int) -> bool:
+        """Whether one more attempt is within the limits on sent and on unsent ones."""
+        return (
+            len(self.attempts) - self.unsent_attempts < max_attempts
+            and self.unsent_attempts < max_attempts + MAX_EXTRA_UNSENT_ATTEMPTS
+        )
+
     def needs_attempt(self) -> bool:
         """Whether nothing is queued or in flight that is expected to answer the request."""
         return (
@@ -1066,7 +1077,8 @@
             now,
             request.answer_by,
             request.deadline_at,
-            len(request.attempts) + 1 < self.settings.max_attempts and self.retry_budget >= 1.0,
+            len(request.attempts) - request.unsent_attempts + 1 < self.settings.max_attempts
+            and self.retry_budget >= 1.0,
         )
         request.attempts.append(Attempt(backend, now))
         request.attempts_in_flight += 1
@@ -1188,7 +1200,7 @@
         if (
             request.attempts_in_flight > request.stalled_attempts
             or request.half_closed_at
-            or len(request.attempts) >= self.settings.max_attempts
+            or not request.has_attempt_left(self.settings.max_attempts)
             or (request.stalled_attempts and not self.settings.allow_hedging)
         ):
             return False
@@ -1240,6 +1252,7 @@
         class_state = pending.cls
         pending.attempts_in_flight -= 1
         pending.stalled_attempts -= ended_attempt.stalled
+        pending.unsent_attempts += outcome == NOT_SENT
         if not (ended_attempt.response_started or ended_attempt.stalled):
             self.release_slot(class_state, backend)
             if outcome in OUTCOMES_MAY_STILL_RUN:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,12 +10,14 @@
     Balancer,
     Effect,
     Listing,
+    Outcome,
     RequestClass,
     Settings,
     State,
     Tenant,
     Update,
 )
+from flinthatch.balancer import MAX_EXTRA_UNSENT_ATTEMPTS
 
 from .fakes import MS, PURE, SECOND, UNSAFE, RecordingHost, build_balancer
 
@@ -510,6 +512,30 @@
     assert len(host.calls_named("send")) < 80
 
 
+@pytest.mark.parametrize("number", [0, 1], ids=["pure", "unsafe"])
+def test_attempts_that_were_never_sent_do_not_use_up_the_attempts_of_a_request(number: int) -> None:
+    balancer, host = build_balancer()
+    balancer.on_request(0, 1, number, SECOND)
+    for attempt in range(6):
+        balancer.on_outcome(MS, 1, attempt, Outcome.NOT_SENT, MS, False)
+    for attempt in range(6, 9):
+        balancer.on_outcome(2 * MS, 1, attempt, Outcome.FULL, MS, False)
+    assert len(host.calls_named("send")) == 10
+    assert not host.calls_named("refuse")
+    balancer.on_outcome(3 * MS, 1, 9, Outcome.FULL, MS, False)  # the fourth that was sent
+    assert len(host.calls_named("send")) == 10
+    assert len(host.calls_named("refuse")) == 1
+
+
+def test_request_of_which_no_attempt_can_be_sent_is_refused() -> None:
+    balancer, host = build_balancer()
+    balancer.on_request(0, 1, 0, SECOND)
+    for attempt in range(40):
+        balancer.on_outcome(0, 1, attempt, Outcome.NOT_SENT, 0, False)
+    assert len(host.calls_named("send")) <= 4 + MAX_EXTRA_UNSENT_ATTEMPTS
+    assert len(host.calls_named("refuse")) == 1
+
+
 def run_cycle(
     balancer: Balancer, host: RecordingHost, start: int, count: int, duration: int
 ) -> None:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -59,7 +59,7 @@
 
     __slots__ = (
         "answer_started", "arrived_at", "attempts", "client", "client_request_id", "deadline",
-        "ended", "id", "incoming", "reserved_bytes", "unfinished_attempts",
+        "ended", "id", "incoming", "reserved_bytes", "unfinished_attempts", "unsent_attempts",
     )  # fmt: skip
 
     def __init__(
@@ -75,6 +75,7 @@
         self.deadline = now + remaining
         self.attempts: list[Attempt] = []
         self.unfinished_attempts = 0
+        self.unsent_attempts = 0  # that ended before their last byte was written
         self.answer_started = False  # an answer is being streamed to the client
         self.ended = False
 
@@ -388,6 +389,8 @@
         nested = self.in_event
         now = self.now if nested else self.begin_event()
         request = attempt.request
+        if request is not None and outcome == Outcome.NOT_SENT:
+            request.unsent_attempts += 1
         self.pending_outcomes.append(
             (attempt, outcome, (attempt.answer_started_at or now) - attempt.sent_at, load)
         )
@@ -482,7 +485,8 @@
             open_request.ended
             or remaining <= 0
             or self.has_client_left(time.monotonic_ns(), open_request)
-            or len(open_request.attempts) > self.config.settings.max_attempts
+            or len(open_request.attempts) - open_request.unsent_attempts
+            > self.config.settings.max_attempts
         ):
             self.conclude(attempt, Outcome.NOT_SENT)
         elif attempt_timeout <= 0:
