Let a response outlast the time of its client while its server writes it

Callers saw long responses cut off at the client's time: "unexpected EOF" 10 ms behind it, or 502 and 503 20 ms before it where less than 64 KiB had come.

Cause: two clocks. Node.cut_overdue_stream ended every response that was being passed on 10 ms behind the deadline, whatever its server did. further_time gave an attempt up 20 ms before the deadline, also where its response was coming.

Change: a response of status 200 that is coming at the end of the client's time is passed on as far as it has come, of several attempts the one that came last, and goes on while its server makes progress. The new pure module response_progress.py says when it has stopped: a second without 128 bytes (or one and a half times the longest pause before), or ten seconds lost against 16 KB/s, of which a slow client is part. Every end is in the log with its request and reason.

The stalled response without second copies is refused in time as before where it has been silent for over a second; its client waits 1.5 s in place of 1 s. Trickles keep their bound as it was.

--- /dev/null
+++ b/flinthatch/response_progress.py
@@ -0,0 +1,76 @@
+"""Whether a response that outlasts the time of its client is still on its way. Pure.
+
+A sound backend may write a long response for longer than its client said it would wait, and the
+client may still read. Such a response goes on for as long as its backend makes progress. One that
+has stopped half way, or comes a few bytes at a time, ends once its allowances are used up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from flinthatch.interface import MS, SECOND
+
+# Longest pause within a response. Where the same response has resumed after a pause before, its
+# later pauses may be longer than that one by a half.
+MAX_PAUSE_NS = SECOND
+MIN_PROGRESS_BYTES = 128  # fewer bytes do not end a pause
+# Time that a response may lose against the lowest pace of a long one.
+MAX_DELAY_NS = 10 * SECOND
+MIN_BYTES_PER_S = 16 << 10
+SAMPLE_INTERVAL_NS = 250 * MS  # longest time between two samples of a response
+
+
+class ResponseProgress:
+    """The progress of one response that has come in part."""
+
+    __slots__ = (
+        "_bytes_at_progress", "_bytes_at_sample", "_delay_left_ns", "_max_pause_ns",
+        "_progress_at", "_sampled_at", "byte_count",
+    )  # fmt: skip
+
+    def __init__(self, now: int) -> None:
+        self.byte_count = 0  # of the body, so far
+        self._progress_at = self._sampled_at = now
+        self._bytes_at_progress = 0
+        self._bytes_at_sample = 0
+        self._max_pause_ns = MAX_PAUSE_NS
+        self._delay_left_ns = MAX_DELAY_NS
+
+    def receive(self, now: int, byte_count: int) -> None:
+        """Record that `byte_count` bytes of the body have come by now."""
+        self.byte_count = byte_count
+        if byte_count - self._bytes_at_progress >= MIN_PROGRESS_BYTES:
+            pause_ns = now - self._progress_at
+            self._max_pause_ns = max(self._max_pause_ns, pause_ns + pause_ns // 2)
+            self._progress_at = now
+            self._bytes_at_progress = byte_count
+
+    def sample(self, now: int, is_held_up: bool) -> None:
+        """Update the allowances; called at least once in SAMPLE_INTERVAL_NS.
+
+        `is_held_up` tells that the backend can't be seen to pause: its client reads more slowly
+        than the response comes, or this node has not read yet what came.
+        """
+        received = self.byte_count - self._bytes_at_sample
+        earned_ns = received * SECOND // MIN_BYTES_PER_S - (now - self._sampled_at)
+        self._delay_left_ns = min(max(self._delay_left_ns + earned_ns, 0), MAX_DELAY_NS)
+        self._sampled_at = now
+        self._bytes_at_sample = self.byte_count
+        if is_held_up:
+            self._progress_at = now
+
+    def time_left(self, now: int) -> int:
+        """Nanoseconds until the response counts as stopped if nothing more comes; 0 if it does."""
+        pause_left_ns = self._progress_at + self._max_pause_ns - now
+        return max(min(pause_left_ns, self._delay_left_ns - (now - self._sampled_at)), 0)
+
+
+def select_response(now: int, candidates: Sequence[ResponseProgress]) -> int | None:
+    """Index of the response to pass on at the end of the client's time; None if all have stopped.
+
+    Of several attempts that is the one which may pause longest, so the one that came last.
+    """
+    lefts = [candidate.time_left(now) for candidate in candidates]
+    longest = max(lefts, default=0)
+    return lefts.index(longest) if longest else None
--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -55,6 +55,12 @@
         """A response is one message: until it has come, nothing tells of progress."""
         return Progress.SILENT
 
+    def response_progress(self) -> None:
+        """A part of a message can't be passed on."""
+
+    def pass_on(self) -> None:
+        """Not called: there is no response to pass on before it is complete."""
+
 
 class Advice:
     """A message that is no attempt: a reversal that is owed. `done` gets the answer, or None
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -195,6 +195,12 @@
             def progress(self) -> Progress:
                 return Progress.SILENT
 
+            def response_progress(self) -> None:
+                return None
+
+            def pass_on(self) -> None:
+                pass
+
         now = time.monotonic_ns()
         attempts = [Attempt(None, 0, 1, now) for _ in range(2)]
         attempts[0].connection = Broken()
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -113,3 +113,37 @@
             assert cut_or_failed(asked) == []
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("framing", list(Framing))
+@pytest.mark.parametrize("name", ["balance", "credit"])
+def test_response_that_stops_or_trickles_ends_visibly_within_the_slack_of_a_final_answer(
+    tmp_path: Path, name: str, framing: Framing
+) -> None:
+    unsound = [(pace, size) for pace in (Pace.HALF, Pace.TRICKLE) for size in (20_000, 200_000)]
+
+    async def main() -> None:
+        async with stage(tmp_path) as on:
+            asked = await ask_all(on, name, framing, unsound)
+            # What had come by half of the client's time can be told from a slow response in time.
+            latest_s = CLIENT_MS[name] / 1000 + ANSWER_SLACK_S
+            assert [plan for plan, got in asked if got.ended_s > latest_s] == []
+            assert [plan for plan, got in asked if got.is_whole and got.status == 200] == []
+
+    asyncio.run(main())
+
+
+def test_response_that_never_ends_goes_on_until_its_client_leaves(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with stage(tmp_path) as on:
+            plan = Plan(Framing.CHUNKED, Pace.ENDLESS, 100_000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(3.0):
+                    await on.client().ask("balance", plan, 800)
+                    raise AssertionError("the response ended")
+            await asyncio.sleep(0.2)
+            log = on.log()
+            assert "outlasts the time of its client" in log
+            assert "its client left within the response" in log
+
+    asyncio.run(main())
--- a/windrelay/interfaces.py
+++ b/windrelay/interfaces.py
@@ -12,6 +12,7 @@
 
 from flinthatch import Listing
 from flinthatch.attempt_timeout import Progress
+from flinthatch.response_progress import ResponseProgress
 
 if TYPE_CHECKING:
     from windrelay.node import Attempt
@@ -101,6 +102,12 @@
     def progress(self) -> Progress:
         """Return what the backend is seen to do for the attempt."""
 
+    def response_progress(self) -> ResponseProgress | None:
+        """Return how a response comes that can be passed on, or is; None where there is none."""
+
+    def pass_on(self) -> None:
+        """Begin to pass on the response of which `response_progress` has told."""
+
 
 class ConnectionPool(Protocol):
     """The connections to backends for one protocol; reports one outcome for each attempt."""
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -20,6 +20,7 @@
 from flinthatch import Balancer, Effect, Listing, Outcome, Settings, Update
 from flinthatch.attempt_timeout import Progress
 from flinthatch.reconfigure import reconfigure
+from flinthatch.response_progress import select_response
 from windrelay.config import Config
 from windrelay.interfaces import AttemptHandle, Caller, ConnectionPool, MemberSource, ParsedRequest
 from windrelay.memory_budget import MemoryBudget, resident_bytes
@@ -84,8 +85,8 @@
     """One send of a request to a backend, or a health probe where `request` is None.
 
     An attempt has exactly one outcome. Once `answer_started_at` is set, the answer is streamed to
-    the client: it is the request's only answer, only the end of the client's time ends the attempt,
-    and the latency reported for it is the time to the start of the answer.
+    the client: it is the request's only answer, it may outlast the time of the client for as long
+    as its backend makes progress, and the latency reported for it is the time to its start.
     """
 
     __slots__ = (
@@ -464,6 +465,8 @@
     def fail_all(self) -> None:
         """Fail every request that is still open; called at the very end of a stop."""
         for request in list(self.requests.values()):
+            if not request.ended:
+                self.log(f"request {request.client_request_id.decode('latin-1')} failed, a stop")
             self.fail_at_once(request)
 
     # ---- actions ------------------------------------------------------
@@ -623,7 +626,7 @@
         elif not item.ended and not item.answer_started:
             self.fail_overdue(item)
         elif not item.ended:
-            self.cut_overdue_stream(item)
+            self.check_outlasting_response(item)
 
     def handle_attempt_timeout(self, now: int, attempt: Attempt) -> None:
         """Give an attempt up, unless the Balancer lets it go on for its backend's progress."""
@@ -638,6 +641,8 @@
             if more > 0:
                 self.schedule(now + more, attempt)
                 return
+            if self.pass_on_response(now, request):
+                return
             self.log_attempt(now, attempt, f"given up while {progress.name.lower()}")
         self.give_up(attempt, Outcome.TIMEOUT)
 
@@ -666,16 +671,57 @@
             f", {(request.deadline - now) // MS} ms before the deadline"
         )
 
-    def cut_overdue_stream(self, request: Request) -> None:
-        """End a response that is still being passed on when the time of its client is over.
+    def pass_on_response(self, now: int, request: Request) -> bool:
+        """Begin to pass on a response that is still coming at the end of its client's time.
 
-        It can't arrive in time any more, and nothing may follow later: its end shows that it is
-        incomplete.
+        It is the request's answer from then on. Returns False where there is none that can be
+        passed on and goes on.
         """
+        if request.ended or request.answer_started:
+            return False
+        handles = [
+            (attempt, attempt.connection)
+            for attempt in request.attempts
+            if not attempt.concluded and attempt.connection is not None
+        ]
+        candidates = [
+            (attempt, handle, progress)
+            for attempt, handle in handles
+            if (progress := handle.response_progress()) is not None
+        ]
+        selected = select_response(now, [progress for _, _, progress in candidates])
+        if selected is None:
+            return False
+        attempt, handle, progress = candidates[selected]
+        self.log_attempt(
+            now, attempt, f"passes on its unfinished response, {progress.byte_count} bytes so far"
+        )
+        handle.pass_on()
+        return True
+
+    def check_outlasting_response(self, request: Request) -> None:
+        """Look at the response that is passed on when the time of its client is over."""
         for attempt in list(request.attempts):
-            if not attempt.concluded:
-                self.log_attempt(self.now, attempt, "cut at the deadline")
-                self.give_up(attempt, Outcome.TIMEOUT)
+            if attempt.answer_started_at and not attempt.concluded:
+                self.log_attempt(self.now, attempt, "outlasts the time of its client")
+                self.end_if_stopped(attempt)
+
+    def end_if_stopped(self, attempt: Attempt) -> None:
+        """End a response that outlasts the time of its client, once its backend has stopped.
+
+        Its end shows the client that it is incomplete.
+        """
+        request, handle = attempt.request, attempt.connection
+        if request is None or handle is None or attempt.concluded:
+            return
+        now = time.monotonic_ns()
+        progress = handle.response_progress()
+        if now < request.deadline or progress is None or progress.time_left(now):
+            return
+        self.log_attempt(
+            now, attempt, f"ended, its response has stopped after {progress.byte_count} bytes"
+        )
+        self.give_up(attempt, Outcome.TIMEOUT)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop waiting for an attempt.
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -21,6 +21,7 @@
 from flinthatch import Outcome
 from flinthatch.attempt_timeout import Progress
 from flinthatch.connection_reuse import AdaptiveIdleTimeout, QuietTime, ResponseHistory
+from flinthatch.response_progress import SAMPLE_INTERVAL_NS, ResponseProgress
 from windrelay.body_blocks import Block, append_piece
 from windrelay.chunked_framing import ChunkedFraming, FramingTooLong, TooManyPieces
 from windrelay.config import Address
@@ -88,8 +89,9 @@
         "_has_dropped_copy", "_has_extra_data", "_has_stalled", "_headers_done", "_idle_ns",
         "_interim_count", "_invalid", "_keep_alive", "_last_checksums", "_last_received_at",
         "_last_request_id", "_load_report",
-        "_not_processed", "_piece_count", "_quiet_timer", "_reading_paused", "_received_bytes",
-        "_recognises_copies", "_socket_view", "_stall_timer", "_status", "_streaming_to",
+        "_not_processed", "_piece_count", "_progress", "_progress_timer", "_quiet_timer",
+        "_reading_paused", "_received_bytes",
+        "_recognises_copies", "_socket_view", "_status", "_streaming_to",
         "_unsent_chunks", "_writing_paused", "address", "attempt", "backend", "idle_since",
         "is_recognisable", "parser", "pool", "request_written", "transport",
     )  # fmt: skip
@@ -110,7 +112,8 @@
         self._socket_view: SocketView | None = None
         self._dial_task: asyncio.Task[None] | None = None
         self._dial_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
+        self._progress_timer: asyncio.TimerHandle | None = None  # set while a response comes
+        self._progress: ResponseProgress | None = None  # of a response that came in part
         self._quiet_timer: asyncio.TimerHandle | None = None  # set while an attempt waits for it
         self.is_recognisable = False  # a second copy of the last response would be recognised
         self._last_checksums: deque[int] = deque(maxlen=REMEMBERED_CHECKSUM_COUNT)
@@ -127,6 +130,7 @@
         self._reading_paused = False  # the caller takes the stream more slowly than it arrives
         self._last_received_at = 0
         self._has_stalled = False  # the response paused, which was reported
+        self._progress = None
         self._interim_count = 0
         self._received_bytes = 0  # all response bytes: heads, framing and bodies
         self._invalid = False
@@ -388,14 +392,11 @@
             self._finish_response()
         elif self._invalid:
             self._reject_response()
-        elif self._received_bytes and self._may_stall():
-            self._stall_timer = self.pool.node.loop.call_later(
-                RESPONSE_STALL_TIMEOUT_S, self._on_stall_timer
-            )
-
-    def _may_stall(self) -> bool:
-        """Whether a pause of the response is to be noticed, and no timer is set for that yet."""
-        return self._stall_timer is None and not self._has_stalled and self._streaming_to is None
+        elif self._received_bytes:
+            if self._progress is None:
+                self._progress = ResponseProgress(self._last_received_at)
+                self._set_progress_timer(RESPONSE_STALL_TIMEOUT_S)
+            self._progress.receive(self._last_received_at, self._body_size)
 
     def _reject_unparsed(self) -> None:
         self._reject_response()
@@ -426,24 +427,72 @@
             self._finish_response()
         return False
 
+    def _set_progress_timer(self, delay_s: float) -> None:
+        loop = self.pool.node.loop
+        self._progress_timer = loop.call_later(delay_s + TIMER_ROUNDING_S, self._on_progress_timer)
+
     @closes_connection_on_error
-    def _on_stall_timer(self) -> None:
-        self._stall_timer = None
-        attempt = self.attempt
-        if attempt is None or self._streaming_to is not None:
-            return  # a response that is passed on can't be hedged
+    def _on_progress_timer(self) -> None:
+        """Sample a response that is still coming, notice a stall, and end one that has stopped."""
+        self._progress_timer = None
+        attempt, progress = self.attempt, self._progress
+        if attempt is None or progress is None:
+            return
+        now = time.monotonic_ns()
+        delay_ns = SAMPLE_INTERVAL_NS
+        self._sample_progress(now, progress)
+        if self._streaming_to is not None:
+            if attempt.request is not None and attempt.request.ended:
+                self.cancel()
+                return
+            self.pool.node.end_if_stopped(attempt)
+            delay_ns = min(progress.time_left(now) or delay_ns, delay_ns)
+        elif not self._has_stalled:
+            delay_ns = self._check_for_stall(attempt)
+        if self.attempt is attempt:
+            self._set_progress_timer(delay_ns / SECOND)
+
+    def _sample_progress(self, now: int, progress: ResponseProgress) -> None:
+        is_held_up = self._reading_paused or self._unparsed is not None or self._has_unread_data()
+        progress.sample(now, is_held_up)
+
+    def _check_for_stall(self, attempt: Attempt) -> int:
+        """Report a response that has paused, or give up one that can't be used any more.
+
+        Returns the nanoseconds to the next look.
+        """
         silent_s = (time.monotonic_ns() - self._last_received_at) / SECOND
         if self._unparsed is not None or self._has_unread_data():
             silent_s = 0.0  # this event loop is late, not the backend
         if silent_s < RESPONSE_STALL_TIMEOUT_S:
-            self._stall_timer = self.pool.node.loop.call_later(
-                RESPONSE_STALL_TIMEOUT_S - silent_s, self._on_stall_timer
-            )
-        elif attempt.request is None or not self.request_written:
+            return int((RESPONSE_STALL_TIMEOUT_S - silent_s) * SECOND)
+        if attempt.request is None or not self.request_written:
             self._reject_response()
         else:
             self._has_stalled = True
             self.pool.node.report_stall(attempt)
+        return SAMPLE_INTERVAL_NS
+
+    def response_progress(self) -> ResponseProgress | None:
+        """Return the progress of a response that is, or can be, passed on before its end."""
+        progress = self._progress
+        if (
+            progress is None
+            or self.attempt is None
+            or not self._headers_done
+            or self._status != 200
+            or self._invalid
+            or not self.request_written
+        ):
+            return None
+        self._sample_progress(time.monotonic_ns(), progress)
+        return progress
+
+    def pass_on(self) -> None:
+        """Begin to pass on the response, of which `response_progress` has told."""
+        self._start_streaming()
+        if self._invalid:
+            self._reject_response()
 
     def progress(self) -> Progress:
         """Return what the backend is seen to do for the attempt; see interfaces.AttemptHandle."""
@@ -579,6 +628,8 @@
             self._has_extra_data = True  # the rest is no part of this response
             data = data[:remaining]
         self._body_size += len(data)
+        if self._progress is not None:
+            self._progress.receive(self._last_received_at, self._body_size)
         self._streaming_to.send_data(data)
         if self._body_size == self._content_length:
             self._complete = True
@@ -602,6 +653,13 @@
                 self._set_reading(True)
 
     def cancel(self) -> None:
+        attempt = self.attempt
+        if attempt is not None:
+            self.pool.node.log_attempt(
+                time.monotonic_ns(),
+                attempt,
+                f"ended, its client left within the response, {self._body_size} bytes so far",
+            )
         self._streaming_to = None
         self._close_with_outcome(Outcome.CANCELLED, CloseReason.CALLER_LEFT)
 
@@ -688,7 +746,7 @@
         chunks, self._body_chunks = self._body_chunks, []
         node = self.pool.node
         close_reason = self._reason_not_to_reuse()
-        self._cancel_stall_timer()
+        self._stop_watching()
         outcome = self._outcome()
         if attempt is not None:
             if self._idle_ns >= 0:
@@ -745,7 +803,7 @@
         )
         self._has_dropped_copy = True
         self._received_bytes = 0
-        self._cancel_stall_timer()
+        self._stop_watching()
         self._release_budget()
         self._reset_response()
 
@@ -814,10 +872,12 @@
         if attempt is not None:
             self.pool.node.conclude(attempt, outcome)
 
-    def _cancel_stall_timer(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
+    def _stop_watching(self) -> None:
+        """Sample the response no more: it is complete or given up."""
+        self._progress = None
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+            self._progress_timer = None
 
     def _close(self, reason: CloseReason) -> None:
         if self._closed:
@@ -833,7 +893,7 @@
         self._body_chunks = []
         self._unsent_chunks = None
         self._release_budget()
-        self._cancel_stall_timer()
+        self._stop_watching()
         if self._quiet_timer is not None:
             self._quiet_timer.cancel()
             self._quiet_timer = None
