--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+import json
+import signal
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
@@ -20,8 +23,10 @@
     PlannedServer,
     content,
 )
-from standins.platform import SETTINGS, roster, target
+from standins.memory import resident_mb
+from standins.platform import SETTINGS, target
 from standins.process import NodeProcess
+from standins.registry import Registry
 
 MS = 1_000_000
 # The class's own times: the target is the client's time in the cases that name no other one.
@@ -30,7 +35,7 @@
     SETTINGS["classes"][1] | {"target": 750 * MS, "deadline": 3000 * MS},
 ]
 CLIENT_MS = {"balance": 800, "credit": 750}
-SERVER_COUNT = 4
+SERVER_COUNT = 10
 ANSWER_SLACK_S = 0.5  # after its time a request only earns nothing
 # Each is read to the end of its response; a case has time for the longest one.
 SOUND = [
@@ -53,6 +58,8 @@
 
     node: NodeProcess
     servers: list[PlannedServer]
+    registry: Registry
+    environ: dict[str, str]
 
     def client(self, **how: int) -> LongClient:
         return LongClient(self.node.port, **how)
@@ -60,24 +67,39 @@
     def log(self) -> str:
         return self.node.log.read_text(errors="replace")
 
-    def runs(self, request_id: str) -> int:
-        return sum(server.runs.get(request_id, 0) for server in self.servers)
+    def list_as(self, state: str) -> None:
+        """Tell the node this state of every server it knows."""
+        self.registry.put(
+            *(target(f"s-{i}", server.port, state) for i, server in enumerate(self.servers))
+        )
+
+    def drop_from_list(self) -> None:
+        """Tell the node a whole list without its servers."""
+        self.registry.rows.clear()
+        self.registry.put()
 
 
 @contextlib.asynccontextmanager
 async def stage(
-    folder: Path, receive_buffer_bytes: int = 0, discovery: int = 1, **over: Any
+    folder: Path, receive_buffer_bytes: int = 0, server_count: int = SERVER_COUNT, **over: Any
 ) -> AsyncIterator[Stage]:
-    servers = [PlannedServer(receive_buffer_bytes) for _ in range(SERVER_COUNT)]
+    servers = [PlannedServer(receive_buffer_bytes) for _ in range(server_count)]
     for server in servers:
         server.start()
-    known = roster(*(target(f"s-{i}", server.port) for i, server in enumerate(servers)))
-    node = NodeProcess(folder, known, discovery, **{"settings": {"classes": CLASSES}} | over)
-    await asyncio.to_thread(node.start)
+    registry = Registry(Random(1))
+    await registry.start()
+    environ = {"TMPDIR": str(folder)}
+    over = {"settings": {"classes": CLASSES}} | over
+    node = NodeProcess(folder, registry.whole(), registry.port, **over)
+    on = Stage(node, servers, registry, environ)
+    on.list_as("active")
+    node.known = registry.whole()
     try:
-        yield Stage(node, servers)
+        await asyncio.to_thread(node.start, environ)
+        yield on
     finally:
         node.kill()
+        registry.close()
         for server in servers:
             server.close()
 
@@ -115,6 +137,20 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("framing", list(Framing))
+def test_hedged_response_that_outlasts_the_time_of_its_client_arrives_whole(
+    tmp_path: Path, framing: Framing
+) -> None:
+    limits = SETTINGS["limits"] | {"second_copies": True}
+
+    async def main() -> None:
+        async with stage(tmp_path, settings={"classes": CLASSES, "limits": limits}) as on:
+            asked = await ask_all(on, "balance", framing, SOUND)
+            assert cut_or_failed(asked) == []
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("framing", list(Framing))
 @pytest.mark.parametrize("name", ["balance", "credit"])
 def test_response_that_stops_or_trickles_ends_visibly_within_the_slack_of_a_final_answer(
@@ -147,3 +183,123 @@
             assert "its client left within the response" in log
 
     asyncio.run(main())
+
+
+async def drain(on: Stage) -> None:
+    on.list_as("leaving")
+
+
+async def drop_from_list(on: Stage) -> None:
+    on.drop_from_list()
+
+
+async def reload_with_shorter_deadlines(on: Stage) -> None:
+    path = on.node.folder / "config.json"
+    raw = json.loads(path.read_text())
+    for row in raw["settings"]["classes"]:
+        row.update(target=100 * MS, deadline=200 * MS)
+    path.write_text(json.dumps(raw))
+    on.node.process.send_signal(signal.SIGHUP)  # type: ignore[union-attr]
+
+
+async def end(on: Stage) -> None:
+    on.node.term()
+
+
+async def upgrade(on: Stage) -> None:
+    """Start a new version at the same address, then end the old one."""
+    folder = on.node.folder / "new"
+    folder.mkdir()
+    new = NodeProcess(folder, on.registry.whole(), on.registry.port, **on.node.over)
+    new.port = on.node.port
+    try:
+        await asyncio.to_thread(new.start, on.environ)
+        on.node.term()
+        await asyncio.to_thread(on.node.wait)
+    finally:
+        new.kill()
+
+
+@pytest.mark.parametrize("at_s", [0.3, 1.0], ids=["within", "past"])
+@pytest.mark.parametrize(
+    "disturb", [drain, drop_from_list, reload_with_shorter_deadlines, end, upgrade]
+)
+def test_response_that_outlasts_the_time_of_its_client_arrives_whole_through_a_change(
+    tmp_path: Path, disturb: Callable[[Stage], Coroutine[None, None, None]], at_s: float
+) -> None:
+    """The change comes within the time of the clients, or past it."""
+    cases = [case for case in SOUND if case[0] != Pace.LUMPS or case[1] < 200_000]
+
+    async def main() -> None:
+        async with stage(tmp_path, mgmt="127.0.0.1:0") as on:
+            asking = [
+                asyncio.create_task(ask_all(on, name, framing, cases))
+                for name, framing in (
+                    ("balance", Framing.LENGTH),
+                    ("balance", Framing.CLOSE),
+                    ("credit", Framing.CHUNKED),
+                )
+            ]
+            await asyncio.sleep(at_s)
+            disturbing = asyncio.create_task(disturb(on))
+            for task in asking:
+                assert cut_or_failed(await task) == []
+            await disturbing
+
+    asyncio.run(main())
+
+
+def test_response_that_outlasts_a_stop_is_cut_visibly_before_the_earliest_kill(
+    tmp_path: Path,
+) -> None:
+    short = [row | {"target": 700 * MS, "deadline": 750 * MS} for row in CLASSES]
+    earliest_kill_s = 0.75 + 0.7
+
+    async def main() -> None:
+        async with stage(tmp_path, settings={"classes": short}) as on:
+            plans = [Plan(framing, Pace.STEADY, 400_000) for framing in Framing]
+            asking = asyncio.gather(*(on.client().ask("balance", plan, 750) for plan in plans))
+            await asyncio.sleep(0.3)
+            on.node.term()
+            await asyncio.sleep(earliest_kill_s)
+            on.node.kill()
+            for exchange in await asking:
+                assert exchange.status == 200 and not exchange.is_whole
+                assert exchange.ended_s < 0.3 + earliest_kill_s
+            assert on.log().count("failed, a stop") == len(plans)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("receive_buffer_bytes", [0, 4096])
+def test_client_that_reads_slowly_gets_all_of_a_response_past_its_time(
+    tmp_path: Path, receive_buffer_bytes: int
+) -> None:
+    async def main() -> None:
+        async with stage(tmp_path) as on:
+            asked = await asyncio.gather(
+                *(
+                    on.client(
+                        read_bytes_per_s=60_000, receive_buffer_bytes=receive_buffer_bytes
+                    ).ask("balance", Plan(framing, pace, 300_000), 800)
+                    for framing in Framing
+                    for pace in (Pace.FAST, Pace.LUMPS)
+                )
+            )
+            assert [len(got.body) for got in asked if not got.is_whole] == []
+
+    asyncio.run(main())
+
+
+def test_many_long_responses_at_once_arrive_whole_at_the_least_memory(tmp_path: Path) -> None:
+    limits = {"memory_mb": 32, "sockets": 1024}
+
+    async def main() -> None:
+        async with stage(tmp_path, server_count=12, limits=limits) as on:
+            asked = await asyncio.gather(
+                *(ask_all(on, "balance", framing, SOUND * 2) for framing in Framing)
+            )
+            assert [found for one in asked for found in cut_or_failed(one)] == []
+            assert resident_mb(on.node.pid, "VmHWM") < limits["memory_mb"]
+
+    asyncio.run(main())
