Send nothing more of a long request once its attempt is given up

Seen while playing servers that read a large request slowly: the client had its 502 in time (11 to 20 ms before its time is over, 68 cases of size, pace, framing and memory), and the server had the whole request up to 2.7 s after that, at a pace of its own, and ran it.

Cause: to give an attempt up the node closes the connection. The kernel goes on sending what it still holds of the request, hundreds of KB, and the close follows it.

Change: where an attempt is given up, or its caller has left, and the kernel holds bytes that the server's system has not acknowledged, the close resets the connection, which drops them. A stop that fails open requests gives up their attempts the same way. What the server's system has acknowledged has left this machine and can still be read. Class of bug: an end that does not end what a lower layer holds.

Evidence: three new tests (time over, client left, stop) fail before, each of 3 requests whole at a server, and pass. Price: one ioctl for an attempt that is given up, none for one that is answered.

--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -303,3 +303,32 @@
             assert resident_mb(on.node.pid, "VmHWM") < limits["memory_mb"]
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("ending", ["time_is_over", "client_leaves", "stop"])
+def test_request_that_its_server_still_reads_does_not_come_whole_after_its_final_answer(
+    tmp_path: Path, ending: str
+) -> None:
+    """Guards against bytes that the kernel sends on after the close of a connection."""
+    plan = Plan(Framing.LENGTH, Pace.FAST, 100, read_bytes_per_s=100_000)
+    short = [row | {"target": 700 * MS, "deadline": 750 * MS} for row in CLASSES]
+    settings = {"classes": short if ending == "stop" else CLASSES}
+
+    async def main() -> None:
+        async with stage(tmp_path, receive_buffer_bytes=4096, settings=settings) as on:
+            asking = asyncio.gather(
+                *(on.client().ask("credit", plan, 750, body=bytes(size)) for size in (200_000,) * 3)
+            )
+            if ending == "client_leaves":
+                await asyncio.sleep(0.4)
+                asking.cancel()
+            elif ending == "stop":
+                on.node.term()
+                assert await asyncio.to_thread(on.node.wait) == 0
+            if ending != "client_leaves":
+                assert [got.status for got in await asking] == [502] * 3
+                assert [got for got in await asking if got.ended_s > 0.75 + ANSWER_SLACK_S] == []
+            await asyncio.sleep(3.0)
+            assert [server.last_byte_at for server in on.servers if server.last_byte_at] == []
+
+    asyncio.run(main())
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -468,6 +468,8 @@
             if not request.ended:
                 self.log(f"request {request.client_request_id.decode('latin-1')} failed, a stop")
             self.fail_at_once(request)
+            for attempt in list(request.attempts):
+                self.give_up(attempt, Outcome.CANCELLED)
 
     # ---- actions ------------------------------------------------------
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -5,10 +5,8 @@
 import asyncio
 import contextlib
 import errno
-import fcntl
 import socket
 import struct
-import termios
 import time
 from collections.abc import Iterable, Mapping
 from itertools import chain, islice
@@ -31,7 +29,7 @@
 from windrelay.node import UNNOTICED_CLOSE_NS
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
 from windrelay.rejection_log import RejectionLog
-from windrelay.socket_view import has_unread_data
+from windrelay.socket_view import LINGER_RESET, has_unread_data, unacknowledged_bytes
 
 if TYPE_CHECKING:
     from windrelay.config import Address
@@ -97,11 +95,9 @@
 STALLED_MS = 500
 MAX_STALLED_EVICTIONS = 32  # at a time: such clients come in great numbers
 
-LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close reset
 TCP_INFO_BYTES = 56  # the part of struct tcp_info that ends with tcpi_last_data_recv
 TCP_INFO_LAST_DATA_RECV = struct.Struct("=52xI")  # milliseconds since data last arrived
 TCP_ESTABLISHED = 1  # the value of tcpi_state, the first byte of struct tcp_info
-SEND_QUEUE_BYTES = struct.Struct("i")  # result of ioctl(TIOCOUTQ): unacknowledged bytes
 
 REASON_PHRASES = {
     400: b"Bad Request",
@@ -810,9 +806,7 @@
         if not buffered:
             self._last_write_sweep = sweep
             return
-        unacknowledged = SEND_QUEUE_BYTES.unpack(
-            fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(4))
-        )[0]
+        unacknowledged = unacknowledged_bytes(self._sock)
         if (buffered, unacknowledged) != self._unsent_sizes:
             self._unsent_sizes = (buffered, unacknowledged)
             self._last_write_sweep = sweep
--- a/windrelay/socket_view.py
+++ b/windrelay/socket_view.py
@@ -39,7 +39,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import socket
+import struct
+import termios
+
+LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close reset
+_SEND_QUEUE_BYTES = struct.Struct("i")  # result of ioctl(TIOCOUTQ)
 
 
 class SocketView(socket.socket):
@@ -81,3 +88,19 @@
     except OSError:
         pass
     return True
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many sent bytes the peer's system has not acknowledged; raises OSError."""
+    queue = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_SEND_QUEUE_BYTES.size))
+    return int(_SEND_QUEUE_BYTES.unpack(queue)[0])
+
+
+def reset_if_unsent(sock: socket.socket) -> None:
+    """Let the close of a socket reset it where the kernel still holds bytes to be sent.
+
+    They would otherwise be sent after the close, at the pace at which the peer reads.
+    """
+    with contextlib.suppress(OSError):
+        if unacknowledged_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -29,7 +29,7 @@
 from windrelay.guard import closes_connection_on_error
 from windrelay.interfaces import StreamingCaller
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
-from windrelay.socket_view import SocketView, has_unread_data
+from windrelay.socket_view import SocketView, has_unread_data, reset_if_unsent
 
 if TYPE_CHECKING:
     from windrelay.http_node import HttpNode
@@ -51,6 +51,8 @@
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 )
 REMEMBERED_CHECKSUM_COUNT = 16  # of a connection's last responses, to recognise second copies
+# With these reasons nothing more of the request may go out.
+GIVEN_UP_REASONS = frozenset((CloseReason.ATTEMPT_GIVEN_UP, CloseReason.CALLER_LEFT))
 MAX_INTERIM_RESPONSE_COUNT = 8  # 1xx responses that are skipped before the final response
 # Turns of the event loop between the expiry of a dial's time-out and the end of the dial. A
 # connection that the kernel has established by the expiry is found by the poll of that turn and
@@ -901,6 +903,8 @@
             self._dial_timer.cancel()
             self._dial_timer = None
         if self.transport is not None:
+            if reason in GIVEN_UP_REASONS and self._socket_view is not None:
+                reset_if_unsent(self._socket_view)
             self.transport.abort()
         elif self._dial_task is not None:
             self._dial_task.cancel()  # connection_made may still be called and aborts then
