Give up a long request that is still being read when its client leaves

Cause: attempts of a client that has gone run on to their outcomes. That is right for a server that has the request; one that has not would begin it later. The last piece was guarded (may_begin), not what the kernel held.

Change: where a client has gone, attempts whose request the kernel (SIOCOUTQNSD) or the node still holds in part are given up, which resets the connection. A client that only half-closes keeps its attempt where the server's system has the request.

Evidence: two new tests (reset, close) fail before, 3 of 3 requests whole at a server, and pass; a third holds the other side, half-closers with 20 to 300 KB before a fast server get their answer, before and after. Price: one look at the attempts of a client that leaves within its request.

--- a/tansywood/iso8583/link.py
+++ b/tansywood/iso8583/link.py
@@ -55,6 +55,10 @@
         """A response is one message: until it has come, nothing tells of progress."""
         return Progress.SILENT
 
+    def is_request_delivered(self) -> bool:
+        """A message is short: it has left with its last byte."""
+        return True
+
     def response_progress(self) -> None:
         """A part of a message can't be passed on."""
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -195,6 +195,9 @@
             def progress(self) -> Progress:
                 return Progress.SILENT
 
+            def is_request_delivered(self) -> bool:
+                return True
+
             def response_progress(self) -> None:
                 return None
 
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import signal
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,10 +25,12 @@
     content,
 )
 from standins.memory import resident_mb
-from standins.platform import SETTINGS, target
+from standins.platform import SETTINGS, request, target
 from standins.process import NodeProcess
 from standins.registry import Registry
 
+from .harness import Peer
+
 MS = 1_000_000
 # The class's own times: the target is the client's time in the cases that name no other one.
 CLASSES = [
@@ -332,3 +335,38 @@
             assert [server.last_byte_at for server in on.servers if server.last_byte_at] == []
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", ["reset", "close"])
+def test_request_that_is_still_being_read_is_given_up_when_its_client_leaves(
+    tmp_path: Path, leave: str
+) -> None:
+    plan = Plan(Framing.LENGTH, Pace.FAST, 100, read_bytes_per_s=300_000)
+
+    async def main() -> None:
+        async with stage(tmp_path, receive_buffer_bytes=4096) as on:
+            clients = [Peer(socket.create_connection(("127.0.0.1", on.node.port))) for _ in "123"]
+            for client in clients:
+                client.send(request(f"/credit/{plan}", bytes(180_000), timeout=2500))
+            await asyncio.sleep(0.25)
+            for client in clients:  # the servers would have it all after 0.6 s
+                client.reset() if leave == "reset" else client.close()
+            await asyncio.sleep(1.5)
+            assert [server.last_byte_at for server in on.servers if server.last_byte_at] == []
+            assert on.log().count("given up, its client left within the request") == 3
+
+    asyncio.run(main())
+
+
+def test_client_that_ends_its_sending_gets_the_answer_to_a_long_request(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with stage(tmp_path) as on:
+            plan = Plan(Framing.LENGTH, Pace.LATE_BODY, 100)
+            for size in (20_000, 60_000, 300_000):
+                client = Peer(socket.create_connection(("127.0.0.1", on.node.port)))
+                client.send(request(f"/credit/{plan}", bytes(size), timeout=2500))
+                client.sock.shutdown(socket.SHUT_WR)
+                assert (await asyncio.to_thread(client.message))[2] == content(100)
+                client.close()
+
+    asyncio.run(main())
--- a/windrelay/interfaces.py
+++ b/windrelay/interfaces.py
@@ -102,6 +102,9 @@
     def progress(self) -> Progress:
         """Return what the backend is seen to do for the attempt."""
 
+    def is_request_delivered(self) -> bool:
+        """Return whether the backend's system has the whole request, as far as this one knows."""
+
     def response_progress(self) -> ResponseProgress | None:
         """Return how a response comes that can be passed on, or is; None where there is none."""
 
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -289,13 +289,15 @@
 
     def client_gone(self, request: Request) -> None:
         """The client has disconnected: it gets no answer, and the attempts run on to their
-        outcomes."""
+        outcomes, except those whose backend has not got the whole request yet."""
         if request.ended:
             return
         now = self.begin_event()
         try:
+            attempts = list(request.attempts)
             self.end_request(request)
             self.balancer.on_client_gone(now, request.id)
+            self.give_up_undelivered(now, attempts)
         except Exception:
             self.record_event_error()
         finally:
@@ -311,11 +313,36 @@
         now = self.begin_event()
         try:
             self.balancer.on_client_half_closed(now, request.id)
+            if request.unfinished_attempts:
+                self.loop.call_later(
+                    UNNOTICED_CLOSE_NS / SECOND, self.end_undelivered_of_half_closed, request
+                )
         except Exception:
             self.record_event_error()
         finally:
             self.end_event()
 
+    def end_undelivered_of_half_closed(self, request: Request) -> None:
+        """Give up the attempts of a client that may be gone, before it is too late to begin them.
+
+        An attempt begins once its backend has the whole request.
+        """
+        now = self.begin_event()
+        try:
+            self.give_up_undelivered(now, list(request.attempts))
+        except Exception:
+            self.record_event_error()
+        finally:
+            self.end_event()
+
+    def give_up_undelivered(self, now: int, attempts: Sequence[Attempt]) -> None:
+        """Give up those attempts whose backend has not got the whole request yet."""
+        for attempt in attempts:
+            connection = attempt.connection
+            if connection is not None and not connection.is_request_delivered():
+                self.log_attempt(now, attempt, "given up, its client left within the request")
+                self.give_up(attempt, Outcome.CANCELLED)
+
     def may_begin(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still write the last byte of its request.
 
--- a/windrelay/socket_view.py
+++ b/windrelay/socket_view.py
@@ -46,7 +46,8 @@
 import termios
 
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close reset
-_SEND_QUEUE_BYTES = struct.Struct("i")  # result of ioctl(TIOCOUTQ)
+_QUEUE_BYTES = struct.Struct("i")  # result of the ioctls for queues
+_SIOCOUTQNSD = 0x894B  # linux/sockios.h; asks for the part of the queue that was never sent
 
 
 class SocketView(socket.socket):
@@ -91,9 +92,22 @@
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many sent bytes the peer's system has not acknowledged; raises OSError."""
-    queue = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_SEND_QUEUE_BYTES.size))
-    return int(_SEND_QUEUE_BYTES.unpack(queue)[0])
+    """Return how many written bytes the peer's system has not acknowledged; raises OSError."""
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def unsent_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the kernel still holds back; raises OSError.
+
+    They wait for the peer to read. Bytes that were sent and not acknowledged do not count: the
+    acknowledgement may be delayed.
+    """
+    return _queued_bytes(sock, _SIOCOUTQNSD)
+
+
+def _queued_bytes(sock: socket.socket, query: int) -> int:
+    queue = fcntl.ioctl(sock, query, bytes(_QUEUE_BYTES.size))
+    return int(_QUEUE_BYTES.unpack(queue)[0])
 
 
 def reset_if_unsent(sock: socket.socket) -> None:
@@ -102,5 +116,5 @@
     They would otherwise be sent after the close, at the pace at which the peer reads.
     """
     with contextlib.suppress(OSError):
-        if unacknowledged_bytes(sock):
+        if unsent_bytes(sock):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import math
 import socket
@@ -29,7 +30,12 @@
 from windrelay.guard import closes_connection_on_error
 from windrelay.interfaces import StreamingCaller
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
-from windrelay.socket_view import SocketView, has_unread_data, reset_if_unsent
+from windrelay.socket_view import (
+    SocketView,
+    has_unread_data,
+    reset_if_unsent,
+    unsent_bytes,
+)
 
 if TYPE_CHECKING:
     from windrelay.http_node import HttpNode
@@ -475,6 +481,19 @@
             self.pool.node.report_stall(attempt)
         return SAMPLE_INTERVAL_NS
 
+    def is_request_delivered(self) -> bool:
+        """Return whether the backend's system has the whole request; see interfaces.AttemptHandle.
+
+        A short request counts as delivered with its write.
+        """
+        if self.progress() != Progress.READING or self._socket_view is None:
+            return True
+        if not self.request_written or self._writing_paused:
+            return False
+        with contextlib.suppress(OSError):
+            return not unsent_bytes(self._socket_view)
+        return True
+
     def response_progress(self) -> ResponseProgress | None:
         """Return the progress of a response that is, or can be, passed on before its end."""
         progress = self._progress
