Let a server send an interim response while it reads a long request

Seen while playing servers that read slowly: with 100 Continue in front, 8 MB read in 0.6 s and more went to three servers, one after the other, and none was given the time to read it; the client got 503.

Cause: a response that has begun before the request is written and then pauses for 0.25 s is given up as not usable. An interim response is none: RFC 9110 lets a server send it at any time before the final one.

Change: only a final response that begins before the end of the request is given up for its pause; the attempt's own time-out holds for the other. Evidence: the new test fails before (the connection is closed within the request) and passes.

--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -346,3 +346,20 @@
             backend.settimeout(0.1)
             with pytest.raises(TimeoutError):
                 backend.accept()
+
+
+def test_interim_response_to_a_long_request_does_not_end_its_attempt(tmp_path: Path) -> None:
+    """A server may send 100 Continue first and then read the request slowly."""
+    with node_with_backends(tmp_path) as (running, backend):
+        backend.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        client = running.connect()
+        data = body(8_000_000)
+        sender = in_background(client.send, request("/credit/1", data, timeout=3000))
+        peer = accept(backend)
+        peer.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        time.sleep(0.6)
+        first, _, got = peer.message()
+        assert first.startswith("POST ") and got == data
+        peer.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+        sender.join()
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -474,6 +474,8 @@
             silent_s = 0.0  # this event loop is late, not the backend
         if silent_s < RESPONSE_STALL_TIMEOUT_S:
             return int((RESPONSE_STALL_TIMEOUT_S - silent_s) * SECOND)
+        if not self.request_written and not self._headers_done:
+            return SAMPLE_INTERVAL_NS  # an interim response to a request that is still being read
         if attempt.request is None or not self.request_written:
             self._reject_response()
         else:
