--- a/tests/test_resource_log.py
+++ b/tests/test_resource_log.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from windrelay.rejection_log import MAX_REASONS, RejectionLog
+from windrelay.rejection_log import (
+    MAX_REASONS,
+    ClientCloseReason,
+    ReasonCounts,
+    RejectionLog,
+)
 from windrelay.resource_log import INTERVAL_NS, SHORT_INTERVAL_NS, ResourceLog, ResourceUse
 
 
@@ -32,3 +37,13 @@
     assert log.take_line(INTERVAL_NS - 1, use(31)) == ""
     assert log.take_line(INTERVAL_NS, use(31))
     assert log.take_line(INTERVAL_NS + SHORT_INTERVAL_NS, use(31))
+
+
+def test_closed_client_connections_are_counted_by_reason() -> None:
+    log = ReasonCounts("client connections closed")
+    for reason in (ClientCloseReason.IDLE, ClientCloseReason.EVICTED_IDLE, ClientCloseReason.IDLE):
+        log.count(reason)
+    assert (
+        log.take_line()
+        == "3 client connections closed: 2 idle too long; 1 evicted between requests"
+    )
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -28,7 +28,7 @@
 )
 from windrelay.node import UNNOTICED_CLOSE_NS
 from windrelay.paced_protocol import SLICE_BYTES, PacedProtocol
-from windrelay.rejection_log import RejectionLog
+from windrelay.rejection_log import ClientCloseReason, ReasonCounts, RejectionLog
 from windrelay.socket_view import LINGER_RESET, has_unread_data, unacknowledged_bytes
 
 if TYPE_CHECKING:
@@ -812,6 +812,7 @@
             self._last_write_sweep = sweep
         elif sweep - self._last_write_sweep > WRITE_TIMEOUT_SWEEPS:
             # A client that reads nothing would hold a descriptor and a buffer indefinitely.
+            self._server.record_close(ClientCloseReason.UNREAD)
             transport.abort()
 
 
@@ -836,6 +837,7 @@
         self._accept_paused = False
         self._accept_retry_timer: asyncio.TimerHandle | None = None
         self._rejection_log = RejectionLog()
+        self._close_log = ReasonCounts("client connections closed")
         self._accept_tasks: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         settings = node.config.settings
@@ -1033,12 +1035,20 @@
         )
         for conn in list(islice(chain(self.lingering, silent, self.idle), MAX_EVICTION_CANDIDATES)):
             if conn in self.lingering or conn.is_idle():
+                self.record_close(self._eviction_reason(conn))
                 conn.close()
                 closed_count += 1
                 if closed_count == MAX_EVICTIONS:
                     break
         return closed_count > 0 or self._evict_stalled()
 
+    def _eviction_reason(self, conn: ClientConnection) -> ClientCloseReason:
+        if conn in self.lingering:
+            return ClientCloseReason.EVICTED_LINGERING
+        if conn in self.awaiting_first_request:
+            return ClientCloseReason.EVICTED_SILENT
+        return ClientCloseReason.EVICTED_IDLE
+
     def _evict_stalled(self) -> bool:
         """Reject up to MAX_STALLED_EVICTIONS unfinished requests whose clients send nothing more.
 
@@ -1059,23 +1069,31 @@
         """Count a rejected request; the next sweep logs the counts by reason."""
         self._rejection_log.record(status, reason)
 
+    def record_close(self, reason: ClientCloseReason) -> None:
+        """Count a connection that this server closes; the next sweep logs the counts by reason."""
+        self._close_log.count(reason)
+
     def sweep(self) -> None:
         """Close connections whose time is over; the owner calls this each SWEEP_INTERVAL_S."""
         self.sweep_count += 1
-        # One log line per sweep: some clients repeat a rejected request at once.
-        line = self._rejection_log.take_line()
-        if line:
-            self.node.log(line)
+        # One log line of each per sweep: some clients repeat a rejected request at once.
+        for line in (self._rejection_log.take_line(), self._close_log.take_line()):
+            if line:
+                self.node.log(line)
         for conn in list(self.connections):
             try:
                 conn.sweep(self.sweep_count)
             except Exception as err:
                 conn.close_on_error("sweeping a connection", err)
-        self.close_silent(self.awaiting_first_request, FIRST_BYTE_TIMEOUT_SWEEPS)
+        self.close_silent(
+            self.awaiting_first_request, FIRST_BYTE_TIMEOUT_SWEEPS, ClientCloseReason.SILENT
+        )
         # Clients that send one request and stay connected hold memory and a descriptor each.
         descriptors_short = 2 * self.node.client_count > self.node.max_connections
         self.close_silent(
-            self.idle, SHORT_IDLE_TIMEOUT_SWEEPS if descriptors_short else IDLE_TIMEOUT_SWEEPS
+            self.idle,
+            SHORT_IDLE_TIMEOUT_SWEEPS if descriptors_short else IDLE_TIMEOUT_SWEEPS,
+            ClientCloseReason.IDLE,
         )
         if (
             self.evacuated
@@ -1091,14 +1109,18 @@
         """
         for conn in [*self.idle, *(c for c in self.awaiting_first_request if c.is_silent_for(2))]:
             if conn.is_idle():
+                self.record_close(ClientCloseReason.ENDING)
                 conn.close()
 
-    def close_silent(self, connections: Iterable[ClientConnection], sweeps: int) -> None:
+    def close_silent(
+        self, connections: Iterable[ClientConnection], sweeps: int, reason: ClientCloseReason
+    ) -> None:
         """Close those of `connections`, oldest first, that have waited for this many sweeps."""
         for conn in list(connections):
             if not conn.is_silent_for(sweeps):
                 break  # the following ones have waited for less
             if conn.is_idle():
+                self.record_close(reason)
                 conn.close()
 
     # ---- stopping -----------------------------------------------------
