Count only attempts that waited as unsent, not those that met a shortage at once

Seen beside 500 clients that read 8 MB slowly, at 32 MB: since a request for which the node has no connection tried twelve times in one event in place of four, 64,559 times in 10 s, and the timers of those attempts took the node to 36.8 MB.

Cause: an attempt that meets a shortage of this node ends at once, and so does the next. Change: only an attempt that ended later than it was sent counts as unsent, in the Balancer and in the node.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -1252,7 +1252,8 @@
         class_state = pending.cls
         pending.attempts_in_flight -= 1
         pending.stalled_attempts -= ended_attempt.stalled
-        pending.unsent_attempts += outcome == NOT_SENT
+        # One that ended at once met a shortage of this node, which the next one meets as well.
+        pending.unsent_attempts += outcome == NOT_SENT and duration > 0
         if not (ended_attempt.response_started or ended_attempt.stalled):
             self.release_slot(class_state, backend)
             if outcome in OUTCOMES_MAY_STILL_RUN:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -527,12 +527,14 @@
     assert len(host.calls_named("refuse")) == 1
 
 
-def test_request_of_which_no_attempt_can_be_sent_is_refused() -> None:
+@pytest.mark.parametrize("duration,most", [(0, 4), (MS, 4 + MAX_EXTRA_UNSENT_ATTEMPTS)])
+def test_request_of_which_no_attempt_can_be_sent_is_refused(duration: int, most: int) -> None:
+    """Attempts that end at once met a shortage of the node: four of them are enough."""
     balancer, host = build_balancer()
     balancer.on_request(0, 1, 0, SECOND)
     for attempt in range(40):
-        balancer.on_outcome(0, 1, attempt, Outcome.NOT_SENT, 0, False)
-    assert len(host.calls_named("send")) <= 4 + MAX_EXTRA_UNSENT_ATTEMPTS
+        balancer.on_outcome(MS, 1, attempt, Outcome.NOT_SENT, duration, False)
+    assert len(host.calls_named("send")) == most
     assert len(host.calls_named("refuse")) == 1
 
 
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -417,7 +417,7 @@
         nested = self.in_event
         now = self.now if nested else self.begin_event()
         request = attempt.request
-        if request is not None and outcome == Outcome.NOT_SENT:
+        if request is not None and outcome == Outcome.NOT_SENT and now > attempt.sent_at:
             request.unsent_attempts += 1
         self.pending_outcomes.append(
             (attempt, outcome, (attempt.answer_started_at or now) - attempt.sent_at, load)
