Allow a response 1.5 s of silence past its client's time, and soak long exchanges

Change: silence ends a response after 1.5 s; a trickle (fewer than 128 bytes, still coming half a second after the last progress) after 1 s as before. A longer pause before earns nothing any more, which is simpler. The price: a response that stops is ended up to 0.75 s after the time of a client that waits 0.75 s; it has begun by then, and "has failed and is not lost, as long as the client can tell that it is not whole" (PROTOCOL.md). Where nothing has come for 1.5 s at the client's time the answer is still a refusal or a failure in time.

--- a/flinthatch/response_progress.py
+++ b/flinthatch/response_progress.py
@@ -11,10 +11,12 @@
 
 from flinthatch.interface import MS, SECOND
 
-# Longest pause within a response. Where the same response has resumed after a pause before, its
-# later pauses may be longer than that one by a half.
-MAX_PAUSE_NS = SECOND
+# Longest silence within a response.
+MAX_PAUSE_NS = 1500 * MS
 MIN_PROGRESS_BYTES = 128  # fewer bytes do not end a pause
+# The same where such bytes still come this long after the last progress.
+MAX_TRICKLE_NS = SECOND
+TRICKLE_SPAN_NS = 500 * MS
 # Time that a response may lose against the lowest pace of a long one.
 MAX_DELAY_NS = 10 * SECOND
 MIN_BYTES_PER_S = 16 << 10
@@ -25,24 +27,22 @@
     """The progress of one response that has come in part."""
 
     __slots__ = (
-        "_bytes_at_progress", "_bytes_at_sample", "_delay_left_ns", "_max_pause_ns",
-        "_progress_at", "_sampled_at", "byte_count",
+        "_bytes_at_progress", "_bytes_at_sample", "_delay_left_ns", "_progress_at", "_received_at",
+        "_sampled_at", "byte_count",
     )  # fmt: skip
 
     def __init__(self, now: int) -> None:
         self.byte_count = 0  # of the body, so far
-        self._progress_at = self._sampled_at = now
+        self._progress_at = self._received_at = self._sampled_at = now
         self._bytes_at_progress = 0
         self._bytes_at_sample = 0
-        self._max_pause_ns = MAX_PAUSE_NS
         self._delay_left_ns = MAX_DELAY_NS
 
     def receive(self, now: int, byte_count: int) -> None:
-        """Record that `byte_count` bytes of the body have come by now."""
+        """Record that something has come now, and `byte_count` bytes of the body in all."""
         self.byte_count = byte_count
+        self._received_at = now
         if byte_count - self._bytes_at_progress >= MIN_PROGRESS_BYTES:
-            pause_ns = now - self._progress_at
-            self._max_pause_ns = max(self._max_pause_ns, pause_ns + pause_ns // 2)
             self._progress_at = now
             self._bytes_at_progress = byte_count
 
@@ -62,7 +62,9 @@
 
     def time_left(self, now: int) -> int:
         """Nanoseconds until the response counts as stopped if nothing more comes; 0 if it does."""
-        pause_left_ns = self._progress_at + self._max_pause_ns - now
+        is_trickle = self._received_at - self._progress_at >= TRICKLE_SPAN_NS
+        max_pause_ns = MAX_TRICKLE_NS if is_trickle else MAX_PAUSE_NS
+        pause_left_ns = self._progress_at + max_pause_ns - now
         return max(min(pause_left_ns, self._delay_left_ns - (now - self._sampled_at)), 0)
 
 
--- a/standins/long_exchanges.py
+++ b/standins/long_exchanges.py
@@ -43,6 +43,10 @@
     TRICKLE = "trickle"  # half of it, then a byte at a time
     ENDLESS = "endless"  # steady, and never ends
 
+    def is_sound(self) -> bool:
+        """Whether the response comes whole."""
+        return self not in (Pace.HALF, Pace.TRICKLE, Pace.ENDLESS)
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -58,7 +62,9 @@
 
     @classmethod
     def parse(cls, text: str) -> Plan:
-        """Read the last part of a path; raises ValueError."""
+        """Read the last part of a path; a number alone is a size. Raises ValueError."""
+        if text.isdigit():
+            return cls(Framing.LENGTH, Pace.FAST, int(text))
         framing, pace, size, read_bytes_per_s = text.split("-")
         return cls(Framing(framing), Pace(pace), int(size), int(read_bytes_per_s))
 
@@ -107,6 +113,7 @@
     def __init__(self, receive_buffer_bytes: int = 0) -> None:
         self.runs: dict[str, int] = {}
         self.last_byte_at: dict[str, float] = {}  # loop time at which a request was whole
+        self.longest_pause_s: dict[str, float] = {}  # within a response, as this process kept it
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         if receive_buffer_bytes:
             self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
@@ -139,14 +146,14 @@
 
     async def _serve(self, sock: socket.socket) -> None:
         with sock, contextlib.suppress(OSError, EOFError):
-            buffer = b""
             while True:
-                plan, buffer = await self._read_request(sock, buffer)
-                if not await self._respond(sock, plan):
+                plan, request_id = await self._read_request(sock)
+                if not await self._respond(sock, plan, request_id):
                     return
 
-    async def _read_request(self, sock: socket.socket, buffer: bytes) -> tuple[Plan, bytes]:
+    async def _read_request(self, sock: socket.socket) -> tuple[Plan, str]:
         loop = asyncio.get_running_loop()
+        buffer = b""
         while b"\r\n\r\n" not in buffer:
             buffer += await _receive(sock, 4096)
         head, _, buffer = buffer.partition(b"\r\n\r\n")
@@ -161,16 +168,23 @@
         request_id = headers["x-request-id"]
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.last_byte_at[request_id] = loop.time()
-        return plan, b""
+        return plan, request_id
 
-    async def _respond(self, sock: socket.socket, plan: Plan) -> bool:
+    async def _respond(self, sock: socket.socket, plan: Plan, request_id: str) -> bool:
         """Write a response; returns whether the connection carries another request."""
         loop = asyncio.get_running_loop()
         await loop.sock_sendall(sock, plan.head())
+        written_at = loop.time()
+        self.longest_pause_s[request_id] = 0.0
         for piece, pause_s in plan.pieces():
             if plan.framing == Framing.CHUNKED and piece:
                 piece = b"%x\r\n%s\r\n" % (len(piece), piece)
             await loop.sock_sendall(sock, piece)
+            if piece:
+                self.longest_pause_s[request_id] = max(
+                    self.longest_pause_s[request_id], loop.time() - written_at
+                )
+                written_at = loop.time()
             await asyncio.sleep(pause_s)
         if plan.pace in (Pace.HALF, Pace.TRICKLE):
             await _receive(sock, 1)  # never a request: the node closes
