Fail all requests of a stop before their attempts are given up

Found on reading the change again: since the attempts of a stop are given up, a slot that one leaves could let a request in that still waits, which would be sent and failed a moment later. No caller saw it. Change: first every open request gets its failure, then the attempts end. Evidence: by reading; the tests of stops and of long responses pass (50).

--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -490,13 +490,18 @@
                 client.fail(late)
 
     def fail_all(self) -> None:
-        """Fail every request that is still open; called at the very end of a stop."""
+        """Fail every request that is still open, and give up all attempts.
+
+        Called at the very end of a stop.
+        """
+        attempts = [attempt for request in self.requests.values() for attempt in request.attempts]
         for request in list(self.requests.values()):
             if not request.ended:
                 self.log(f"request {request.client_request_id.decode('latin-1')} failed, a stop")
             self.fail_at_once(request)
-            for attempt in list(request.attempts):
-                self.give_up(attempt, Outcome.CANCELLED)
+        # Only now: a slot that is given up would let a request in that still waits.
+        for attempt in attempts:
+            self.give_up(attempt, Outcome.CANCELLED)
 
     # ---- actions ------------------------------------------------------
 
