Fail a short response that has paused in the time of its client, and pass on long ones

Change: at the end of the client's time a response is passed on where it is still coming (a pause under 0.25 s), or may be long: 16 KB have come or are announced, or its length is not known and only its head has come; and where at least 0.25 s of its allowances are left.

--- a/flinthatch/response_progress.py
+++ b/flinthatch/response_progress.py
@@ -11,6 +11,10 @@
 
 from flinthatch.interface import MS, SECOND
 
+# A response is passed on at the end of the client's time if it may be this long, or has not paused.
+LONG_RESPONSE_BYTES = 16 << 10
+UNPAUSED_NS = 250 * MS
+MIN_TIME_LEFT_NS = 250 * MS  # of one that is passed on
 # Longest silence within a response.
 MAX_PAUSE_NS = 1500 * MS
 MIN_PROGRESS_BYTES = 128  # fewer bytes do not end a pause
@@ -27,12 +31,14 @@
     """The progress of one response that has come in part."""
 
     __slots__ = (
-        "_bytes_at_progress", "_bytes_at_sample", "_delay_left_ns", "_progress_at", "_received_at",
-        "_sampled_at", "byte_count",
+        "_bytes_at_progress", "_bytes_at_sample", "_content_length", "_delay_left_ns",
+        "_progress_at", "_received_at", "_sampled_at", "byte_count",
     )  # fmt: skip
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, content_length: int = -1) -> None:
+        """`content_length` is that of the response in bytes, -1 where it is not known."""
         self.byte_count = 0  # of the body, so far
+        self._content_length = content_length
         self._progress_at = self._received_at = self._sampled_at = now
         self._bytes_at_progress = 0
         self._bytes_at_sample = 0
@@ -67,12 +73,27 @@
         pause_left_ns = self._progress_at + max_pause_ns - now
         return max(min(pause_left_ns, self._delay_left_ns - (now - self._sampled_at)), 0)
 
+    def may_be_passed_on(self, now: int) -> bool:
+        """Whether to begin to pass the response on, though it has not come whole in time.
+
+        A failure in time tells its client more than the cut of a short response that has paused.
+        """
+        may_be_long = (
+            max(self.byte_count, self._content_length) >= LONG_RESPONSE_BYTES
+            or (self._content_length < 0 and not self.byte_count)  # the head alone
+        )
+        is_coming = now - self._received_at < UNPAUSED_NS
+        return (may_be_long or is_coming) and self.time_left(now) >= MIN_TIME_LEFT_NS
+
 
 def select_response(now: int, candidates: Sequence[ResponseProgress]) -> int | None:
-    """Index of the response to pass on at the end of the client's time; None if all have stopped.
+    """Index of the response to pass on at the end of the client's time, None for none.
 
     Of several attempts that is the one which may pause longest, so the one that came last.
     """
-    lefts = [candidate.time_left(now) for candidate in candidates]
+    lefts = [
+        candidate.time_left(now) if candidate.may_be_passed_on(now) else 0
+        for candidate in candidates
+    ]
     longest = max(lefts, default=0)
     return lefts.index(longest) if longest else None
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -402,7 +402,7 @@
             self._reject_response()
         elif self._received_bytes:
             if self._progress is None:
-                self._progress = ResponseProgress(self._last_received_at)
+                self._progress = ResponseProgress(self._last_received_at, self._content_length)
                 self._set_progress_timer(RESPONSE_STALL_TIMEOUT_S)
             self._progress.receive(self._last_received_at, self._body_size)
 
