--- a/windrelay/memory_budget.py
+++ b/windrelay/memory_budget.py
@@ -6,7 +6,7 @@
 
 DEFAULT_BASE_MB = 26  # base memory of the program, where it can't be measured
 MIN_MESSAGE_BYTES = 1 << 20  # for messages, however small the node's memory limit
-CONNECTION_BYTES = 3 << 10  # of one connection's objects, without its messages
+CONNECTION_BYTES = 7 << 10  # of one connection's objects, without its messages
 MIN_MEMORY_CONNECTIONS = 64  # to clients and backends, however small the node's memory limit
 # Memory that the allocator does not return, and that one turn of the event loop needs.
 SLACK_FRACTION = 1 / 4
